--- a/packages/swifttide_core/src/swifttide_core/slots/_slot_map.py
+++ b/packages/swifttide_core/src/swifttide_core/slots/_slot_map.py
@@ -33,7 +33,7 @@
     int
         In ``range(n_slots)``.
     """
-    return xxhash.xxh64_intdigest(f"{kind}\0{key}") % n_slots
+    return _hash(f"{kind}\0{key}") % n_slots
 
 
 def preferred_host(slot: int, hosts: Iterable[str]) -> str | None:
@@ -54,6 +54,10 @@
     """
     return max(
         hosts,
-        key=lambda host: (xxhash.xxh64_intdigest(f"{slot}\0{host}"), host),
+        key=lambda host: (_hash(f"{slot}\0{host}"), host),
         default=None,
     )
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
