ENH Divide a customer's rate and burst among zones and entry hosts

Tokens that are lent out count against the burst until they come back or expire, so level + lent <= burst at every moment.

--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
@@ -0,0 +1,227 @@
+"""A customer's share of rate and burst in one zone, at the slot's holder.
+
+Load pattern: one customer's requests arrive at any entry host of the zone, at
+several times its rate, in bursts, or at less than one request per host and
+second; the holder may be paused past its lease, replaced, or edited meanwhile.
+
+Without it: a fixed split per host refuses most requests of a customer whose burst
+is smaller than the number of hosts, and a bucket per host without a split admits
+the rate once per host.
+
+Grounds: tokens that are lent out count against the burst until they are given
+back or have expired, so ``level + lent <= burst`` holds at every moment. What may
+be admitted in a window is at most that sum at its start plus what comes in, which
+is ``burst + rate * window``. A batch ends with the holder's lease, so that a new
+holder, which starts after that lease, finds nothing of the old one's in use.
+The figures below are measured in docs/measurements-limits.md.
+"""
+
+import heapq
+
+from swifttide_core.documents import Customer
+from swifttide_core.limits._batch import Batch
+from swifttide_core.limits._rate_refused import RateRefused
+from swifttide_core.limits._token_bucket import TOLERANCE, TokenBucket
+
+BATCH_SECONDS = 2.0
+"""Life of a batch; tokens that an entry host loses are out of use for so long."""
+
+DRIFT_FACTOR = 1.01
+"""How much longer the holder counts a batch as lent: the clocks of two hosts may
+run apart by up to one part in a hundred."""
+
+SPARE_FRACTION = 0.25
+"""Share of the spare level that entry hosts may hold beyond what they need now."""
+
+ACTIVE_SECONDS = 4.0
+"""Silence after which an entry host no longer counts as one that may draw."""
+
+
+class _Loan:
+    """A batch that is lent out."""
+
+    def __init__(self, batch, expires_at):
+        self.batch = batch
+        self.expires_at = expires_at
+
+
+class CustomerShare:
+    """Bucket of one customer in one zone, lent out in small batches.
+
+    Parameters
+    ----------
+    bucket : TokenBucket
+        Tokens that are not lent out.
+
+    Notes
+    -----
+    The host that holds the customer's slot keeps it, and drops it with the slot.
+    """
+
+    def __init__(self, bucket):
+        self.bucket = bucket
+        self._loans = {}
+        self._lent = 0.0
+        self._expiries = []
+        self._seen = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        customer: Customer,
+        fraction: float,
+        now: float,
+        unserved_since: float | None = None,
+    ) -> "CustomerShare":
+        """Start a share at a takeover.
+
+        Parameters
+        ----------
+        customer : Customer
+            Rate and burst over all hosts.
+        fraction : float
+            Part of both that the zone has, from the platform's ``shares`` row.
+        now : float
+            Monotonic seconds, after the claim was committed.
+        unserved_since : float or None
+            Since when nobody can have served the customer in this zone: the end of
+            the former holder's lease, or ``-inf`` where the row shows that there
+            never was a holder. None when nothing is known: it starts empty.
+
+        Returns
+        -------
+        CustomerShare
+            With the tokens that came in since ``unserved_since``.
+        """
+        rate = customer.rate_per_second * fraction
+        burst = customer.burst * fraction
+        bucket = TokenBucket.empty(rate, burst, now)
+        if unserved_since is not None:
+            bucket.level = min(burst, rate * max(0.0, now - unserved_since))
+        return cls(bucket)
+
+    @property
+    def lent(self) -> float:
+        """Tokens that entry hosts may still hold."""
+        return self._lent
+
+    def draw(
+        self,
+        now: float,
+        entry_host: str,
+        wanted: float,
+        holder_lease_ends_at: float,
+        *,
+        draw_id: str,
+        partial: bool = False,
+        returned: tuple[Batch, ...] = (),
+    ) -> Batch | RateRefused:
+        """Lend tokens to an entry host.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds at the holder.
+        entry_host : str
+            Host AND incarnation of the one that draws.
+        wanted : float
+            Tokens that it can use while a batch lives; at least one is needed now.
+        holder_lease_ends_at : float
+            End of the holder's own lease, counted from before its renewal was sent.
+        draw_id : str
+            The same id again gets the same batch.
+        partial : bool
+            Whether less than one token is of use.
+        returned : tuple of Batch
+            Batches that the entry host has done with.
+
+        Returns
+        -------
+        Batch or RateRefused
+        """
+        for batch in returned:
+            self.give_back(now, entry_host, batch)
+        self._advance(now)
+        self._see(now, entry_host)
+        if now >= holder_lease_ends_at:
+            return RateRefused(BATCH_SECONDS)
+        known = self._loans.get((entry_host, draw_id))
+        if known is not None:
+            return known.batch
+        tokens = self._size(wanted, partial)
+        if tokens <= TOLERANCE:
+            return self._refuse(now)
+        ttl = min(BATCH_SECONDS, holder_lease_ends_at - now)
+        return self._lend(now, entry_host, Batch(draw_id, tokens, ttl))
+
+    def give_back(self, now: float, entry_host: str, batch: Batch) -> None:
+        """Take back what is left of a batch; a second time changes nothing."""
+        self._advance(now)
+        loan = self._loans.pop((entry_host, batch.draw_id), None)
+        if loan is None:
+            return
+        self._lent -= loan.batch.tokens
+        rest = min(max(0.0, batch.tokens), loan.batch.tokens)
+        self.bucket.level = min(self.bucket.level + rest, self._room())
+
+    def set_limits(self, now: float, customer: Customer, fraction: float) -> None:
+        """Put an edit, or another fraction, in force from now on."""
+        self._advance(now)
+        self.bucket.rate = customer.rate_per_second * fraction
+        self.bucket.burst = customer.burst * fraction
+        self.bucket.level = min(self.bucket.level, self._room())
+
+    def within(self, now: float, burst: float) -> bool:
+        """Return whether no more than ``burst`` can be admitted at once."""
+        self._advance(now)
+        return self.bucket.level + self._lent <= burst + TOLERANCE
+
+    def _size(self, wanted, partial):
+        level = self.bucket.level
+        if level + TOLERANCE < 1.0:
+            return min(level, wanted) if partial else 0.0
+        if partial:
+            return min(level, wanted)
+        spare = (level - 1.0) * SPARE_FRACTION / len(self._seen)
+        extra = min(max(0.0, wanted - 1.0), spare)
+        return 1.0 + int(extra)
+
+    def _lend(self, now, entry_host, batch):
+        key = (entry_host, batch.draw_id)
+        expires_at = now + batch.ttl_seconds * DRIFT_FACTOR
+        self.bucket.level = max(0.0, self.bucket.level - batch.tokens)
+        self._lent += batch.tokens
+        self._loans[key] = _Loan(batch, expires_at)
+        heapq.heappush(self._expiries, (expires_at, key))
+        return batch
+
+    def _refuse(self, now):
+        wait = self.bucket.seconds_until(now)
+        return RateRefused(wait, self.bucket.level, self.bucket.rate)
+
+    def _advance(self, now):
+        while self._expiries and self._expiries[0][0] <= now:
+            expires_at, key = heapq.heappop(self._expiries)
+            loan = self._loans.get(key)
+            if loan is None or loan.expires_at != expires_at:
+                continue
+            self.bucket.refill(expires_at, self._room())
+            # Whether they were spent is unknown: back in the level they could be
+            # spent twice, seen as a customer above its burst.
+            del self._loans[key]
+            self._lent -= loan.batch.tokens
+        if not self._loans:
+            self._lent = 0.0
+        self.bucket.refill(now, self._room())
+
+    def _room(self):
+        return max(0.0, self.bucket.burst - self._lent)
+
+    def _see(self, now, entry_host):
+        self._seen.pop(entry_host, None)
+        self._seen[entry_host] = now
+        while True:
+            oldest = next(iter(self._seen))
+            if self._seen[oldest] > now - ACTIVE_SECONDS:
+                return
+            del self._seen[oldest]
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/limits/_taken.py
@@ -0,0 +1,8 @@
+"""A request that may go on."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A token was spent on the request."""
