--- a/packages/swifttide_core/src/swifttide_core/limits/_zone_shares.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_zone_shares.py
@@ -57,7 +57,7 @@
         )
         n_served = max(1, min(len(ranked), int(customer.burst)))
         fraction = 1.0 / n_served
-        return cls({zone: fraction for zone in ranked[:n_served]}, {})
+        return cls(dict.fromkeys(ranked[:n_served], fraction), {})
 
     @classmethod
     def from_row(cls, value: Mapping) -> "ZoneShares":
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/retries/_breaker_states.py
@@ -0,0 +1,55 @@
+"""States of a circuit breaker."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """Requests pass and their results are counted.
+
+    Parameters
+    ----------
+    n_ok, n_failed : float
+        Results of late, older ones counting less.
+    updated_at : float
+        Monotonic seconds up to which they were aged.
+    """
+
+    n_ok: float
+    n_failed: float
+    updated_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Open:
+    """No request passes.
+
+    Parameters
+    ----------
+    until : float
+        Monotonic seconds at which one probe may go.
+    n_trips : int
+        Times in a row that it opened.
+    """
+
+    until: float
+    n_trips: int
+
+
+@dataclass(frozen=True, slots=True)
+class HalfOpen:
+    """One probe is on its way.
+
+    Parameters
+    ----------
+    probe : int
+        Number of the probe's pass.
+    given_up_at : float
+        Monotonic seconds at which a probe without a result counts as failed.
+    n_trips : int
+        Times in a row that the breaker opened.
+    """
+
+    probe: int
+    given_up_at: float
+    n_trips: int
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/retries/_circuit_breaker.py
@@ -0,0 +1,117 @@
+"""Leaving a failing target alone.
+
+Load pattern: a target fails every request, quickly or by timing out, while others
+serve the same model.
+
+Without it: each request to it costs a try of its retry budget and up to a timeout
+of its program's deadline, until the platform's lagging list takes it out.
+
+Grounds: half of at least five late results is far above the failures of a healthy
+target, and is reached within five requests of a dead one. One probe at a time, so
+that a target that is coming back meets one request and not all that waited. The
+pause doubles with each failed probe and has jitter, so that hosts don't probe in
+step.
+"""
+
+import math
+
+from swifttide_core.retries._breaker_pass import Blocked, Pass
+from swifttide_core.retries._breaker_states import Closed, HalfOpen, Open
+
+MIN_RESULTS = 5.0
+"""Results below which nothing is concluded."""
+
+FAILED_SHARE = 0.5
+"""Share of failures at which it opens."""
+
+MEMORY_SECONDS = 10.0
+"""Time constant with which older results fade."""
+
+OPEN_SECONDS = 1.0
+"""First pause before a probe."""
+
+MAX_OPEN_SECONDS = 30.0
+"""Longest pause before a probe."""
+
+
+class CircuitBreaker:
+    """Breaker in front of one target.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic seconds.
+    probe_seconds : float
+        Time after which a probe without a result counts as failed: the longest
+        that a request to the target may take.
+    rng : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(self, now, probe_seconds, rng):
+        self.probe_seconds = probe_seconds
+        self.rng = rng
+        self.state = Closed(0.0, 0.0, now)
+        self._n_passes = 0
+
+    def ask(self, now: float) -> Pass | Blocked:
+        """Return whether a request may go to the target."""
+        self._give_up_probe(now)
+        match self.state:
+            case Closed():
+                return self._next_pass()
+            case Open(until, n_trips) if now >= until:
+                probe = self._next_pass()
+                given_up_at = now + self.probe_seconds
+                self.state = HalfOpen(probe.number, given_up_at, n_trips)
+                return probe
+            case Open(until, _):
+                return Blocked(until - now)
+            case HalfOpen(_, given_up_at, _):
+                return Blocked(max(0.0, given_up_at - now))
+
+    def report(self, now: float, passed: Pass, ok: bool) -> None:
+        """Count the result of a request; a request that was not sent has none."""
+        self._give_up_probe(now)
+        match self.state:
+            case Closed() as closed:
+                self._count(now, closed, ok)
+            case HalfOpen(probe, _, _) if passed.number == probe and ok:
+                self.state = Closed(0.0, 0.0, now)
+            case HalfOpen(probe, _, n_trips) if passed.number == probe:
+                self._open(now, n_trips + 1)
+            case Open() | HalfOpen():
+                # A stream that began before the target failed says nothing about
+                # it now; believed, it would send all who wait at once.
+                pass
+
+    def withdraw(self, now: float, passed: Pass) -> None:
+        """Say that a request was not sent after all; the next may probe."""
+        match self.state:
+            case HalfOpen(probe, _, n_trips) if passed.number == probe:
+                self.state = Open(now, n_trips)
+
+    def _next_pass(self):
+        self._n_passes += 1
+        return Pass(self._n_passes)
+
+    def _count(self, now, closed, ok):
+        fade = math.exp(-max(0.0, now - closed.updated_at) / MEMORY_SECONDS)
+        n_ok = closed.n_ok * fade + (1.0 if ok else 0.0)
+        n_failed = closed.n_failed * fade + (0.0 if ok else 1.0)
+        self.state = Closed(n_ok, n_failed, now)
+        # Five results within a second fade to just below five.
+        n_results = round(n_ok + n_failed)
+        if n_results >= MIN_RESULTS and n_failed >= FAILED_SHARE * n_results:
+            self._open(now, 1)
+
+    def _open(self, now, n_trips):
+        pause = min(MAX_OPEN_SECONDS, OPEN_SECONDS * 2.0 ** min(n_trips - 1, 30))
+        self.state = Open(now + pause * self.rng.uniform(0.5, 1.0), n_trips)
+
+    def _give_up_probe(self, now):
+        match self.state:
+            case HalfOpen(_, given_up_at, n_trips) if now >= given_up_at:
+                # The prober died with its probe: without this the target would
+                # stay closed off for good, though it is back.
+                self._open(now, n_trips + 1)
