--- a/packages/swifttide_core/src/swifttide_core/limits/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/__init__.py
@@ -9,6 +9,7 @@
 from swifttide_core.limits._rate_refused import RateRefused
 from swifttide_core.limits._return_order import ReturnOrder
 from swifttide_core.limits._share_plan import GiveUp, Stay, plan_move
+from swifttide_core.limits._share_state import Lent, ShareState
 from swifttide_core.limits._taken import Taken
 from swifttide_core.limits._token_bucket import TokenBucket
 from swifttide_core.limits._zone_shares import ZoneShares, check_zone_shares
@@ -21,9 +22,11 @@
     "DrawFailed",
     "EntryAllowance",
     "GiveUp",
+    "Lent",
     "NeedDraw",
     "RateRefused",
     "ReturnOrder",
+    "ShareState",
     "Stay",
     "Taken",
     "TokenBucket",
--- a/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
@@ -20,7 +20,9 @@
 
 from swifttide_core.documents import Customer
 from swifttide_core.limits._batch import Batch
+from swifttide_core.limits._demand import Demand
 from swifttide_core.limits._rate_refused import RateRefused
+from swifttide_core.limits._share_state import Lent, ShareState
 from swifttide_core.limits._token_bucket import TOLERANCE, TokenBucket
 
 BATCH_SECONDS = 2.0
@@ -37,8 +39,12 @@
 """Silence after which an entry host no longer counts as one that may draw."""
 
 
+PLAN_SECONDS = 20.0
+"""Time constant of the demand per zone from which shares are moved."""
+
+
 class _Loan:
-    """A batch that is lent out."""
+    """A batch that is lent out, and until when."""
 
     def __init__(self, batch, expires_at):
         self.batch = batch
@@ -64,6 +70,8 @@
         self._lent = 0.0
         self._expiries = []
         self._seen = {}
+        self._drawn = {}
+        self._handed_over = False
 
     @classmethod
     def from_config(
@@ -100,6 +108,31 @@
             bucket.level = min(burst, rate * max(0.0, now - unserved_since))
         return cls(bucket)
 
+    @classmethod
+    def from_handover(
+        cls, customer: Customer, fraction: float, state: ShareState, now: float
+    ) -> "CustomerShare":
+        """Go on where the former holder has stopped.
+
+        Parameters
+        ----------
+        customer : Customer
+            Rate and burst over all hosts.
+        fraction : float
+            Part of both that the zone has.
+        state : ShareState
+            From ``hand_over``, received by the one host that claimed the slot with
+            the epoch that the former holder named. However late it comes, it
+            holds too little, never too much.
+        now : float
+            Monotonic seconds, after the claim was committed.
+        """
+        share = cls.from_config(customer, fraction, now)
+        for lent in state.lent:
+            share._record(lent.entry_host, lent.batch, now + lent.seconds_left)
+        share.bucket.level = min(state.level, share._room())
+        return share
+
     @property
     def lent(self) -> float:
         """Tokens that entry hosts may still hold."""
@@ -113,6 +146,7 @@
         holder_lease_ends_at: float,
         *,
         draw_id: str,
+        zone: str = "",
         partial: bool = False,
         returned: tuple[Batch, ...] = (),
     ) -> Batch | RateRefused:
@@ -130,6 +164,8 @@
             End of the holder's own lease, counted from before its renewal was sent.
         draw_id : str
             The same id again gets the same batch.
+        zone : str
+            Of the entry host, for ``drawn_per_second``.
         partial : bool
             Whether less than one token is of use.
         returned : tuple of Batch
@@ -143,7 +179,7 @@
             self.give_back(now, entry_host, batch)
         self._advance(now)
         self._see(now, entry_host)
-        if now >= holder_lease_ends_at:
+        if self._handed_over or now >= holder_lease_ends_at:
             return RateRefused(BATCH_SECONDS)
         known = self._loans.get((entry_host, draw_id))
         if known is not None:
@@ -151,6 +187,7 @@
         tokens = self._size(wanted, partial)
         if tokens <= TOLERANCE:
             return self._refuse(now)
+        self._drawn.setdefault(zone, Demand(now, PLAN_SECONDS)).arrive(now, tokens)
         ttl = min(BATCH_SECONDS, holder_lease_ends_at - now)
         return self._lend(now, entry_host, Batch(draw_id, tokens, ttl))
 
@@ -171,6 +208,23 @@
         self.bucket.burst = customer.burst * fraction
         self.bucket.level = min(self.bucket.level, self._room())
 
+    def drawn_per_second(self, now: float) -> dict[str, float]:
+        """Return the tokens a second lent of late, by zone of the entry host."""
+        return {zone: demand.rate(now) for zone, demand in self._drawn.items()}
+
+    def hand_over(self, now: float) -> ShareState:
+        """Stop lending, and return what the slot's next holder needs to go on.
+
+        A planned stop would otherwise cost each of the host's customers its burst.
+        """
+        self._advance(now)
+        self._handed_over = True
+        lent = tuple(
+            Lent(entry_host, loan.batch, loan.expires_at - now)
+            for (entry_host, _), loan in self._loans.items()
+        )
+        return ShareState(self.bucket.level, lent)
+
     def within(self, now: float, burst: float) -> bool:
         """Return whether no more than ``burst`` can be admitted at once."""
         self._advance(now)
@@ -187,13 +241,15 @@
         return 1.0 + int(extra)
 
     def _lend(self, now, entry_host, batch):
-        key = (entry_host, batch.draw_id)
-        expires_at = now + batch.ttl_seconds * DRIFT_FACTOR
         self.bucket.level = max(0.0, self.bucket.level - batch.tokens)
+        self._record(entry_host, batch, now + batch.ttl_seconds * DRIFT_FACTOR)
+        return batch
+
+    def _record(self, entry_host, batch, expires_at):
+        key = (entry_host, batch.draw_id)
         self._lent += batch.tokens
         self._loans[key] = _Loan(batch, expires_at)
         heapq.heappush(self._expiries, (expires_at, key))
-        return batch
 
     def _refuse(self, now):
         wait = self.bucket.seconds_until(now)
--- a/packages/swifttide_core/src/swifttide_core/limits/_entry_allowance.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_entry_allowance.py
@@ -25,9 +25,16 @@
 FAILED_SECONDS = 0.5
 """How long a holder that was not reached is passed over."""
 
+CLOSED_SECONDS = 1.0
+"""Longest that a refusal is believed: tokens that another entry host gives back, a
+raised limit or a moved share are seen after this time."""
+
 HORIZON_SECONDS = 1.0
 """Demand that a draw asks ahead for."""
 
+MIN_WAIT_SECONDS = 0.01
+"""Shortest wait that a refused caller is told: some trips to a holder."""
+
 KEEP_SECONDS = 1.0
 """Silence of a customer after which its tokens go back."""
 
@@ -48,10 +55,15 @@
 class _Closed:
     """A zone that had no whole token, or was not reached."""
 
-    def __init__(self, until, available, rate):
-        self.until = until
-        self.available = available
+    def __init__(self, now, wait, available, rate):
+        self.since = now
+        self.until = now + min(wait, CLOSED_SECONDS)
         self.rate = rate
+        self._available = available
+
+    def available(self, now):
+        """Part of a token that has come in there, if nobody else took it."""
+        return self._available + self.rate * (now - self.since)
 
 
 class _Purse:
@@ -135,10 +147,10 @@
             case Batch():
                 self._accept(purse, flight, answer)
             case RateRefused(wait, available, rate):
-                closed = _Closed(now + wait, available, rate)
+                closed = _Closed(now, wait, available, rate)
                 purse.closed[flight.zone] = closed
             case DrawFailed():
-                closed = _Closed(now + FAILED_SECONDS, 0.0, 0.0)
+                closed = _Closed(now, FAILED_SECONDS, 0.0, 0.0)
                 purse.closed[flight.zone] = closed
         asked = flight.asked | {(flight.zone, flight.partial)}
         return self._decide(now, flight.customer, purse, asked)
@@ -172,7 +184,7 @@
         """Draw parts of a token in several zones when they make up a whole one."""
         held = sum(h.rest for h in purse.held)
         parts = [
-            (zone, purse.closed[zone].available)
+            (zone, purse.closed[zone].available(now))
             for zone in self.zones
             if zone in purse.closed and (zone, True) not in asked
         ]
@@ -186,12 +198,12 @@
         rate = 0.0
         waits = [FAILED_SECONDS]
         for closed in purse.closed.values():
-            available += closed.available
+            available += closed.available(now)
             rate += closed.rate
             waits.append(max(0.0, closed.until - now))
         if rate > 0.0:
             waits = [max(0.0, 1.0 - available) / rate]
-        return RateRefused(min(waits), available, rate)
+        return RateRefused(max(MIN_WAIT_SECONDS, min(waits)), available, rate)
 
     def _order(self, now, customer, purse, zone, asked, partial):
         self._n_draws += 1
--- a/packages/swifttide_core/src/swifttide_core/limits/_share_plan.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_share_plan.py
@@ -5,6 +5,10 @@
 
 from swifttide_core.limits._zone_shares import KEEP_FRACTION, MIN_MOVE, ZoneShares
 
+MIN_DRAWN_PER_SECOND = 0.5
+"""Draws from another zone that are worth two writes at the platform. Below it a
+customer's arrivals are too few to tell a move of its traffic from chance."""
+
 
 @dataclass(frozen=True, slots=True)
 class GiveUp:
@@ -55,6 +59,8 @@
     if not others or rate_per_second <= 0.0:
         return Stay()
     to_zone = max(others, key=lambda z: (others[z], z))
+    if others[to_zone] < MIN_DRAWN_PER_SECOND:
+        return Stay()
     n_zones = max(1, len(shares.zones))
     floor = KEEP_FRACTION / n_zones
     own_need = drawn_per_second.get(zone, 0.0) / rate_per_second
