ENH Level zones out, and count a token that is spent at once as lent for 0.1 s

Tokens that were spent but not yet reported held up the refill of a whole burst; a zone that was full lost its refill while another refused.

--- /dev/null
+++ b/benchmarks/limits/fleet.py
@@ -0,0 +1,277 @@
+"""The modules of ``swifttide_core.limits`` with trips between them.
+
+No cluster simulator: a list of events in order of time, a holder per zone and
+customer, an allowance per host. Messages take a fixed trip or fail at once.
+"""
+
+import heapq
+from itertools import count
+
+from benchmarks.limits import settings as cfg
+from benchmarks.limits.outcome import Outcome
+from benchmarks.limits.scenario import Cut, Edit, HolderLoss, Scenario
+from swifttide_core.limits import (
+    CustomerShare,
+    DrawFailed,
+    EntryAllowance,
+    GiveUp,
+    NeedDraw,
+    Taken,
+    ZoneShares,
+    plan_move,
+)
+
+FOREVER = float("inf")
+
+
+class Fleet:
+    """One run of the shares on a scenario.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        What is played.
+    moves : bool
+        Whether shares follow the traffic between zones.
+    joins_zones : bool
+        Whether an entry host draws in other zones when its own has nothing.
+    levels_out : bool
+        Whether holders of different zones level out.
+    """
+
+    def __init__(self, scenario, moves=True, joins_zones=True, levels_out=True):
+        self.scenario = scenario
+        self.levels_out = levels_out
+        self.moves = moves
+        self.zones = [f"z{i}" for i in range(scenario.n_zones)]
+        self.customers = {c.name: c for c in scenario.customers}
+        self.known = {(c.name, z): c for c in scenario.customers for z in self.zones}
+        self.rows = {
+            c.name: ZoneShares.from_config(c, self.zones) for c in scenario.customers
+        }
+        self.shares = {
+            (c.name, zone): CustomerShare.from_config(
+                c, self.rows[c.name].fraction(zone), 0.0, -FOREVER
+            )
+            for c in scenario.customers
+            for zone in self.zones
+        }
+        self.entries = [
+            EntryAllowance(f"h{i}", self._order(i, joins_zones))
+            for i in range(scenario.n_hosts)
+        ]
+        self.outcome = Outcome([False] * len(scenario.arrivals))
+        self.is_cut = False
+        self._queue = []
+        self._order_of = count()
+
+    @classmethod
+    def play(cls, scenario: Scenario, **options) -> Outcome:
+        """Run a scenario to its end."""
+        fleet = cls(scenario, **options)
+        return fleet.run()
+
+    def run(self) -> Outcome:
+        """Handle all events in order of time."""
+        end = self.scenario.arrivals[-1].at
+        for index, arrival in enumerate(self.scenario.arrivals):
+            self._at(arrival.at, self._arrive, index, arrival)
+        for event in self.scenario.events:
+            self._plan_event(event)
+        ticks = int(end / cfg.TICK_SECONDS)
+        for tick in range(1, ticks):
+            self._at(tick * cfg.TICK_SECONDS, self._tick)
+        if self.moves:
+            for step in range(1, int(end / cfg.PLAN_SECONDS)):
+                self._at(step * cfg.PLAN_SECONDS, self._move_shares)
+        while self._queue:
+            now, _, action, args = heapq.heappop(self._queue)
+            action(now, *args)
+        return self.outcome
+
+    def _order(self, host, joins_zones):
+        own = host % self.scenario.n_zones
+        others = [z for i, z in enumerate(self.zones) if i != own]
+        if not joins_zones:
+            return (self.zones[own],)
+        return (self.zones[own], *others)
+
+    def _at(self, at, action, *args):
+        heapq.heappush(self._queue, (at, next(self._order_of), action, args))
+
+    def _arrive(self, now, index, arrival):
+        entry = self.entries[arrival.host]
+        answer = entry.take(now, arrival.customer)
+        self._go_on(now, index, arrival, answer)
+
+    def _go_on(self, now, index, arrival, answer):
+        match answer:
+            case Taken():
+                self.outcome.admit(index, now, arrival.customer)
+                self.outcome.waited_seconds += now - arrival.at
+            case NeedDraw():
+                self.outcome.n_messages += 1
+                trip = self._trip(arrival.host, answer.zone)
+                self._at(now + trip, self._draw, index, arrival, answer, trip)
+            case _:
+                self.outcome.waited_seconds += now - arrival.at
+
+    def _draw(self, now, index, arrival, order, trip):
+        share = self.shares[(order.customer, order.zone)]
+        if share is None or not self._reaches(arrival.host, order.zone):
+            answer = DrawFailed()
+        else:
+            answer = share.draw(
+                now,
+                f"h{arrival.host}",
+                order.wanted,
+                FOREVER,
+                draw_id=order.draw_id,
+                zone=self.zones[arrival.host % self.scenario.n_zones],
+                partial=order.partial,
+                returned=order.returned,
+            )
+            self._pull(now, order.customer, order.zone, share)
+        self._at(now + trip, self._answer, index, arrival, order.draw_id, answer)
+
+    def _pull(self, now, name, zone, share):
+        if not self.levels_out:
+            return
+        others = tuple(z for z in self.zones if z != zone)
+        pull = share.next_pull(now, f"holder-{zone}", others)
+        if pull is None:
+            return
+        self.outcome.n_messages += 1
+        at = now + cfg.OTHER_ZONE_TRIP
+        self._at(at, self._yield, name, zone, pull)
+
+    def _yield(self, now, name, zone, pull):
+        share = self.shares[(name, pull.zone)]
+        cut = self.is_cut and "z0" in (zone, pull.zone)
+        if share is None or cut:
+            return
+        batch = share.yield_to(now, f"holder-{zone}", pull, FOREVER)
+        at = now + cfg.OTHER_ZONE_TRIP
+        self._at(at, self._settle_pull, name, zone, batch)
+
+    def _settle_pull(self, now, name, zone, batch):
+        share = self.shares[(name, zone)]
+        if share is not None:
+            share.settle_pull(now, batch)
+
+    def _answer(self, now, index, arrival, draw_id, answer):
+        entry = self.entries[arrival.host]
+        self._go_on(now, index, arrival, entry.settle(now, draw_id, answer))
+
+    def _tick(self, now):
+        for host, entry in enumerate(self.entries):
+            for order in entry.returns(now):
+                self.outcome.n_messages += 1
+                if self._reaches(host, order.zone):
+                    trip = self._trip(host, order.zone)
+                    self._at(now + trip, self._give_back, host, order)
+
+    def _give_back(self, now, host, order):
+        share = self.shares[(order.customer, order.zone)]
+        if share is not None:
+            share.give_back(now, f"h{host}", order.batch)
+
+    def _trip(self, host, zone):
+        own = self.zones[host % self.scenario.n_zones] == zone
+        return cfg.OWN_ZONE_TRIP if own else cfg.OTHER_ZONE_TRIP
+
+    def _reaches(self, host, zone):
+        own = self.zones[host % self.scenario.n_zones]
+        return own == zone or not (self.is_cut and "z0" in (own, zone))
+
+    def _plan_event(self, event):
+        match event:
+            case Edit(at, customer):
+                for i, zone in enumerate(self.zones):
+                    delay = i * cfg.EDIT_DELAY_SECONDS
+                    self._at(at + delay, self._edit, zone, customer)
+            case Cut(at, until):
+                self._at(at, self._set_cut, True)
+                self._at(until, self._set_cut, False)
+            case HolderLoss(at, True):
+                self._at(at, self._hand_over)
+            case HolderLoss(at, False):
+                self._at(at, self._kill)
+
+    def _edit(self, now, zone, customer):
+        self.known[(customer.name, zone)] = customer
+        share = self.shares[(customer.name, zone)]
+        fraction = self.rows[customer.name].fraction(zone)
+        share.set_limits(now, customer, fraction)
+
+    def _set_cut(self, now, is_cut):
+        self.is_cut = is_cut
+
+    def _hand_over(self, now):
+        for name in self.customers:
+            state = self.shares[(name, "z0")].hand_over(now)
+            self.shares[(name, "z0")] = None
+            later = now + cfg.HANDOVER_SECONDS
+            self._at(later, self._take_over, name, state)
+
+    def _kill(self, now):
+        for name in self.customers:
+            self.shares[(name, "z0")] = None
+            lapse = now + cfg.LEASE_SECONDS
+            later = lapse + cfg.TAKEOVER_SECONDS
+            self._at(later, self._start_anew, name, lapse)
+
+    def _take_over(self, now, name, state):
+        customer = self.known[(name, "z0")]
+        fraction = self.rows[name].fraction("z0")
+        self.shares[(name, "z0")] = CustomerShare.from_handover(
+            customer, fraction, state, now
+        )
+
+    def _start_anew(self, now, name, lapse):
+        customer = self.known[(name, "z0")]
+        fraction = self.rows[name].fraction("z0")
+        self.shares[(name, "z0")] = CustomerShare.from_config(
+            customer, fraction, now, lapse
+        )
+
+    def _move_shares(self, now):
+        for name in self.customers:
+            for zone in self.zones:
+                share = self.shares[(name, zone)]
+                if share is None or (self.is_cut and zone == "z0"):
+                    continue
+                self._take_offer(now, name, zone, share)
+                self._give_up(now, name, zone, share)
+
+    def _take_offer(self, now, name, zone, share):
+        if zone in self.rows[name].offers:
+            self.outcome.n_moves += 1
+            self.rows[name] = self.rows[name].take(zone)
+            share.set_limits(
+                now, self.known[(name, zone)], self.rows[name].fraction(zone)
+            )
+
+    def _give_up(self, now, name, zone, share):
+        row = self.rows[name]
+        customer = self.known[(name, zone)]
+        drawn = share.drawn_per_second(now)
+        match plan_move(row, zone, drawn, customer.rate_per_second):
+            case GiveUp(to_zone, fraction):
+                given = row.give(zone, to_zone, fraction)
+                share.set_limits(now, customer, given.fraction(zone))
+                self._commit(now, name, zone, to_zone, fraction)
+
+    def _commit(self, now, name, zone, to_zone, fraction):
+        """Commit once the part is out of use; ask again until it is."""
+        share = self.shares[(name, zone)]
+        if share is None:
+            return
+        customer = self.known[(name, zone)]
+        given = self.rows[name].give(zone, to_zone, fraction)
+        if share.within(now, customer.burst * given.fraction(zone)):
+            self.outcome.n_moves += 1
+            self.rows[name] = given
+            return
+        args = (name, zone, to_zone, fraction)
+        self._at(now + cfg.TICK_SECONDS, self._commit, *args)
--- /dev/null
+++ b/benchmarks/limits/retry_load.py
@@ -0,0 +1,2 @@
+def print_retries():
+    pass
--- a/packages/swifttide_core/src/swifttide_core/limits/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/__init__.py
@@ -6,6 +6,7 @@
 from swifttide_core.limits._draw_failed import DrawFailed
 from swifttide_core.limits._entry_allowance import EntryAllowance
 from swifttide_core.limits._need_draw import NeedDraw
+from swifttide_core.limits._pull import Pull
 from swifttide_core.limits._rate_refused import RateRefused
 from swifttide_core.limits._return_order import ReturnOrder
 from swifttide_core.limits._share_plan import GiveUp, Stay, plan_move
@@ -24,6 +25,7 @@
     "GiveUp",
     "Lent",
     "NeedDraw",
+    "Pull",
     "RateRefused",
     "ReturnOrder",
     "ShareState",
--- a/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
@@ -21,13 +21,19 @@
 from swifttide_core.documents import Customer
 from swifttide_core.limits._batch import Batch
 from swifttide_core.limits._demand import Demand
+from swifttide_core.limits._pull import Pull
 from swifttide_core.limits._rate_refused import RateRefused
 from swifttide_core.limits._share_state import Lent, ShareState
 from swifttide_core.limits._token_bucket import TOLERANCE, TokenBucket
 
-BATCH_SECONDS = 2.0
+BATCH_SECONDS = 1.0
 """Life of a batch; tokens that an entry host loses are out of use for so long."""
 
+SPEND_SECONDS = 0.1
+"""Life of a token that a waiting request spends as soon as the answer is there. It
+counts as lent for no longer: counted for a batch's life, the tokens that many
+hosts have spent and not yet reported would hold up the refill of a whole burst."""
+
 DRIFT_FACTOR = 1.01
 """How much longer the holder counts a batch as lent: the clocks of two hosts may
 run apart by up to one part in a hundred."""
@@ -43,6 +49,16 @@
 """Time constant of the demand per zone from which shares are moved."""
 
 
+PULL_BELOW = 0.75
+"""Part of its room below which a zone asks the others to level out."""
+
+PULL_SECONDS = 0.2
+"""Least time between two such questions."""
+
+MIN_YIELD = 0.2
+"""Fewest tokens that are worth the message."""
+
+
 class _Loan:
     """A batch that is lent out, and until when."""
 
@@ -72,6 +88,9 @@
         self._seen = {}
         self._drawn = {}
         self._handed_over = False
+        self._pulls = {}
+        self._pull_at = float("-inf")
+        self._n_pulls = 0
 
     @classmethod
     def from_config(
@@ -188,9 +207,69 @@
         if tokens <= TOLERANCE:
             return self._refuse(now)
         self._drawn.setdefault(zone, Demand(now, PLAN_SECONDS)).arrive(now, tokens)
-        ttl = min(BATCH_SECONDS, holder_lease_ends_at - now)
+        life = SPEND_SECONDS if tokens == 1.0 and not partial else BATCH_SECONDS
+        ttl = min(life, holder_lease_ends_at - now)
         return self._lend(now, entry_host, Batch(draw_id, tokens, ttl))
 
+    def next_pull(self, now: float, holder: str, zones: tuple[str, ...]) -> Pull | None:
+        """Return the order to ask another zone's holder for part of its level.
+
+        Call it after each draw and send what it returns. A zone that is full loses
+        what comes in there; without this a customer would be refused in one zone
+        while its tokens ran over in another.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds, from which the answer's life counts.
+        holder : str
+            This host and incarnation, for the draw id.
+        zones : tuple of str
+            The other zones.
+        """
+        self._advance(now)
+        if not zones or now < self._pull_at or self.bucket.burst <= 0.0:
+            return None
+        if self.bucket.level > PULL_BELOW * self._room():
+            return None
+        self._n_pulls += 1
+        self._pull_at = now + PULL_SECONDS
+        zone = zones[self._n_pulls % len(zones)]
+        draw_id = f"{holder}-pull-{self._n_pulls}"
+        self._pulls = {draw_id: now}
+        return Pull(zone, draw_id, self.bucket.level, self.bucket.burst, self._room())
+
+    def yield_to(
+        self, now: float, holder: str, pull: Pull, holder_lease_ends_at: float
+    ) -> Batch:
+        """Give another zone's holder what makes both equally full; maybe nothing.
+
+        The tokens count as lent until the answer can no longer be accepted, so that
+        a late answer can't add to a burst that has come in here again.
+        """
+        self._advance(now)
+        known = self._loans.get((holder, pull.draw_id))
+        if known is not None:
+            return known.batch
+        nothing = Batch(pull.draw_id, 0.0, 0.0)
+        if self._handed_over or now >= holder_lease_ends_at:
+            return nothing
+        level = self.bucket.level
+        both_full = self.bucket.burst + pull.burst
+        fill = (level + pull.level) / both_full if both_full > 0.0 else 1.0
+        tokens = min(level - fill * self.bucket.burst, pull.room - pull.level)
+        if tokens < MIN_YIELD:
+            return nothing
+        return self._lend(now, holder, Batch(pull.draw_id, tokens, SPEND_SECONDS))
+
+    def settle_pull(self, now: float, batch: Batch) -> None:
+        """Add what another zone's holder gave; late or twice, it adds nothing."""
+        self._advance(now)
+        sent_at = self._pulls.pop(batch.draw_id, None)
+        if sent_at is None or now >= sent_at + batch.ttl_seconds:
+            return
+        self.bucket.level = min(self.bucket.level + batch.tokens, self._room())
+
     def give_back(self, now: float, entry_host: str, batch: Batch) -> None:
         """Take back what is left of a batch; a second time changes nothing."""
         self._advance(now)
--- a/packages/swifttide_core/src/swifttide_core/limits/_entry_allowance.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_entry_allowance.py
@@ -14,6 +14,7 @@
 """
 
 from swifttide_core.limits._batch import Batch
+from swifttide_core.limits._customer_share import SPEND_SECONDS
 from swifttide_core.limits._demand import Demand
 from swifttide_core.limits._draw_failed import DrawFailed
 from swifttide_core.limits._need_draw import NeedDraw
@@ -29,13 +30,13 @@
 """Longest that a refusal is believed: tokens that another entry host gives back, a
 raised limit or a moved share are seen after this time."""
 
-HORIZON_SECONDS = 1.0
+HORIZON_SECONDS = 0.5
 """Demand that a draw asks ahead for."""
 
 MIN_WAIT_SECONDS = 0.01
 """Shortest wait that a refused caller is told: some trips to a holder."""
 
-KEEP_SECONDS = 1.0
+KEEP_SECONDS = 0.5
 """Silence of a customer after which its tokens go back."""
 
 IDLE_SECONDS = 60.0
@@ -161,8 +162,9 @@
         for customer in list(self._purses):
             purse = self._purses[customer]
             self._drop_expired(now, purse)
-            if now - purse.seen_at >= KEEP_SECONDS or self._unusable(purse):
-                orders += self._give_up(customer, purse)
+            if now - purse.seen_at >= KEEP_SECONDS:
+                self._lay_down(purse)
+            orders += self._give_up(customer, purse)
             if now - purse.seen_at >= IDLE_SECONDS:
                 del self._purses[customer]
         return tuple(orders)
@@ -194,7 +196,9 @@
         return self._refuse(now, purse)
 
     def _refuse(self, now, purse):
+        # Parts that did not make up a whole token go back with the next draw.
         available = sum(h.rest for h in purse.held)
+        self._lay_down(purse)
         rate = 0.0
         waits = [FAILED_SECONDS]
         for closed in purse.closed.values():
@@ -238,7 +242,7 @@
 
     def _sort_out(self, purse):
         for held in purse.held:
-            if held.rest <= TOLERANCE:
+            if held.rest <= TOLERANCE and held.batch.ttl_seconds > SPEND_SECONDS:
                 spent = Batch(held.batch.draw_id, 0.0, 0.0)
                 purse.done.setdefault(held.zone, []).append(spent)
         purse.held = [h for h in purse.held if h.rest > TOLERANCE]
@@ -247,16 +251,17 @@
         if any(h.expires_at <= now for h in purse.held):
             purse.held = [h for h in purse.held if h.expires_at > now]
 
-    def _unusable(self, purse):
-        return bool(purse.held) and sum(h.rest for h in purse.held) < 1.0 - TOLERANCE
-
-    def _give_up(self, customer, purse):
-        orders = []
-        for zone, batches in purse.done.items():
-            orders += [ReturnOrder(customer, zone, batch) for batch in batches]
+    def _lay_down(self, purse):
         for held in purse.held:
             rest = Batch(held.batch.draw_id, held.rest, 0.0)
-            orders.append(ReturnOrder(customer, held.zone, rest))
+            purse.done.setdefault(held.zone, []).append(rest)
         purse.held = []
+
+    def _give_up(self, customer, purse):
+        orders = [
+            ReturnOrder(customer, zone, batch)
+            for zone, batches in purse.done.items()
+            for batch in batches
+        ]
         purse.done = {}
         return orders
