ENH Decide leases, configuration, turns, budgets and intents in the core

Cause: the daemon needs one place each for who may decide, what is in force, which turn may run and whether a non-repeatable call may be dispatched. Ruled out: resting at-most-once on the lease, since a paused holder wakes up after it; it rests on a conditional write of the intent instead. Reading all lease rows on every host (380 hosts: 380 x 380 rows a period); hosts watch three ring neighbours. Change: subpackages membership, configuration, programs, intents; pure functions of state, event and time.

--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/configuration/_change.py
@@ -0,0 +1,39 @@
+"""One accepted edit of the configuration."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+
+class DocumentKind(StrEnum):
+    """What a document describes."""
+
+    PROFILE = "profile"
+    CUSTOMER = "customer"
+    KEY = "key"
+    TARGET = "target"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """An entry of the configuration log.
+
+    Parameters
+    ----------
+    version : int
+        Global version that the edit made; the log has no gaps.
+    kind : DocumentKind
+        Kind of the document.
+    name : str
+        Name of the document, unique within its kind.
+    document : dict or None
+        The document as JSON; None when it was removed.
+    operator : str
+        First characters of the hash of the operator's key.
+    """
+
+    version: int
+    kind: DocumentKind
+    name: str
+    document: dict[str, Any] | None
+    operator: str = ""
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/configuration/tests/test_config_state.py
@@ -0,0 +1,44 @@
+"""The configuration goes forward only."""
+
+from swifttide_core.configuration import Change, ConfigState, DocumentKind
+
+KEY = "ab" * 32
+
+
+def key_change(version, withdrawn):
+    document = {"key_hash": KEY, "customer": "c", "withdrawn": withdrawn}
+    return Change(version, DocumentKind.KEY, KEY, document)
+
+
+class TestConfigState:
+    def test_older_state_does_not_revive_a_key(self):
+        """The store answers from a copy that lags, after a key was withdrawn. A host
+        that believes it would serve a caller whose key was taken away.
+        """
+        state = ConfigState()
+        state.apply([key_change(1, False), key_change(2, True)])
+        state.apply([key_change(1, False)])
+        state.load(1, [key_change(1, False)])
+        assert state.version == 2
+        assert state.get(DocumentKind.KEY, KEY).withdrawn
+
+    def test_gap_is_not_jumped(self):
+        """A peer's answer is cut, so a change in the middle is missing. Counting it as
+        known would leave the host without that edit for good.
+        """
+        state = ConfigState()
+        state.apply([key_change(1, False), key_change(3, True)])
+        assert state.version == 1
+
+    def test_log_entries_before_a_newer_document_change_nothing(self):
+        state = ConfigState()
+        state.load(1, [key_change(3, True)])
+        state.apply([key_change(2, False), key_change(3, True)])
+        assert state.version == 3
+        assert state.get(DocumentKind.KEY, KEY).withdrawn
+
+    def test_removed_document_is_gone(self):
+        state = ConfigState()
+        state.apply([key_change(1, False), Change(2, DocumentKind.KEY, KEY, None)])
+        assert state.get(DocumentKind.KEY, KEY) is None
+        assert state.newest(DocumentKind.KEY, KEY).version == 2
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/membership/_lease_watch.py
@@ -0,0 +1,73 @@
+"""Watching other hosts' leases until they lapse.
+
+Load pattern: none; this runs all the time. With 380 hosts, each reading all lease
+rows, the platform would serve 72,000 rows a second. A host therefore watches only
+its next neighbours in the ring of the zone's hosts; others learn of a death
+from the zone's head row. When neighbours die together, the ring closes over them one
+watch period later.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from swifttide_core.membership._lease_times import LeaseTimes
+
+N_WATCHED = 3
+"""Neighbours that a host watches: two may die with it before a death goes unseen."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Sighting:
+    version: int
+    since: float
+
+
+class LeaseWatch:
+    """Lease rows of neighbours, and since when each is unchanged.
+
+    Parameters
+    ----------
+    times : LeaseTimes
+        Durations of the lease.
+    """
+
+    def __init__(self, times: LeaseTimes) -> None:
+        self.times = times
+        self._sightings: dict[str, _Sighting] = {}
+
+    @classmethod
+    def from_times(cls, times: LeaseTimes) -> "LeaseWatch":
+        """Return a watch that has seen nothing."""
+        return cls(times)
+
+    def observe(self, now: float, host: str, version: int) -> None:
+        """Note the version of a host's lease row as read at `now`.
+
+        `now` must be taken AFTER the answer came, so that the wait starts late
+        rather than early.
+        """
+        seen = self._sightings.get(host)
+        if seen is None or seen.version != version:
+            self._sightings[host] = _Sighting(version, now)
+
+    def forget_all_but(self, hosts: Iterable[str]) -> None:
+        """Drop sightings of hosts that are no longer watched."""
+        wanted = set(hosts)
+        self._sightings = {h: s for h, s in self._sightings.items() if h in wanted}
+
+    def lapsed(self, now: float) -> dict[str, int]:
+        """Return the hosts whose lease has lapsed, with the version to depose."""
+        wait = self.times.lease_seconds + self.times.drift_margin_seconds
+        return {
+            host: seen.version
+            for host, seen in self._sightings.items()
+            if now - seen.since >= wait
+        }
+
+
+def ring_neighbours(me: str, hosts: Iterable[str], n: int = N_WATCHED) -> list[str]:
+    """Return the next `n` hosts after `me` in the ring of sorted host ids."""
+    others = sorted(host for host in hosts if host != me)
+    after = [host for host in others if host > me]
+    before = [host for host in others if host < me]
+    return (after + before)[:n]
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/membership/_slot_plan.py
@@ -0,0 +1,66 @@
+"""Which slots a host should claim and which it should hand over."""
+
+from collections.abc import Iterable, Mapping
+
+from swifttide_core.membership._host_row import HostRow, HostState
+from swifttide_core.membership._slot_row import SlotRow
+from swifttide_core.slots import preferred_host
+
+
+def _live_ids(hosts: Iterable[HostRow]) -> list[str]:
+    return [row.host for row in hosts if row.state is HostState.LIVE]
+
+
+def is_held(row: SlotRow, hosts: Mapping[str, HostRow]) -> bool:
+    """Return whether the incarnation in a slot row may still act as its holder."""
+    holder = hosts.get(row.host)
+    if holder is None or holder.incarnation != row.incarnation:
+        return False
+    return holder.state is not HostState.DEAD
+
+
+def plan_claims(
+    me: str, slots: Iterable[SlotRow], hosts: Mapping[str, HostRow]
+) -> list[SlotRow]:
+    """Return the free slots that `me` should claim.
+
+    Parameters
+    ----------
+    me : str
+        Id of this host.
+    slots : iterable of SlotRow
+        All slots of the zone.
+    hosts : mapping of str to HostRow
+        Host rows of the zone, dead ones included.
+
+    Returns
+    -------
+    list of SlotRow
+        Rows as read, for a claim conditional on their versions.
+    """
+    live = _live_ids(hosts.values())
+    return [
+        row
+        for row in slots
+        if not is_held(row, hosts) and preferred_host(row.slot, live) == me
+    ]
+
+
+def plan_handovers(
+    me: str, slots: Iterable[SlotRow], hosts: Mapping[str, HostRow]
+) -> list[SlotRow]:
+    """Return the slots that `me` holds and another live host should.
+
+    A host that joins gets its share this way; one that leaves gives up all.
+    """
+    live = _live_ids(hosts.values())
+    mine = hosts.get(me)
+    if mine is None or not live:
+        return []
+    return [
+        row
+        for row in slots
+        if row.host == me
+        and row.incarnation == mine.incarnation
+        and preferred_host(row.slot, live) != me
+    ]
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/programs/_turn_order.py
@@ -0,0 +1,94 @@
+"""The order of a program's turns.
+
+A caller that lost its connection sends the turn again; another host may have
+committed it in the meantime. Running it twice would put two answers in one history.
+A turn is therefore known by its number and the hash of its body.
+"""
+
+from dataclasses import dataclass
+
+from swifttide_core.programs._program_row import ProgramRow, ProgramState
+from swifttide_core.programs._turn_request import TurnRequest
+from swifttide_core.verdicts import Reason, Refusal, Verdict
+
+RETRY_OUT_OF_ORDER_SECONDS = 1.0
+"""An earlier turn that is still on its way usually arrives within this."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunTurn:
+    """The turn is next and may run."""
+
+    turn: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayTurn:
+    """The turn is committed; its stored answer is the answer."""
+
+    turn: int
+    chunk: str
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseTurn:
+    """The turn may not run."""
+
+    refusal: Refusal
+
+
+TurnDecision = RunTurn | ReplayTurn | RefuseTurn
+
+
+def decide_turn(row: ProgramRow, req: TurnRequest) -> TurnDecision:
+    """Decide what becomes of a turn, given the committed state of its program.
+
+    Parameters
+    ----------
+    row : ProgramRow
+        The program as committed; no turn of it is running.
+    req : TurnRequest
+        The turn that was sent.
+
+    Returns
+    -------
+    TurnDecision
+        Run it, answer from the history, or refuse it as not run.
+    """
+    if req.turn is None:
+        return _decide_unnumbered(row)
+    if req.turn <= row.turns:
+        return _decide_committed(row, req)
+    if row.state is ProgramState.ENDED:
+        return _ended()
+    if req.turn > row.turns + 1:
+        return RefuseTurn(
+            Refusal(
+                Reason.OUT_OF_ORDER,
+                f"got turn {req.turn}, expected turn {row.turns + 1}",
+                retry_after_seconds=RETRY_OUT_OF_ORDER_SECONDS,
+            )
+        )
+    return RunTurn(req.turn)
+
+
+def _decide_unnumbered(row: ProgramRow) -> TurnDecision:
+    if row.state is ProgramState.ENDED:
+        return _ended()
+    return RunTurn(row.turns + 1)
+
+
+def _decide_committed(row: ProgramRow, req: TurnRequest) -> TurnDecision:
+    if req.turn == row.turns and req.body_hash == row.last_body_hash:
+        return ReplayTurn(req.turn, row.chunks[-1])
+    return RefuseTurn(
+        Refusal(
+            Reason.OUT_OF_ORDER,
+            f"turn {req.turn} is committed; expected turn {row.turns + 1}",
+            verdict=Verdict.NOT_RUN,
+        )
+    )
+
+
+def _ended() -> RefuseTurn:
+    return RefuseTurn(Refusal(Reason.PROGRAM_ENDED, "the program has ended"))
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/programs/tests/test_turn_order.py
@@ -0,0 +1,46 @@
+"""Turns of a program run once each, in their order."""
+
+from dataclasses import replace
+
+from swifttide_core.programs import (
+    ProgramRow,
+    ProgramState,
+    RefuseTurn,
+    ReplayTurn,
+    RunTurn,
+    TurnRequest,
+    decide_turn,
+)
+from swifttide_core.verdicts import Reason, Verdict
+
+ROW = ProgramRow(
+    "c", "p", "p", turns=2, last_body_hash="two", chunks=("chunk1", "chunk2")
+)
+
+
+class TestDecideTurn:
+    def test_next_turn_runs(self):
+        assert decide_turn(ROW, TurnRequest(3, "three")) == RunTurn(3)
+        assert decide_turn(ROW, TurnRequest(None, "three")) == RunTurn(3)
+
+    def test_turn_sent_again_gets_its_stored_answer(self):
+        """The answer of a turn was committed, then the connection to the caller broke.
+        The caller sends the turn again and must get that answer, not a second run.
+        """
+        assert decide_turn(ROW, TurnRequest(2, "two")) == ReplayTurn(2, "chunk2")
+
+    def test_other_body_under_a_committed_number_is_refused(self):
+        decision = decide_turn(ROW, TurnRequest(2, "other"))
+        assert isinstance(decision, RefuseTurn)
+        assert decision.refusal.verdict is Verdict.NOT_RUN
+
+    def test_turn_too_early_comes_back_later(self):
+        decision = decide_turn(ROW, TurnRequest(4, "four"))
+        assert decision.refusal.reason is Reason.OUT_OF_ORDER
+        assert decision.refusal.retry_after_seconds > 0
+
+    def test_ended_program_answers_from_history_only(self):
+        ended = replace(ROW, state=ProgramState.ENDED)
+        assert decide_turn(ended, TurnRequest(2, "two")) == ReplayTurn(2, "chunk2")
+        decision = decide_turn(ended, TurnRequest(3, "three"))
+        assert decision.refusal.reason is Reason.PROGRAM_ENDED
