ENH Check settings and documents strictly, all errors at once

Cause: the daemon and the command need the same settings and documents, and msgspec stops at the first wrong value of a file. Ruled out: msgspec.convert of the whole file (one error at a time); raising. Values of members for keys are never repeated in a message.

--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/checks/__init__.py
@@ -0,0 +1,28 @@
+"""Strict decoding and range checks that report every error at once."""
+
+from swifttide_core.checks._decoding import decode_fields, show
+from swifttide_core.checks._field_error import FieldError
+from swifttide_core.checks._json_text import load_json_with_comments
+from swifttide_core.checks._ranges import (
+    check_between,
+    check_each,
+    check_ip_address,
+    check_key_hash,
+    check_name,
+    check_one_of,
+    check_url_by_ip,
+)
+
+__all__ = [
+    "FieldError",
+    "check_between",
+    "check_each",
+    "check_ip_address",
+    "check_key_hash",
+    "check_name",
+    "check_one_of",
+    "check_url_by_ip",
+    "decode_fields",
+    "load_json_with_comments",
+    "show",
+]
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/checks/_decoding.py
@@ -0,0 +1,130 @@
+"""Strict decoding of JSON into frozen data classes, with all errors at once.
+
+msgspec stops at the first wrong value. An operator who mends a file one error at a
+time restarts the command as often as there are errors, so each field is converted on
+its own here and the errors are gathered.
+"""
+
+import dataclasses
+import json
+import typing
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from swifttide_core.checks._field_error import FieldError
+
+_LONGEST_SHOWN = 60
+"""Characters of a wrong value that a message repeats."""
+
+_MISSING = "nothing"
+
+
+def decode_fields(
+    cls: type, raw: Any, path: str = ""
+) -> Result[Any, tuple[FieldError, ...]]:
+    """Convert a JSON object into a data class.
+
+    Parameters
+    ----------
+    cls : type
+        Frozen data class; fields that are data classes are decoded likewise.
+    raw : object
+        Decoded JSON.
+    path : str
+        Place of ``raw`` in its file, for messages.
+
+    Returns
+    -------
+    Result
+        The instance, or every `FieldError`: unknown members, missing ones without
+        a default, wrong types.
+    """
+    if not isinstance(raw, dict):
+        return Error((FieldError(path, show(raw), "an object"),))
+    hints = typing.get_type_hints(cls)
+    fields = {f.name: f for f in dataclasses.fields(cls)}
+    errors = _unknown_members(raw, fields, path)
+    values: dict[str, Any] = {}
+    for name, field in fields.items():
+        place = join(path, name)
+        if name not in raw:
+            errors += _missing_member(field, hints[name], place)
+            continue
+        match _decode_value(hints[name], raw[name], place):
+            case Result(tag="ok", ok=value):
+                values[name] = value
+            case Result(error=found):
+                errors += found
+    return Error(tuple(errors)) if errors else Ok(cls(**values))
+
+
+def join(path: str, name: str) -> str:
+    """Return the path of a member."""
+    return f"{path}.{name}" if path else name
+
+
+def show(value: Any) -> str:
+    """Return a value as short JSON for a message."""
+    text = json.dumps(value, default=str)
+    if len(text) <= _LONGEST_SHOWN:
+        return text
+    return f"{text[:_LONGEST_SHOWN]}..."
+
+
+def show_hidden(value: Any) -> str:
+    """Return the outline of a value that may be a key, for a message.
+
+    An operator who pastes a key where its hash belongs would otherwise find the key
+    in the terminal's log and in the daemon's.
+    """
+    if isinstance(value, str):
+        return f"a string of {len(value)} characters"
+    return f"a {type(value).__name__}"
+
+
+def _unknown_members(raw: dict, fields: dict, path: str) -> list[FieldError]:
+    known = ", ".join(fields)
+    return [
+        FieldError(join(path, str(name)), "an unknown member", f"one of {known}")
+        for name in raw
+        if name not in fields
+    ]
+
+
+def _missing_member(field: Any, hint: Any, place: str) -> list[FieldError]:
+    no_default = field.default is dataclasses.MISSING
+    no_factory = field.default_factory is dataclasses.MISSING
+    if no_default and no_factory:
+        return [FieldError(place, _MISSING, _describe(hint))]
+    return []
+
+
+def _decode_value(
+    hint: Any, raw: Any, place: str
+) -> Result[Any, tuple[FieldError, ...]]:
+    if dataclasses.is_dataclass(hint):
+        return decode_fields(hint, raw, place)
+    try:
+        return Ok(msgspec.convert(raw, hint, strict=True))
+    except msgspec.ValidationError:
+        hidden = place.rsplit(".", 1)[-1].startswith(("key", "operator_key"))
+        got = show_hidden(raw) if hidden else show(raw)
+        return Error((FieldError(place, got, _describe(hint)),))
+
+
+def _describe(hint: Any) -> str:
+    """Return a type in the words of JSON."""
+    names = {str: "a string", int: "a whole number", float: "a number"}
+    names[bool] = "true or false"
+    if hint in names:
+        return names[hint]
+    if typing.get_origin(hint) is tuple:
+        return "an array of strings"
+    if isinstance(hint, type) and hasattr(hint, "__members__"):
+        return "one of " + ", ".join(json.dumps(str(m)) for m in hint)
+    if dataclasses.is_dataclass(hint):
+        return "an object"
+    parts = [_describe(a) for a in typing.get_args(hint) if a is not type(None)]
+    return " or ".join([*parts, "null"])
