--- a/packages/swifttide_core/src/swifttide_core/configuration/tests/test_config_state.py
+++ b/packages/swifttide_core/src/swifttide_core/configuration/tests/test_config_state.py
@@ -1,6 +1,7 @@
 """The configuration goes forward only."""
 
-from swifttide_core.configuration import Change, ConfigState, DocumentKind
+from swifttide_core.configuration import Change, ConfigState
+from swifttide_core.documents import DocumentKind
 
 KEY = "ab" * 32
 
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/_editor.py
@@ -0,0 +1,124 @@
+"""Edits of the configuration, conditional on what they edit."""
+
+from typing import Any
+
+from expression import Error, Ok, Result
+from swifttide_core.configuration import Change
+from swifttide_core.documents import DocumentKind
+
+from swifttide_daemon.configuration._edit import (
+    Accepted,
+    EditOutcome,
+    Raced,
+    Unknown,
+)
+from swifttide_daemon.configuration._rows import (
+    CONFIG,
+    DOCS,
+    HEAD,
+    LOG,
+    change_of,
+    change_value,
+    doc_key,
+    log_key,
+)
+from swifttide_daemon.platform import (
+    Check,
+    Committed,
+    Conflict,
+    PlatformClient,
+    PlatformError,
+    Row,
+    Transaction,
+    Write,
+)
+
+MAX_HEAD_RACES = 50
+"""Edits of OTHER documents that may come between before an edit is given up."""
+
+
+class ConfigEditor:
+    """Writes edits to the platform.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+    """
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self.platform = platform
+
+    def edit(
+        self,
+        kind: DocumentKind,
+        name: str,
+        document: dict[str, Any] | None,
+        base_version: int | None,
+        operator: str,
+    ) -> EditOutcome:
+        """Write one edit.
+
+        Parameters
+        ----------
+        kind, name : DocumentKind, str
+            Document to edit.
+        document : dict or None
+            New content, already checked; None removes it.
+        base_version : int or None
+            Version that the operator saw, 0 for "none yet"; None edits whatever
+            stands there.
+        operator : str
+            For the history.
+
+        Returns
+        -------
+        EditOutcome
+            Accepted, lost a race, or unknown.
+        """
+        for _ in range(MAX_HEAD_RACES):
+            seen = self._read(kind, name)
+            if seen.is_error():
+                return Unknown(may_have_committed=False)
+            head, doc = seen.ok
+            current = change_of(doc) if doc else None
+            current_version = current.version if current else 0
+            if base_version is not None and base_version != current_version:
+                return Raced(current_version, current.document if current else None)
+            version = (head.value["version"] if head else 0) + 1
+            change = Change(version, kind, name, document, operator)
+            outcome = self.platform.commit(_transaction(change, head, doc))
+            if outcome.is_error():
+                return Unknown(outcome.error.may_have_committed)
+            match outcome.ok:
+                case Committed():
+                    return Accepted(version)
+                case Conflict():
+                    continue
+        return Unknown(may_have_committed=False)
+
+    def _read(
+        self, kind: DocumentKind, name: str
+    ) -> Result[tuple[Row | None, Row | None], PlatformError]:
+        head = self.platform.read(CONFIG, HEAD)
+        if head.is_error():
+            return head
+        doc = self.platform.read(DOCS, doc_key(kind, name))
+        if doc.is_error():
+            return Error(doc.error)
+        return Ok((head.ok, doc.ok))
+
+
+def _transaction(change: Change, head: Row | None, doc: Row | None) -> Transaction:
+    key = doc_key(change.kind, change.name)
+    value = change_value(change)
+    return Transaction(
+        checks=(
+            Check(CONFIG, HEAD, head.version if head else 0),
+            Check(DOCS, key, doc.version if doc else 0),
+        ),
+        writes=(
+            Write(CONFIG, HEAD, {"version": change.version}),
+            Write(DOCS, key, value),
+            Write(LOG, log_key(change.version), value),
+        ),
+    )
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/_rows.py
@@ -0,0 +1,33 @@
+"""Configuration rows between the platform's form and the core's."""
+
+from typing import Any
+
+import msgspec
+from swifttide_core.configuration import Change
+from swifttide_core.documents import DocumentKind
+from swifttide_daemon.platform import Row
+
+CONFIG = "config"
+DOCS = "config_docs"
+LOG = "config_log"
+HEAD = "head"
+
+
+def doc_key(kind: DocumentKind, name: str) -> str:
+    """Return the key of a document's row."""
+    return f"{kind.value}/{name}"
+
+
+def log_key(version: int) -> str:
+    """Return the key of a log entry; keys sort by version."""
+    return f"{version:012d}"
+
+
+def change_value(change: Change) -> dict[str, Any]:
+    """Encode a change."""
+    return msgspec.to_builtins(change)
+
+
+def change_of(row: Row) -> Change:
+    """Decode a row of the log or of the documents; both hold a whole change."""
+    return msgspec.convert(row.value, Change)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
@@ -0,0 +1,168 @@
+"""The configuration in force at this host, kept current on one thread."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+from swifttide_core.configuration import Change, ConfigState
+from swifttide_core.documents import (
+    Customer,
+    DocumentKind,
+    KeyGrant,
+    Profile,
+    Target,
+)
+
+from swifttide_daemon.configuration._rows import (
+    CONFIG,
+    DOCS,
+    HEAD,
+    LOG,
+    change_of,
+    log_key,
+)
+from swifttide_daemon.platform import PlatformClient
+from swifttide_daemon.settings import Settings
+
+log = logging.getLogger(__name__)
+
+LOG_PAGE = 500
+
+
+class ConfigService:
+    """Polls the head row, takes in the log, and learns from peers.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+    poll_seconds : float
+        Pause between looks at the head row.
+
+    Attributes
+    ----------
+    fresh_at : float
+        Monotonic seconds at which this host last knew that it missed nothing.
+    """
+
+    def __init__(self, platform: PlatformClient, poll_seconds: float) -> None:
+        self.platform = platform
+        self.poll_seconds = poll_seconds
+        self.state = ConfigState()
+        self.fresh_at = float("-inf")
+        self._lock = threading.Lock()
+        self._listeners: list[Callable[[list[Change]], None]] = []
+        self._recent: list[Change] = []
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    @classmethod
+    def from_settings(
+        cls, settings: Settings, platform: PlatformClient
+    ) -> "ConfigService":
+        """Return a service that isn't started yet."""
+        return cls(platform, settings.config.poll_seconds)
+
+    def start(self) -> None:
+        """Keep the configuration current from now on."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop polling."""
+        self._stop.set()
+
+    def listen(self, listener: Callable[[list[Change]], None]) -> None:
+        """Call `listener` with each batch of changes."""
+        self._listeners.append(listener)
+
+    @property
+    def version(self) -> int:
+        """Version in force here."""
+        return self.state.version
+
+    def profile(self, name: str) -> Profile | None:
+        """Return a profile by name."""
+        return self.state.get(DocumentKind.PROFILE, name)
+
+    def customer(self, name: str) -> Customer | None:
+        """Return a customer by name."""
+        return self.state.get(DocumentKind.CUSTOMER, name)
+
+    def key(self, key_hash: str) -> KeyGrant | None:
+        """Return a key's grant, unless it was withdrawn."""
+        grant = self.state.get(DocumentKind.KEY, key_hash)
+        return None if grant is None or grant.withdrawn else grant
+
+    def targets(self) -> list[Target]:
+        """Return all targets, leaving ones included."""
+        return self.state.all(DocumentKind.TARGET)
+
+    def changes_after(self, version: int) -> list[Change]:
+        """Return the log after `version`, as far as this host still has it."""
+        with self._lock:
+            return [change for change in self._recent if change.version > version]
+
+    def learn(self, changes: Iterable[Change]) -> None:
+        """Take in log entries, from the platform or from a peer."""
+        with self._lock:
+            before = self.state.version
+            news = self.state.apply(changes)
+            known = [c for c in changes if before < c.version <= self.state.version]
+            self._recent = (self._recent + known)[-LOG_PAGE:]
+        self._tell(news)
+
+    def refresh(self) -> bool:
+        """Look at the platform once; return whether this host is up to date."""
+        asked_at = time.monotonic()
+        head = self.platform.read(CONFIG, HEAD)
+        if head.is_error():
+            return False
+        version = head.ok.value["version"] if head.ok else 0
+        if version > self.state.version and not self._catch_up(version):
+            return False
+        if version < self.state.version:
+            # The store answers from an older state; what is in force here stays.
+            log.warning("the platform answered with an older configuration")
+            return False
+        self.fresh_at = asked_at
+        return True
+
+    def _catch_up(self, version: int) -> bool:
+        if self.state.version == 0:
+            return self._load(version)
+        while self.state.version < version:
+            before = self.state.version
+            rows = self.platform.scan(LOG, after=log_key(before), limit=LOG_PAGE)
+            if rows.is_error():
+                return False
+            self.learn([change_of(row) for row in rows.ok])
+            if self.state.version == before:
+                return False
+        return True
+
+    def _load(self, version: int) -> bool:
+        rows = self.platform.scan(DOCS)
+        if rows.is_error():
+            return False
+        changes = [change_of(row) for row in rows.ok]
+        with self._lock:
+            self.state.load(version, changes)
+        self._tell(changes)
+        return True
+
+    def _tell(self, news: list[Change]) -> None:
+        if not news:
+            return
+        for listener in self._listeners:
+            listener(news)
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            try:
+                self.refresh()
+            except (msgspec.MsgspecError, KeyError):
+                # A row that can't be decoded must not stop the polling: the next
+                # edit may repair it.
+                log.exception("a configuration row can't be read")
+            self._stop.wait(self.poll_seconds)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
@@ -0,0 +1,95 @@
+"""Registration and renewal of this host's lease row."""
+
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+from swifttide_core.membership import HostLease, HostRow, HostState, LeaseTimes
+from swifttide_daemon.membership._rows import HOSTS, ZONE_HEADS, host_value
+from swifttide_daemon.platform import (
+    Check,
+    Committed,
+    Conflict,
+    PlatformClient,
+    Transaction,
+    Write,
+    new_id,
+)
+
+log = logging.getLogger(__name__)
+
+
+class LeaseKeeper:
+    """The lease row of this host and what it entitles to.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+    row : HostRow
+        Row of this incarnation.
+    times : LeaseTimes
+    config_version : callable
+        Returns the configuration version in force here; it goes into the row, so
+        that operators see how far an edit has come without further messages.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        row: HostRow,
+        times: LeaseTimes,
+        config_version: Callable[[], int],
+    ) -> None:
+        self.platform = platform
+        self.row = row
+        self.lease = HostLease.from_times(times)
+        self.config_version = config_version
+
+    def holds(self) -> bool:
+        """Return whether this host may act as a holder right now."""
+        return self.lease.holds(time.monotonic())
+
+    def keep(self) -> bool:
+        """Register or renew; return whether the lease is confirmed now."""
+        if self.lease.row_version == 0:
+            return self._register()
+        return self._renew()
+
+    def announce(self, state: HostState) -> bool:
+        """Write a new state of this host and tell the zone to look."""
+        self.row = replace(self.row, state=state)
+        return self._write(announce=True)
+
+    def _register(self) -> bool:
+        found = self.platform.read(HOSTS, self.row.key)
+        if found.is_error():
+            return False
+        version = found.ok.version if found.ok else 0
+        # A new incarnation: slots of the former one must not pass for ours.
+        self.row = replace(self.row, incarnation=new_id(), state=HostState.LIVE)
+        return self._write(announce=True, base_version=version)
+
+    def _renew(self) -> bool:
+        self.row = replace(self.row, renewal=self.row.renewal + 1)
+        return self._write(announce=False)
+
+    def _write(self, announce: bool, base_version: int | None = None) -> bool:
+        sent_at = time.monotonic()
+        base = self.lease.row_version if base_version is None else base_version
+        value = {**host_value(self.row), "config_version": self.config_version()}
+        writes = [Write(HOSTS, self.row.key, value)]
+        if announce:
+            writes.append(Write(ZONE_HEADS, self.row.zone, {"by": self.row.host}))
+        tx = Transaction((Check(HOSTS, self.row.key, base),), tuple(writes))
+        outcome = self.platform.commit(tx)
+        if outcome.is_error():
+            return False
+        match outcome.ok:
+            case Committed(versions=versions):
+                self.lease = self.lease.confirmed(sent_at, versions[0])
+                return True
+            case Conflict():
+                log.warning("lease lost: another host deposed this incarnation")
+                self.lease = self.lease.lost()
+                return False
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_rows.py
@@ -0,0 +1,37 @@
+"""Host and slot rows between the platform's form and the core's."""
+
+from typing import Any
+
+import msgspec
+from swifttide_core.membership import HostRow, SlotRow
+from swifttide_daemon.platform import Row
+
+HOSTS = "hosts"
+SLOTS = "slots"
+ZONE_HEADS = "zone_heads"
+
+
+def host_row_of(row: Row) -> HostRow:
+    """Decode a row of the table ``hosts``."""
+    return msgspec.convert(row.value, HostRow)
+
+
+def host_value(row: HostRow) -> dict[str, Any]:
+    """Encode a row of the table ``hosts``."""
+    return msgspec.to_builtins(row)
+
+
+def slot_key(zone: str, slot: int) -> str:
+    """Return the key of a slot's row."""
+    return f"{zone}/{slot:05d}"
+
+
+def slot_row_of(row: Row) -> SlotRow:
+    """Decode a row of the table ``slots``."""
+    slot = int(row.key.rpartition("/")[2])
+    return SlotRow(slot=slot, version=row.version, **row.value)
+
+
+def slot_value(row: SlotRow) -> dict[str, Any]:
+    """Encode a row of the table ``slots``; slot and version are in key and row."""
+    return {"host": row.host, "incarnation": row.incarnation, "epoch": row.epoch}
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -0,0 +1,284 @@
+"""Who is in the zone, which slots this host holds, and who holds the others."""
+
+import logging
+import threading
+import time
+from dataclasses import replace
+
+from swifttide_core.membership import (
+    HostRow,
+    HostState,
+    LeaseTimes,
+    LeaseWatch,
+    SlotRow,
+    plan_claims,
+    plan_handovers,
+    ring_neighbours,
+)
+from swifttide_core.slots import SlotKind, slot_of
+
+from swifttide_daemon.membership._lease_keeper import LeaseKeeper
+from swifttide_daemon.membership._rows import (
+    HOSTS,
+    SLOTS,
+    ZONE_HEADS,
+    host_row_of,
+    host_value,
+    slot_key,
+    slot_value,
+)
+from swifttide_daemon.membership._zone_reader import ZoneReader
+from swifttide_daemon.membership._zone_view import ZoneView
+from swifttide_daemon.platform import (
+    Check,
+    Committed,
+    PlatformClient,
+    Transaction,
+    Write,
+)
+from swifttide_daemon.settings import Settings
+
+log = logging.getLogger(__name__)
+
+OTHER_ZONE_SECONDS = 5.0
+"""How long the view of another zone is used before it is read again."""
+
+FULL_READ_SECONDS = 30.0
+"""The zone is read whole this often even when its head seems unchanged."""
+
+
+class MembershipService:
+    """Lease, slots and neighbours of this host, kept on one thread.
+
+    Parameters
+    ----------
+    keeper : LeaseKeeper
+    reader : ZoneReader
+    platform : PlatformClient
+    times : LeaseTimes
+    n_slots : int
+    """
+
+    def __init__(
+        self,
+        keeper: LeaseKeeper,
+        reader: ZoneReader,
+        platform: PlatformClient,
+        times: LeaseTimes,
+        n_slots: int,
+    ) -> None:
+        self.keeper = keeper
+        self.reader = reader
+        self.platform = platform
+        self.times = times
+        self.n_slots = n_slots
+        self.watch = LeaseWatch.from_times(times)
+        self.view = ZoneView()
+        self._others: dict[str, ZoneView] = {}
+        self._held: dict[int, int] = {}
+        self._given_up: set[int] = set()
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._wake = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    @classmethod
+    def from_settings(
+        cls, settings: Settings, platform: PlatformClient, keeper: LeaseKeeper
+    ) -> "MembershipService":
+        """Return a service that isn't started yet."""
+        return cls(
+            keeper=keeper,
+            reader=ZoneReader(platform, settings.n_slots),
+            platform=platform,
+            times=keeper.lease.times,
+            n_slots=settings.n_slots,
+        )
+
+    @property
+    def me(self) -> HostRow:
+        """Row of this host."""
+        return self.keeper.row
+
+    def start(self) -> None:
+        """Register and keep the lease from now on."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop renewing."""
+        self._stop.set()
+        self._wake.set()
+        self._thread.join(timeout=self.times.lease_seconds)
+
+    def slot(self, kind: SlotKind, key: str) -> int:
+        """Return the slot of a key."""
+        return slot_of(kind, key, self.n_slots)
+
+    def epoch(self, kind: SlotKind, key: str) -> int | None:
+        """Return the epoch under which this host decides for a key, or None."""
+        if not self.keeper.holds():
+            return None
+        with self._lock:
+            return self._held.get(self.slot(kind, key))
+
+    def lease_remaining(self) -> float:
+        """Return the seconds for which this host may still act as a holder."""
+        return self.keeper.lease.remaining(time.monotonic())
+
+    def holder(self, kind: SlotKind, key: str, zone: str = "") -> HostRow | None:
+        """Return the host that decides for a key, or None while nobody does."""
+        view = self._view_of(zone or self.me.zone)
+        return view.holder(self.slot(kind, key))
+
+    def zone_hosts(self) -> list[HostRow]:
+        """Return the hosts of the own zone that aren't dead."""
+        rows = self.view.hosts.values()
+        return [row for row in rows if row.state is not HostState.DEAD]
+
+    def neighbours(self) -> list[HostRow]:
+        """Return the hosts that this one watches."""
+        hosts = {row.host: row for row in self.zone_hosts()}
+        return [hosts[h] for h in ring_neighbours(self.me.host, hosts)]
+
+    def look_again(self) -> None:
+        """Read the zone soon: a holder wasn't where the view has it."""
+        self._others.clear()
+        self.view = replace(self.view, head_version=-1)
+        self._wake.set()
+
+    def hand_over(self) -> bool:
+        """Announce that this host leaves and give up its slots."""
+        if not self.keeper.announce(HostState.LEAVING):
+            return False
+        self._read_zone()
+        self._hand_over_slots()
+        with self._lock:
+            return not self._held
+
+    def held(self) -> dict[int, int]:
+        """Return the epochs of the slots that this host holds, by slot."""
+        with self._lock:
+            return dict(self._held)
+
+    def _view_of(self, zone: str) -> ZoneView:
+        if zone == self.me.zone:
+            return self.view
+        known = self._others.get(zone)
+        if known and time.monotonic() - known.read_at < OTHER_ZONE_SECONDS:
+            return known
+        read = self.reader.read(zone)
+        if read.is_ok():
+            self._others[zone] = read.ok
+            return read.ok
+        return known or ZoneView()
+
+    def _run(self) -> None:
+        renew_at = 0.0
+        while not self._stop.is_set():
+            try:
+                if time.monotonic() >= renew_at:
+                    renew_at = time.monotonic() + self.times.renew_seconds
+                    self._keep_lease()
+                self._look()
+            except Exception:
+                # An odd row must not end the thread that keeps the lease.
+                log.exception("membership step failed")
+            self._wake.wait(self.times.renew_seconds / 2)
+            self._wake.clear()
+
+    def _keep_lease(self) -> None:
+        incarnation = self.me.incarnation
+        self.keeper.keep()
+        if self.me.incarnation != incarnation:
+            with self._lock:
+                self._held.clear()
+
+    def _look(self) -> None:
+        head = self.reader.head_version(self.me.zone)
+        if head.is_error():
+            return
+        age = time.monotonic() - self.view.read_at
+        if head.ok != self.view.head_version or age > FULL_READ_SECONDS:
+            self._read_zone()
+        self._watch_neighbours()
+        if self.keeper.holds():
+            self._claim_slots()
+            self._hand_over_slots()
+
+    def _read_zone(self) -> None:
+        read = self.reader.read(self.me.zone)
+        if read.is_error():
+            return
+        self.view = read.ok
+        mine = {
+            row.slot: row.epoch
+            for row in read.ok.slots
+            if row.host == self.me.host and row.incarnation == self.me.incarnation
+        }
+        with self._lock:
+            self._held = {s: e for s, e in mine.items() if s not in self._given_up}
+
+    def _watch_neighbours(self) -> None:
+        neighbours = self.neighbours()
+        self.watch.forget_all_but(row.host for row in neighbours)
+        for row in neighbours:
+            found = self.platform.read(HOSTS, row.key)
+            if found.is_ok() and found.ok is not None:
+                self.watch.observe(time.monotonic(), row.host, found.ok.version)
+        for host, version in self.watch.lapsed(time.monotonic()).items():
+            self._depose(self.view.hosts[host], version)
+
+    def _depose(self, row: HostRow, version: int) -> None:
+        """End an incarnation whose lease lapsed.
+
+        Conditional on the version that stood still: a renewal in the meantime wins,
+        and after the write the deposed host's own renewal fails.
+        """
+        dead = replace(row, state=HostState.DEAD)
+        tx = Transaction(
+            (Check(HOSTS, row.key, version),),
+            (
+                Write(HOSTS, row.key, host_value(dead)),
+                Write(ZONE_HEADS, row.zone, {"by": self.me.host}),
+            ),
+        )
+        outcome = self.platform.commit(tx)
+        if outcome.is_ok() and isinstance(outcome.ok, Committed):
+            log.warning("deposed a host whose lease lapsed", extra={"peer": row.host})
+            self._read_zone()
+
+    def _claim_slots(self) -> None:
+        wanted = plan_claims(self.me.host, self.view.slots, self.view.hosts)
+        if not wanted:
+            return
+        me = self.me
+        claimed = [
+            replace(row, host=me.host, incarnation=me.incarnation, epoch=row.epoch + 1)
+            for row in wanted
+        ]
+        if self._write_slots(claimed):
+            with self._lock:
+                self._given_up.difference_update(row.slot for row in claimed)
+        self._read_zone()
+
+    def _hand_over_slots(self) -> None:
+        moving = plan_handovers(self.me.host, self.view.slots, self.view.hosts)
+        if not moving:
+            return
+        # This host stops deciding BEFORE the row says so; the other way round two
+        # hosts would hand out one customer's rate for a moment.
+        with self._lock:
+            for row in moving:
+                self._held.pop(row.slot, None)
+                self._given_up.add(row.slot)
+        self._write_slots([replace(row, host="", incarnation="") for row in moving])
+        self._read_zone()
+
+    def _write_slots(self, rows: list[SlotRow]) -> bool:
+        zone = self.me.zone
+        checks = [Check(SLOTS, slot_key(zone, r.slot), r.version) for r in rows]
+        checks.append(Check(HOSTS, self.me.key, self.keeper.lease.row_version))
+        writes = [Write(SLOTS, slot_key(zone, r.slot), slot_value(r)) for r in rows]
+        writes.append(Write(ZONE_HEADS, zone, {"by": self.me.host}))
+        outcome = self.platform.commit(Transaction(tuple(checks), tuple(writes)))
+        return outcome.is_ok() and isinstance(outcome.ok, Committed)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peers/_client.py
@@ -0,0 +1,144 @@
+"""Calls to other hosts."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import urllib3
+from expression import Error, Ok, Result
+from swifttide_core.verdicts import Reason, Refusal
+
+from swifttide_daemon.peers._proof import PeerProof
+from swifttide_daemon.settings import Settings
+from swifttide_daemon.transport import make_pool, verdict_of
+
+COME_BACK_SECONDS = 1.0
+
+
+class PeerClient:
+    """Signed JSON calls to peers' ports.
+
+    Parameters
+    ----------
+    pool : urllib3.PoolManager
+        Connections.
+    proof : PeerProof
+        Signs the calls.
+    connect_seconds, read_seconds : float
+        Timeouts of a short call.
+    """
+
+    def __init__(
+        self,
+        pool: urllib3.PoolManager,
+        proof: PeerProof,
+        connect_seconds: float,
+        read_seconds: float,
+    ) -> None:
+        self.pool = pool
+        self.proof = proof
+        self.connect_seconds = connect_seconds
+        self.read_seconds = read_seconds
+
+    @classmethod
+    def from_settings(cls, settings: Settings, proof: PeerProof) -> "PeerClient":
+        """Return a client with the settings' timeouts."""
+        timeouts = settings.timeouts
+        return cls(make_pool(), proof, timeouts.connect_seconds, timeouts.peer_seconds)
+
+    def call(
+        self,
+        url: str,
+        method: str,
+        path: str,
+        message: Any = None,
+        read_seconds: float | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Result[Any, Refusal]:
+        """Send a message and return the decoded answer, or the peer's refusal."""
+        answer = self._send(url, method, path, message, read_seconds, headers, True)
+        if answer.is_error():
+            return answer
+        if answer.ok.status == 200:
+            return Ok(msgspec.json.decode(answer.ok.data))
+        return Error(_refusal_of(answer.ok.data))
+
+    def stream(
+        self, url: str, path: str, message: Any, read_seconds: float, traceparent: str
+    ) -> Result[Iterator[bytes], Refusal]:
+        """Send a message and return the lines of the answer as they come.
+
+        The iterator raises urllib3's errors when the stream breaks; it ends without
+        one when the peer closed it. Closing the iterator closes the connection.
+        """
+        headers = {"traceparent": traceparent} if traceparent else {}
+        answer = self._send(url, "POST", path, message, read_seconds, headers, False)
+        if answer.is_error():
+            return answer
+        if answer.ok.status == 200:
+            return Ok(_lines(answer.ok))
+        return Error(_refusal_of(answer.ok.read(cache_content=True)))
+
+    def _send(
+        self,
+        url: str,
+        method: str,
+        path: str,
+        message: Any,
+        read_seconds: float | None,
+        headers: dict[str, str] | None,
+        preload: bool,
+    ) -> Result[urllib3.BaseHTTPResponse, Refusal]:
+        body = b"" if message is None else msgspec.json.encode(message)
+        signed = self.proof.headers(method, path, body)
+        try:
+            answer = self.pool.request(
+                method,
+                url + path,
+                body=body,
+                headers={**(headers or {}), **signed},
+                timeout=urllib3.Timeout(
+                    connect=self.connect_seconds,
+                    read=read_seconds or self.read_seconds,
+                ),
+                preload_content=preload,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return Error(
+                Refusal(
+                    Reason.TIMEOUT,
+                    f"no answer of the peer ({type(exc).__name__})",
+                    verdict=verdict_of(exc),
+                    retry_after_seconds=COME_BACK_SECONDS,
+                )
+            )
+        return Ok(answer)
+
+
+def _lines(answer: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield whole lines; a last piece without a line end was cut and is dropped."""
+    rest = b""
+    try:
+        for chunk in answer.stream(amt=None):
+            rest += chunk
+            *lines, rest = rest.split(b"\n")
+            yield from lines
+    finally:
+        # Whatever is unread must not be taken for the answer of a later call.
+        answer.close()
+
+
+def _refusal_of(body: bytes) -> Refusal:
+    try:
+        problem = msgspec.json.decode(body)
+        return msgspec.convert(
+            {
+                "reason": problem["reason"],
+                "detail": problem["detail"],
+                "verdict": problem["verdict"],
+                "retry_after_seconds": problem.get("retry_after_seconds"),
+            },
+            Refusal,
+        )
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return Refusal(Reason.INTERNAL, "the peer's answer can't be read")
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_client.py
@@ -0,0 +1,178 @@
+"""The platform's protocol: the only module that knows it."""
+
+import time
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import msgspec
+import urllib3
+from expression import Error, Ok, Result
+from swifttide_core.verdicts import Verdict
+
+from swifttide_daemon.platform._types import (
+    Committed,
+    Conflict,
+    PlatformError,
+    Row,
+    Transaction,
+)
+from swifttide_daemon.settings import Settings
+from swifttide_daemon.transport import make_pool, verdict_of
+
+COMMIT_TRIES = 3
+"""A lost answer is settled by sending the same transaction id again."""
+
+RETRY_PAUSE_SECONDS = 0.05
+
+
+class PlatformClient:
+    """Tables, transactions and objects of the platform.
+
+    Parameters
+    ----------
+    pool : urllib3.PoolManager
+        Connections.
+    base_url : str
+        Base URL of the platform.
+    headers : dict of str to str
+        Sent with each call.
+    timeout : urllib3.Timeout
+        For one exchange.
+    """
+
+    def __init__(
+        self,
+        pool: urllib3.PoolManager,
+        base_url: str,
+        headers: dict[str, str],
+        timeout: urllib3.Timeout,
+    ) -> None:
+        self.pool = pool
+        self.base_url = base_url.rstrip("/")
+        self.headers = headers
+        self.timeout = timeout
+        self.last_answer_at = time.monotonic()
+        self.available = True
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> "PlatformClient":
+        """Return a client for the platform that the settings name."""
+        timeouts = settings.timeouts
+        return cls(
+            pool=make_pool(),
+            base_url=settings.platform_url,
+            headers={"X-Host": settings.host, "X-Zone": settings.zone},
+            timeout=urllib3.Timeout(
+                connect=timeouts.connect_seconds, read=timeouts.platform_seconds
+            ),
+        )
+
+    def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
+        """Read one row; None when there is none."""
+        answer = self._exchange("GET", f"/v1/rows/{table}/{quote(key, safe='')}")
+        if answer.is_error():
+            return answer
+        status, body = answer.ok
+        match status:
+            case 200:
+                return Ok(msgspec.json.decode(body, type=Row))
+            case 404:
+                return Ok(None)
+            case _:
+                return Error(PlatformError(f"read {table}: status {status}"))
+
+    def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> Result[list[Row], PlatformError]:
+        """Read the rows of a key prefix in key order, all pages of them."""
+        rows: list[Row] = []
+        while True:
+            page = self._page(table, prefix, after, limit)
+            if page.is_error():
+                return page
+            rows.extend(page.ok)
+            if len(page.ok) < limit:
+                return Ok(rows)
+            after = page.ok[-1].key
+
+    def _page(
+        self, table: str, prefix: str, after: str, limit: int
+    ) -> Result[list[Row], PlatformError]:
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        answer = self._exchange("GET", f"/v1/rows/{table}?{query}")
+        if answer.is_error():
+            return answer
+        status, body = answer.ok
+        if status != 200:
+            return Error(PlatformError(f"scan {table}: status {status}"))
+        found = msgspec.json.decode(body, type=dict[str, list[Row]])
+        return Ok(found["rows"])
+
+    def commit(self, tx: Transaction) -> Result[Committed | Conflict, PlatformError]:
+        """Run a transaction; its id settles answers that get lost."""
+        body = msgspec.json.encode(tx)
+        unknown = False
+        error = PlatformError("not tried")
+        for attempt in range(COMMIT_TRIES):
+            if attempt:
+                time.sleep(RETRY_PAUSE_SECONDS)
+            answer = self._exchange("POST", "/v1/transactions", body)
+            if answer.is_ok():
+                status, payload = answer.ok
+                if status in (200, 409):
+                    return Ok(_outcome(payload))
+                error = PlatformError(f"transaction: status {status}")
+                # A 4xx says that the platform took in nothing.
+                unknown = unknown or status >= 500
+                continue
+            error = answer.error
+            unknown = unknown or error.may_have_committed
+        return Error(PlatformError(error.detail, may_have_committed=unknown))
+
+    def put_object(self, name: str, data: bytes) -> Result[None, PlatformError]:
+        """Store an object; storing the same bytes again is no error."""
+        answer = self._exchange("PUT", f"/v1/objects/{quote(name, safe='')}", data)
+        if answer.is_error():
+            return answer
+        if answer.ok[0] in (200, 201):
+            return Ok(None)
+        return Error(PlatformError(f"put object: status {answer.ok[0]}"))
+
+    def get_object(self, name: str) -> Result[bytes, PlatformError]:
+        """Read an object whole."""
+        answer = self._exchange("GET", f"/v1/objects/{quote(name, safe='')}")
+        if answer.is_error():
+            return answer
+        if answer.ok[0] == 200:
+            return Ok(answer.ok[1])
+        return Error(PlatformError(f"get object: status {answer.ok[0]}"))
+
+    def _exchange(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> Result[tuple[int, bytes], PlatformError]:
+        try:
+            answer = self.pool.request(
+                method,
+                self.base_url + path,
+                body=body,
+                headers=self.headers,
+                timeout=self.timeout,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            self.available = False
+            sent = verdict_of(exc) is not Verdict.NOT_RUN
+            return Error(PlatformError(type(exc).__name__, may_have_committed=sent))
+        if answer.status >= 500:
+            self.available = False
+        else:
+            self.available = True
+            self.last_answer_at = time.monotonic()
+        return Ok((answer.status, answer.data))
+
+
+def _outcome(payload: bytes) -> Committed | Conflict:
+    answer: dict[str, Any] = msgspec.json.decode(payload)
+    if answer["committed"]:
+        return Committed(tuple(answer["versions"]))
+    first = answer["conflicts"][0]
+    return Conflict(first["table"], first["key"], first["version"])
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/transport/_pool.py
@@ -0,0 +1,35 @@
+"""Outgoing connections."""
+
+import socket
+
+import urllib3
+
+KEEPALIVE_IDLE_SECONDS = 5
+KEEPALIVE_INTERVAL_SECONDS = 2
+KEEPALIVE_PROBES = 3
+USER_TIMEOUT_MILLISECONDS = 10_000
+
+# Something between the two ends may forget an open connection: packets then vanish
+# without a reset, and a request on it would wait for its whole timeout. Keepalive
+# finds such a connection while idle, the user timeout while data is unacknowledged.
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS),
+)
+
+
+def make_pool(n_pools: int = 64, connections_per_peer: int = 32) -> urllib3.PoolManager:
+    """Return a connection pool without retries and redirects of its own.
+
+    The library must not retry: it can't know which calls may run twice.
+    """
+    return urllib3.PoolManager(
+        num_pools=n_pools,
+        maxsize=connections_per_peer,
+        retries=False,
+        socket_options=list(SOCKET_OPTIONS),
+    )
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_app.py
@@ -0,0 +1,119 @@
+"""Routing of requests to handlers, as a WSGI application."""
+
+import logging
+import re
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from swifttide_core.verdicts import Reason, Refusal, Verdict
+
+from swifttide_daemon.web._input import read_body
+from swifttide_daemon.web._request import Request
+from swifttide_daemon.web._response import Response
+
+log = logging.getLogger(__name__)
+
+Handler = Callable[..., Response]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A handler and what it answers.
+
+    Parameters
+    ----------
+    method : str
+        Verb in capitals.
+    pattern : str
+        Path with ``{name}`` for one segment and ``{name*}`` for the rest; the
+        segments become keyword arguments of the handler.
+    handler : callable
+        Takes a Request and the segments, returns a Response.
+    """
+
+    method: str
+    pattern: str
+    handler: Handler
+
+    def compiled(self) -> re.Pattern[str]:
+        """Return the pattern as a regular expression."""
+        rest = re.sub(r"\{(\w+)\*\}", r"(?P<\1>.+)", self.pattern)
+        return re.compile(re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", rest) + r"\Z")
+
+
+class App:
+    """WSGI application over a table of routes.
+
+    Parameters
+    ----------
+    routes : iterable of Route
+        Tried in their order.
+    max_body_bytes : int
+        Longest body that is read.
+    guard : callable or None
+        Called with each request before its handler; a refusal ends it.
+    """
+
+    def __init__(
+        self,
+        routes: Iterable[Route],
+        max_body_bytes: int,
+        guard: Callable[[Request], Refusal | None] | None = None,
+    ) -> None:
+        self.routes = [(route, route.compiled()) for route in routes]
+        self.max_body_bytes = max_body_bytes
+        self.guard = guard
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        response = self._answer(environ)
+        headers = list(response.headers)
+        if isinstance(response.body, bytes):
+            headers.append(("Content-Length", str(len(response.body))))
+        start_response(f"{response.status} -", headers)
+        if isinstance(response.body, bytes):
+            return [response.body]
+        return response.body
+
+    def _answer(self, environ: dict[str, Any]) -> Response:
+        now = time.monotonic()
+        body = read_body(environ, self.max_body_bytes)
+        if body.is_error():
+            return Response.from_refusal(body.error)
+        req = Request.from_environ(environ, body.ok, now)
+        try:
+            return self._dispatch(req)
+        except Exception:
+            # A fault in a handler must not end the process or leave the caller
+            # without an answer; what it did before is unknown here.
+            log.exception("handler failed", extra={"path": req.path})
+            return Response.from_refusal(
+                Refusal(
+                    Reason.INTERNAL,
+                    "an internal error; it is in the log",
+                    verdict=Verdict.MAY_HAVE_RUN,
+                )
+            )
+
+    def _dispatch(self, req: Request) -> Response:
+        known_path = False
+        for route, pattern in self.routes:
+            match = pattern.match(req.path)
+            if match is None:
+                continue
+            known_path = True
+            if route.method != req.method:
+                continue
+            refusal = self.guard(req) if self.guard else None
+            if refusal is not None:
+                return Response.from_refusal(refusal)
+            return route.handler(req, **match.groupdict())
+        if known_path:
+            return Response.from_refusal(
+                Refusal(Reason.BAD_REQUEST, f"method {req.method} is not answered here")
+            )
+        return Response.from_refusal(Refusal(Reason.NOT_FOUND, "no such path"))
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_server.py
@@ -0,0 +1,58 @@
+"""A cheroot server on a port of its own, running on a thread."""
+
+import threading
+
+from cheroot import wsgi
+from swifttide_daemon.settings import LimitSettings
+from swifttide_daemon.web._app import App
+
+
+class WebServer:
+    """One listening port.
+
+    Parameters
+    ----------
+    server : cheroot.wsgi.Server
+        Prepared server.
+    """
+
+    def __init__(self, server: wsgi.Server) -> None:
+        self.server = server
+        self._thread = threading.Thread(target=server.serve, daemon=True)
+
+    @classmethod
+    def from_settings(
+        cls, address: str, port: int, app: App, threads: int, limits: LimitSettings
+    ) -> "WebServer":
+        """Bind the port; requests are answered after `start`."""
+        server = wsgi.Server(
+            (address, port),
+            app,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=128,
+            timeout=limits.idle_seconds,
+            shutdown_timeout=2,
+        )
+        server.max_request_header_size = limits.max_header_bytes
+        server.keep_alive_conn_limit = limits.max_connections
+        server.error_log = _discard
+        server.prepare()
+        return cls(server)
+
+    @property
+    def port(self) -> int:
+        """Port that the operating system gave or the settings asked for."""
+        return self.server.bind_addr[1]
+
+    def start(self) -> None:
+        """Answer requests from now on."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the port; requests under way get two seconds."""
+        self.server.stop()
+
+
+def _discard(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    """Drop cheroot's own messages, which quote raw input."""
