ENH Add logs, metrics and traces of a host

Cause: operators need to see what a host decides, without keys in any output and without the log or the series growing with the load. Ruled out: aioprometheus' asyncio service (needs an event loop), its bare collectors (not safe for threads, labels not escaped, series unbounded); the SDK's batch processor (a thread more, and loses spans at a crash). Change: EventLog (JSON lines, 20 a second of one event, credentials masked), Metrics (locked, bounded series, worst-served customer as one number), Tracer (a span a hop, W3C context, file and console exporters, parent-based sampling; the SDK is imported only where an exporter is set).

--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/__init__.py
@@ -0,0 +1,10 @@
+"""What a host tells about itself: logs, metrics and traces."""
+
+from swifttide_daemon.telemetry._event_log import EventLog
+from swifttide_daemon.telemetry._masking import mask_keys
+from swifttide_daemon.telemetry._metrics import Metrics
+from swifttide_daemon.telemetry._span import Span
+from swifttide_daemon.telemetry._telemetry import Telemetry
+from swifttide_daemon.telemetry._tracer import Tracer
+
+__all__ = ["EventLog", "Metrics", "Span", "Telemetry", "Tracer", "mask_keys"]
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_event_log.py
@@ -0,0 +1,118 @@
+"""The daemon's log: one JSON line an event."""
+
+import logging
+import sys
+from dataclasses import dataclass, field
+from typing import TextIO
+
+from swifttide_daemon.settings import Settings
+from swifttide_daemon.telemetry._event_limiter import EventLimiter
+from swifttide_daemon.telemetry._json_formatter import FIELDS_ATTRIBUTE, JsonFormatter
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+_NOISY_LIBRARIES = ("urllib3", "cheroot", "asyncio", "opentelemetry")
+
+
+@dataclass(frozen=True, slots=True)
+class EventLog:
+    """Writes events with named fields.
+
+    Parameters
+    ----------
+    logger : logging.Logger
+        Where records go.
+    limiter : EventLimiter
+        Bound on the lines of one event.
+
+    Notes
+    -----
+    The usual fields are ``customer``, ``program``, ``turn``, ``request_id``,
+    ``verdict``, ``reason``, ``target``, ``peer``, ``slot``. Values of fields named
+    after credentials are hidden, and credentials within texts blotted out.
+
+    Examples
+    --------
+    >>> log.warning("request_refused", request_id="r1", reason="rate_limited")
+    """
+
+    logger: logging.Logger
+    limiter: EventLimiter = field(default_factory=EventLimiter)
+
+    @classmethod
+    def from_settings(cls, cfg: Settings, stream: TextIO | None = None) -> "EventLog":
+        """Set up the process's logging.
+
+        Parameters
+        ----------
+        cfg : Settings
+            Gives host, zone and level.
+        stream : file object or None
+            Where lines go; None takes stderr.
+        """
+        level = _LEVELS[cfg.log.level]
+        handler = logging.StreamHandler(stream or sys.stderr)
+        handler.setFormatter(JsonFormatter(cfg.host, cfg.zone))
+        root = logging.getLogger()
+        root.handlers[:] = [handler]
+        root.setLevel(level)
+        for name in _NOISY_LIBRARIES:
+            logging.getLogger(name).setLevel(max(level, logging.WARNING))
+        logging.raiseExceptions = False
+        logger = logging.getLogger("swifttide")
+        logger.setLevel(level)
+        return cls(logger)
+
+    def debug(self, event: str, **fields: object) -> None:
+        """Log what goes well, such as a request that was served."""
+        self._write(logging.DEBUG, event, fields)
+
+    def info(self, event: str, **fields: object) -> None:
+        """Log what an operator wants to know later."""
+        self._write(logging.INFO, event, fields)
+
+    def warning(self, event: str, **fields: object) -> None:
+        """Log what the host deals with on its own, such as a lost peer."""
+        self._write(logging.WARNING, event, fields)
+
+    def error(self, event: str, exc: BaseException | None = None, **fields) -> None:
+        """Log what should not happen.
+
+        Parameters
+        ----------
+        event : str
+            Name of the event.
+        exc : BaseException or None
+            Its type, message and places are added, never values of variables.
+        """
+        self._write(logging.ERROR, event, fields, exc)
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False):
+        """Take messages of a cheroot server, as its ``error_log``.
+
+        cheroot would write tracebacks with source lines straight to stderr.
+        """
+        exc = sys.exc_info()[1] if traceback else None
+        self._write(max(level, logging.WARNING), "server", {"detail": msg}, exc)
+
+    def _write(
+        self,
+        level: int,
+        event: str,
+        fields: dict[str, object],
+        exc: BaseException | None = None,
+    ) -> None:
+        if not self.logger.isEnabledFor(level):
+            return
+        suppressed = self.limiter.allow(event)
+        if suppressed is None:
+            return
+        if suppressed:
+            fields = {**fields, "suppressed": suppressed}
+        exc_info = (type(exc), exc, exc.__traceback__) if exc else None
+        extra = {FIELDS_ATTRIBUTE: fields}
+        self.logger.log(level, "%s", event, extra=extra, exc_info=exc_info)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_json_formatter.py
@@ -0,0 +1,64 @@
+"""One JSON line for each log record."""
+
+import logging
+from datetime import UTC, datetime
+
+import msgspec
+
+from swifttide_daemon.telemetry._masking import mask_field, mask_keys
+
+FIELDS_ATTRIBUTE = "swifttide_fields"
+"""Attribute of a record that holds the fields of an event."""
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats records of the daemon and of its libraries alike.
+
+    Parameters
+    ----------
+    host : str
+        Id of the host, in every line.
+    zone : str
+        Its availability zone.
+    """
+
+    def __init__(self, host: str, zone: str):
+        super().__init__()
+        self.host = host
+        self.zone = zone
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return a record as one line of JSON."""
+        line = {
+            "time": datetime.fromtimestamp(record.created, UTC).isoformat(
+                timespec="milliseconds"
+            ),
+            "level": record.levelname.lower(),
+            "event": mask_keys(record.getMessage()),
+            "host": self.host,
+            "zone": self.zone,
+        }
+        if record.name != "swifttide":
+            line["logger"] = record.name
+        fields = getattr(record, FIELDS_ATTRIBUTE, {})
+        line |= {name: mask_field(name, value) for name, value in fields.items()}
+        if record.exc_info and record.exc_info[0]:
+            line |= _describe_exception(record.exc_info)
+        return msgspec.json.encode(line).decode()
+
+
+def _describe_exception(exc_info: tuple) -> dict[str, object]:
+    """Return type, message and place of an exception.
+
+    The traceback is cut to places: its source lines and reprs may hold values.
+    """
+    kind, exc, traceback = exc_info
+    places = []
+    while traceback is not None:
+        code = traceback.tb_frame.f_code
+        places.append(f"{code.co_qualname}:{traceback.tb_lineno}")
+        traceback = traceback.tb_next
+    return {
+        "error": f"{kind.__name__}: {mask_keys(str(exc))}",
+        "places": places[-8:],
+    }
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_tracer.py
@@ -0,0 +1,132 @@
+"""Traces with a span for each hop."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from swifttide_daemon.settings import Settings, TraceExporter
+from swifttide_daemon.telemetry._span import Span
+from swifttide_daemon.telemetry._traceparent import TraceParent
+
+if TYPE_CHECKING:
+    from opentelemetry.context import Context
+    from opentelemetry.sdk.trace import TracerProvider
+    from opentelemetry.sdk.trace.export import SpanExporter
+    from opentelemetry.trace import SpanContext
+
+
+class Tracer:
+    """Opens spans and carries their context from hop to hop.
+
+    Parameters
+    ----------
+    provider : opentelemetry.sdk.trace.TracerProvider or None
+        None writes no traces; a context that came in is passed on unchanged, so
+        that a trace of the caller doesn't end here.
+
+    Notes
+    -----
+    The SDK is imported only where an exporter is set: it takes memory that hosts
+    without traces keep free.
+    """
+
+    def __init__(self, provider: "TracerProvider | None" = None):
+        self._provider = provider
+        self._tracer = provider.get_tracer("swifttide") if provider else None
+
+    @classmethod
+    def from_settings(cls, cfg: Settings) -> "Tracer":
+        """Create the tracer that the settings ask for."""
+        match cfg.traces.exporter:
+            case TraceExporter.NONE:
+                return cls()
+            case TraceExporter.FILE:
+                from swifttide_daemon.telemetry._file_exporter import FileExporter
+
+                return cls.from_exporter(cfg, FileExporter(cfg.traces.path))
+            case TraceExporter.CONSOLE:
+                from swifttide_daemon.telemetry._file_exporter import ConsoleExporter
+
+                return cls.from_exporter(cfg, ConsoleExporter())
+
+    @classmethod
+    def from_exporter(cls, cfg: Settings, exporter: "SpanExporter") -> "Tracer":
+        """Create a tracer that writes to an exporter as each span ends."""
+        from opentelemetry.sdk.resources import Resource
+        from opentelemetry.sdk.trace import SpanLimits, TracerProvider
+        from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+        from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+
+        provider = TracerProvider(
+            sampler=ParentBased(TraceIdRatioBased(cfg.traces.sample_ratio)),
+            resource=Resource({"host": cfg.host, "zone": cfg.zone}),
+            shutdown_on_exit=False,
+            span_limits=SpanLimits(max_span_attributes=32, max_events=8),
+        )
+        provider.add_span_processor(SimpleSpanProcessor(exporter))
+        return cls(provider)
+
+    @contextmanager
+    def span(
+        self, name: str, parent_traceparent: str = "", **attributes: object
+    ) -> Iterator[Span]:
+        """Open the span of one hop.
+
+        Parameters
+        ----------
+        name : str
+            Which hop: ``entry``, ``slot_holder``, ``target`` or ``platform``.
+        parent_traceparent : str
+            Header that came in; empty or wrong starts a new trace.
+        **attributes
+            Such as ``request_id``, ``customer``, ``program``, ``turn``.
+
+        Yields
+        ------
+        Span
+            With the context for the next hop.
+        """
+        parent = TraceParent.from_header(parent_traceparent or "")
+        if self._tracer is None:
+            yield Span(parent.to_header() if parent else "")
+            return
+        sdk_span = self._tracer.start_span(name, context=_context_of(parent))
+        span = Span(_header_of(sdk_span.get_span_context()), sdk_span)
+        span.set(**attributes)
+        try:
+            yield span
+        except BaseException as exc:
+            span.fail(type(exc).__name__)
+            raise
+        finally:
+            sdk_span.end()
+
+    def close(self) -> None:
+        """Write what is still held back."""
+        if self._provider is not None:
+            self._provider.shutdown()
+
+
+def _context_of(parent: TraceParent | None) -> "Context":
+    """Return a context of its own for a request.
+
+    Without one the SDK takes the thread's current span, and a request would hang
+    below another's trace.
+    """
+    from opentelemetry import trace
+    from opentelemetry.context import Context
+
+    if parent is None:
+        return Context()
+    span_context = trace.SpanContext(
+        trace_id=parent.trace_id,
+        span_id=parent.span_id,
+        is_remote=True,
+        trace_flags=trace.TraceFlags(int(parent.sampled)),
+    )
+    return trace.set_span_in_context(trace.NonRecordingSpan(span_context), Context())
+
+
+def _header_of(context: "SpanContext") -> str:
+    sampled = context.trace_flags.sampled
+    return TraceParent(context.trace_id, context.span_id, sampled).to_header()
