--- a/packages/swifttide_standins/src/swifttide_standins/platform/tests/test_app.py
+++ b/packages/swifttide_standins/src/swifttide_standins/platform/tests/test_app.py
@@ -1,29 +1,17 @@
 """The platform over HTTP."""
 
-import threading
-
 import pytest
 import urllib3
 
 from swifttide_standins.platform import platform_app
-from swifttide_standins.web import ServeOptions, Server
-
-
-@pytest.fixture
-def platform():
-    server = Server(platform_app(), ServeOptions(threads=8))
-    thread = threading.Thread(target=server.run)
-    thread.start()
-    yield server
-    server.stop()
-    thread.join()
+from swifttide_standins.web import running
 
 
 @pytest.fixture
-def call(platform):
-    with urllib3.PoolManager(retries=False) as pool:
+def call():
+    with running(platform_app()) as platform, urllib3.PoolManager() as pool:
         yield lambda method, path, **kw: pool.request(
-            method, platform.url + path, timeout=5, **kw
+            method, platform.url + path, timeout=5, retries=False, **kw
         )
 
 
--- a/packages/swifttide_standins/src/swifttide_standins/web/__init__.py
+++ b/packages/swifttide_standins/src/swifttide_standins/web/__init__.py
@@ -6,7 +6,7 @@
 from swifttide_standins.web._request import Request
 from swifttide_standins.web._response import Response
 from swifttide_standins.web._route import Route
-from swifttide_standins.web._serve import Server, serve
+from swifttide_standins.web._serve import Server, running, serve
 from swifttide_standins.web._serve_options import ServeOptions
 
 __all__ = [
@@ -19,5 +19,6 @@
     "Server",
     "check_int",
     "decode_json",
+    "running",
     "serve",
 ]
--- a/packages/swifttide_standins/src/swifttide_standins/web/_serve.py
+++ b/packages/swifttide_standins/src/swifttide_standins/web/_serve.py
@@ -1,7 +1,11 @@
 """Start-up of a stand-in on loopback."""
 
 import json
+import os
 import signal
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 from cheroot import wsgi
@@ -66,6 +70,19 @@
         self._server.stop()
 
 
+@contextmanager
+def running(app: App, threads: int = 8) -> Iterator[Server]:
+    """Serve in a thread of this process; for tests."""
+    server = Server(app, ServeOptions(threads=threads))
+    thread = threading.Thread(target=server.run)
+    thread.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+        thread.join()
+
+
 def serve(app: App, opts: ServeOptions) -> None:
     """Serve until SIGTERM or SIGINT, after telling the port.
 
@@ -73,15 +90,15 @@
     """
     server = Server(app, opts)
     signal.signal(signal.SIGTERM, _exit)
+    signal.signal(signal.SIGINT, _exit)
     line = json.dumps({"port": server.port})
     if opts.ready_file:
         Path(opts.ready_file).write_text(line, encoding="utf-8")
     print(line, flush=True)
-    try:
-        server.run()
-    finally:
-        server.stop()
+    server.run()
 
 
 def _exit(_signum: int, _frame: object) -> None:
-    raise SystemExit(0)
+    # A stand-in keeps nothing, and a thread inside a hang would hold up a normal
+    # exit for good.
+    os._exit(0)
