--- a/benchmarks/limits/fleet.py
+++ b/benchmarks/limits/fleet.py
@@ -10,6 +10,7 @@
 from benchmarks.limits import settings as cfg
 from benchmarks.limits.outcome import Outcome
 from benchmarks.limits.scenario import Cut, Edit, HolderLoss, Scenario
+
 from swifttide_core.limits import (
     CustomerShare,
     DrawFailed,
@@ -101,7 +102,7 @@
 
     def _arrive(self, now, index, arrival):
         entry = self.entries[arrival.host]
-        answer = entry.take(now, arrival.customer)
+        answer = entry.take(now, self.customers[arrival.customer])
         self._go_on(now, index, arrival, answer)
 
     def _go_on(self, now, index, arrival, answer):
@@ -129,6 +130,7 @@
                 draw_id=order.draw_id,
                 zone=self.zones[arrival.host % self.scenario.n_zones],
                 partial=order.partial,
+                spend_seconds=order.spend_seconds,
                 returned=order.returned,
             )
             self._pull(now, order.customer, order.zone, share)
@@ -138,26 +140,24 @@
         if not self.levels_out:
             return
         others = tuple(z for z in self.zones if z != zone)
-        pull = share.next_pull(now, f"holder-{zone}", others)
-        if pull is None:
-            return
-        self.outcome.n_messages += 1
-        at = now + cfg.OTHER_ZONE_TRIP
-        self._at(at, self._yield, name, zone, pull)
+        for pull in share.next_pulls(now, f"holder-{zone}", others):
+            self.outcome.n_messages += 1
+            at = now + cfg.OTHER_ZONE_TRIP
+            self._at(at, self._yield, name, zone, pull)
 
     def _yield(self, now, name, zone, pull):
         share = self.shares[(name, pull.zone)]
         cut = self.is_cut and "z0" in (zone, pull.zone)
         if share is None or cut:
             return
-        batch = share.yield_to(now, f"holder-{zone}", pull, FOREVER)
+        answer = share.yield_to(now, f"holder-{zone}", pull, FOREVER)
         at = now + cfg.OTHER_ZONE_TRIP
-        self._at(at, self._settle_pull, name, zone, batch)
+        self._at(at, self._settle_pull, name, zone, pull.draw_id, answer)
 
-    def _settle_pull(self, now, name, zone, batch):
+    def _settle_pull(self, now, name, zone, draw_id, answer):
         share = self.shares[(name, zone)]
         if share is not None:
-            share.settle_pull(now, batch)
+            share.settle_pull(now, draw_id, answer)
 
     def _answer(self, now, index, arrival, draw_id, answer):
         entry = self.entries[arrival.host]
@@ -199,6 +199,7 @@
                 self._at(at, self._kill)
 
     def _edit(self, now, zone, customer):
+        self.customers[customer.name] = customer
         self.known[(customer.name, zone)] = customer
         share = self.shares[(customer.name, zone)]
         fraction = self.rows[customer.name].fraction(zone)
@@ -256,7 +257,7 @@
         row = self.rows[name]
         customer = self.known[(name, zone)]
         drawn = share.drawn_per_second(now)
-        match plan_move(row, zone, drawn, customer.rate_per_second):
+        match plan_move(row, zone, tuple(self.zones), drawn, customer):
             case GiveUp(to_zone, fraction):
                 given = row.give(zone, to_zone, fraction)
                 share.set_limits(now, customer, given.fraction(zone))
--- a/benchmarks/limits/loads.py
+++ b/benchmarks/limits/loads.py
@@ -3,6 +3,7 @@
 import random
 
 from benchmarks.limits.scenario import Arrival, Cut, Edit, HolderLoss, Scenario
+
 from swifttide_core.documents import Customer
 
 SECONDS = 60.0
@@ -29,6 +30,7 @@
         _shifting,
         _small,
         _cut,
+        _small_cut,
         _killed,
         _planned,
         _edits,
@@ -81,7 +83,7 @@
 
 
 def _bursty(n_hosts, n_zones):
-    """Every 10 s a customer sends its whole burst within 0.1 s, then 0.5 of its rate."""
+    """Half of the rate, and every 10 s the whole burst within 0.1 s."""
     rng = random.Random(2)
     pick = _anywhere(n_hosts)
     arrivals = _uniform(n_hosts, 0.5)
@@ -138,6 +140,12 @@
     return _scenario("cut 20 s", n_hosts, n_zones, LARGE, arrivals, events)
 
 
+def _small_cut(n_hosts, n_zones):
+    arrivals = _uniform(n_hosts, 0.7, SMALL)
+    events = [Cut(20.0, 40.0)]
+    return _scenario("small, cut 20 s", n_hosts, n_zones, SMALL, arrivals, events)
+
+
 def _killed(n_hosts, n_zones):
     arrivals = _uniform(n_hosts, 0.7)
     events = [HolderLoss(20.0, False)]
--- a/benchmarks/limits/retry_load.py
+++ b/benchmarks/limits/retry_load.py
@@ -1,2 +1,5 @@
-def print_retries():
-    pass
+"""Retry amplification under an outage of a target."""
+
+
+def print_retries() -> None:
+    """Print the table."""
--- a/packages/swifttide_core/src/swifttide_core/limits/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/__init__.py
@@ -13,7 +13,12 @@
 from swifttide_core.limits._share_state import Lent, ShareState
 from swifttide_core.limits._taken import Taken
 from swifttide_core.limits._token_bucket import TokenBucket
-from swifttide_core.limits._zone_shares import ZoneShares, check_zone_shares
+from swifttide_core.limits._zone_shares import (
+    ZoneShares,
+    check_zone_shares,
+    served_zones,
+    zone_order,
+)
 
 __all__ = [
     "BATCH_SECONDS",
@@ -35,4 +40,6 @@
     "ZoneShares",
     "check_zone_shares",
     "plan_move",
+    "served_zones",
+    "zone_order",
 ]
--- a/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
@@ -17,10 +17,12 @@
 """
 
 import heapq
+from dataclasses import replace
 
 from swifttide_core.documents import Customer
 from swifttide_core.limits._batch import Batch
 from swifttide_core.limits._demand import Demand
+from swifttide_core.limits._empty_zone import EmptyZone
 from swifttide_core.limits._pull import Pull
 from swifttide_core.limits._rate_refused import RateRefused
 from swifttide_core.limits._share_state import Lent, ShareState
@@ -30,9 +32,8 @@
 """Life of a batch; tokens that an entry host loses are out of use for so long."""
 
 SPEND_SECONDS = 0.1
-"""Life of a token that a waiting request spends as soon as the answer is there. It
-counts as lent for no longer: counted for a batch's life, the tokens that many
-hosts have spent and not yet reported would hold up the refill of a whole burst."""
+"""Life of what another zone's holder gives, and of a single token whose entry host
+does not say how soon it will spend it."""
 
 DRIFT_FACTOR = 1.01
 """How much longer the holder counts a batch as lent: the clocks of two hosts may
@@ -44,17 +45,18 @@
 ACTIVE_SECONDS = 4.0
 """Silence after which an entry host no longer counts as one that may draw."""
 
-
 PLAN_SECONDS = 20.0
 """Time constant of the demand per zone from which shares are moved."""
 
-
 PULL_BELOW = 0.75
 """Part of its room below which a zone asks the others to level out."""
 
 PULL_SECONDS = 0.2
 """Least time between two such questions."""
 
+WHOLE = 1.0 - 1e-6
+"""Fraction at which a zone has all there is, but for rounding."""
+
 MIN_YIELD = 0.2
 """Fewest tokens that are worth the message."""
 
@@ -74,14 +76,17 @@
     ----------
     bucket : TokenBucket
         Tokens that are not lent out.
+    fraction : float
+        Part of the customer's rate and burst.
 
     Notes
     -----
     The host that holds the customer's slot keeps it, and drops it with the slot.
     """
 
-    def __init__(self, bucket):
+    def __init__(self, bucket, fraction):
         self.bucket = bucket
+        self.fraction = fraction
         self._loans = {}
         self._lent = 0.0
         self._expiries = []
@@ -91,6 +96,7 @@
         self._pulls = {}
         self._pull_at = float("-inf")
         self._n_pulls = 0
+        self._empty_zones = {}
 
     @classmethod
     def from_config(
@@ -125,7 +131,7 @@
         bucket = TokenBucket.empty(rate, burst, now)
         if unserved_since is not None:
             bucket.level = min(burst, rate * max(0.0, now - unserved_since))
-        return cls(bucket)
+        return cls(bucket, fraction)
 
     @classmethod
     def from_handover(
@@ -167,6 +173,7 @@
         draw_id: str,
         zone: str = "",
         partial: bool = False,
+        spend_seconds: float = SPEND_SECONDS,
         returned: tuple[Batch, ...] = (),
     ) -> Batch | RateRefused:
         """Lend tokens to an entry host.
@@ -187,6 +194,11 @@
             Of the entry host, for ``drawn_per_second``.
         partial : bool
             Whether less than one token is of use.
+        spend_seconds : float
+            Life of a batch of one token, which a waiting request spends as soon as
+            it has the answer. It counts as lent for no longer: counted for a whole
+            batch's life, the tokens that many hosts have spent and not yet reported
+            would hold up the refill of a whole burst.
         returned : tuple of Batch
             Batches that the entry host has done with.
 
@@ -207,41 +219,53 @@
         if tokens <= TOLERANCE:
             return self._refuse(now)
         self._drawn.setdefault(zone, Demand(now, PLAN_SECONDS)).arrive(now, tokens)
-        life = SPEND_SECONDS if tokens == 1.0 and not partial else BATCH_SECONDS
+        life = BATCH_SECONDS
+        if tokens == 1.0 and not partial:
+            life = min(spend_seconds, BATCH_SECONDS)
         ttl = min(life, holder_lease_ends_at - now)
         return self._lend(now, entry_host, Batch(draw_id, tokens, ttl))
 
-    def next_pull(self, now: float, holder: str, zones: tuple[str, ...]) -> Pull | None:
-        """Return the order to ask another zone's holder for part of its level.
+    def next_pulls(
+        self, now: float, holder: str, zones: tuple[str, ...]
+    ) -> tuple[Pull, ...]:
+        """Return the orders to ask other zones' holders for part of their level.
 
-        Call it after each draw and send what it returns. A zone that is full loses
-        what comes in there; without this a customer would be refused in one zone
-        while its tokens ran over in another.
+        Call it after each draw and send what it returns, once. A zone that is full
+        loses what comes in there; without this a customer would be refused in one
+        zone while its tokens ran over in another.
 
         Parameters
         ----------
         now : float
-            Monotonic seconds, from which the answer's life counts.
+            Monotonic seconds, from which the answers' life counts.
         holder : str
-            This host and incarnation, for the draw id.
+            This host and incarnation, for the draw ids.
         zones : tuple of str
             The other zones.
+
+        Returns
+        -------
+        tuple of Pull
+            To one zone in turn; to all of which nothing is known when there is no
+            whole token left here.
         """
         self._advance(now)
-        if not zones or now < self._pull_at or self.bucket.burst <= 0.0:
-            return None
-        if self.bucket.level > PULL_BELOW * self._room():
-            return None
-        self._n_pulls += 1
+        level, room = self.bucket.level, self._room()
+        if now < self._pull_at or self.fraction >= WHOLE or level > PULL_BELOW * room:
+            return ()
+        self._forget_old(now)
+        asked = [zone for zone in zones if zone not in self._empty_zones]
+        if not asked or self.bucket.burst <= 0.0:
+            return ()
+        if level >= 1.0:
+            asked = [asked[self._n_pulls % len(asked)]]
         self._pull_at = now + PULL_SECONDS
-        zone = zones[self._n_pulls % len(zones)]
-        draw_id = f"{holder}-pull-{self._n_pulls}"
-        self._pulls = {draw_id: now}
-        return Pull(zone, draw_id, self.bucket.level, self.bucket.burst, self._room())
+        self._pulls = {}
+        return tuple(self._pull(now, holder, zone) for zone in asked)
 
     def yield_to(
         self, now: float, holder: str, pull: Pull, holder_lease_ends_at: float
-    ) -> Batch:
+    ) -> Batch | RateRefused:
         """Give another zone's holder what makes both equally full; maybe nothing.
 
         The tokens count as lent until the answer can no longer be accepted, so that
@@ -255,6 +279,8 @@
         if self._handed_over or now >= holder_lease_ends_at:
             return nothing
         level = self.bucket.level
+        if level < 1.0:
+            return self._own_refusal(now)
         both_full = self.bucket.burst + pull.burst
         fill = (level + pull.level) / both_full if both_full > 0.0 else 1.0
         tokens = min(level - fill * self.bucket.burst, pull.room - pull.level)
@@ -262,13 +288,25 @@
             return nothing
         return self._lend(now, holder, Batch(pull.draw_id, tokens, SPEND_SECONDS))
 
-    def settle_pull(self, now: float, batch: Batch) -> None:
-        """Add what another zone's holder gave; late or twice, it adds nothing."""
+    def settle_pull(
+        self, now: float, draw_id: str, answer: Batch | RateRefused
+    ) -> None:
+        """Take in what another zone's holder gave; late or twice, it adds nothing.
+
+        A refusal is remembered, and passed on with refusals from here, so that an
+        entry host needn't ask each zone for a customer that is beyond its rate.
+        """
         self._advance(now)
-        sent_at = self._pulls.pop(batch.draw_id, None)
-        if sent_at is None or now >= sent_at + batch.ttl_seconds:
+        pull = self._pulls.pop(draw_id, None)
+        if pull is None:
             return
-        self.bucket.level = min(self.bucket.level + batch.tokens, self._room())
+        zone, sent_at = pull
+        match answer:
+            case Batch(_, tokens, ttl_seconds) if now < sent_at + ttl_seconds:
+                level = min(self.bucket.level + tokens, self._room())
+                self.bucket.level = level
+            case RateRefused():
+                self._empty_zones[zone] = EmptyZone.from_refusal(now, answer)
 
     def give_back(self, now: float, entry_host: str, batch: Batch) -> None:
         """Take back what is left of a batch; a second time changes nothing."""
@@ -283,6 +321,7 @@
     def set_limits(self, now: float, customer: Customer, fraction: float) -> None:
         """Put an edit, or another fraction, in force from now on."""
         self._advance(now)
+        self.fraction = fraction
         self.bucket.rate = customer.rate_per_second * fraction
         self.bucket.burst = customer.burst * fraction
         self.bucket.level = min(self.bucket.level, self._room())
@@ -330,9 +369,30 @@
         self._loans[key] = _Loan(batch, expires_at)
         heapq.heappush(self._expiries, (expires_at, key))
 
+    def _pull(self, now, holder, zone):
+        self._n_pulls += 1
+        draw_id = f"{holder}-pull-{self._n_pulls}"
+        self._pulls[draw_id] = (zone, now)
+        return Pull(zone, draw_id, self.bucket.level, self.bucket.burst, self._room())
+
     def _refuse(self, now):
+        self._forget_old(now)
+        others = {
+            zone: empty.as_refusal(now) for zone, empty in self._empty_zones.items()
+        }
+        return replace(self._own_refusal(now), others=others)
+
+    def _own_refusal(self, now):
         wait = self.bucket.seconds_until(now)
-        return RateRefused(wait, self.bucket.level, self.bucket.rate)
+        bucket = self.bucket
+        return RateRefused(wait, bucket.level, bucket.rate, self.fraction)
+
+    def _forget_old(self, now):
+        self._empty_zones = {
+            zone: empty
+            for zone, empty in self._empty_zones.items()
+            if empty.until > now
+        }
 
     def _advance(self, now):
         while self._expiries and self._expiries[0][0] <= now:
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/limits/_empty_zone.py
@@ -0,0 +1,48 @@
+"""What is known of a zone that had no whole token."""
+
+from swifttide_core.limits._rate_refused import RateRefused
+
+BELIEVED_SECONDS = 1.0
+"""Longest that a refusal is believed: tokens that another entry host gives back, a
+raised limit or a moved share are seen after this time."""
+
+
+class EmptyZone:
+    """A zone that had no whole token, or was not reached.
+
+    Parameters
+    ----------
+    since : float
+        Monotonic seconds at which that was known.
+    until : float
+        Monotonic seconds at which it is worth asking again.
+    available, rate, fraction : float
+        As in ``RateRefused``.
+    """
+
+    def __init__(self, since, until, available, rate, fraction):
+        self.since = since
+        self.until = until
+        self.rate = rate
+        self.fraction = fraction
+        self._available = available
+
+    @classmethod
+    def from_refusal(cls, now: float, refused: RateRefused) -> "EmptyZone":
+        """Remember what a zone's holder said."""
+        until = now + min(refused.retry_after_seconds, BELIEVED_SECONDS)
+        return cls(now, until, refused.available, refused.rate, refused.fraction)
+
+    @classmethod
+    def unreached(cls, now: float, seconds: float) -> "EmptyZone":
+        """Remember that a zone's holder did not answer; nothing else is known."""
+        return cls(now, now + seconds, 0.0, 0.0, 0.0)
+
+    def available(self, now: float) -> float:
+        """Return the part of a token that is there, if nobody else took it."""
+        return self._available + self.rate * (now - self.since)
+
+    def as_refusal(self, now: float) -> RateRefused:
+        """Return what the zone's holder would say now."""
+        wait = max(0.0, self.until - now)
+        return RateRefused(wait, self.available(now), self.rate, self.fraction)
--- a/packages/swifttide_core/src/swifttide_core/limits/_entry_allowance.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_entry_allowance.py
@@ -13,22 +13,34 @@
 whole rate from any zone, and a zone that is cut off goes on with its own share.
 """
 
+from swifttide_core.documents import Customer
 from swifttide_core.limits._batch import Batch
-from swifttide_core.limits._customer_share import SPEND_SECONDS
+from swifttide_core.limits._customer_share import WHOLE
 from swifttide_core.limits._demand import Demand
 from swifttide_core.limits._draw_failed import DrawFailed
+from swifttide_core.limits._empty_zone import EmptyZone
 from swifttide_core.limits._need_draw import NeedDraw
 from swifttide_core.limits._rate_refused import RateRefused
 from swifttide_core.limits._return_order import ReturnOrder
 from swifttide_core.limits._taken import Taken
 from swifttide_core.limits._token_bucket import TOLERANCE
+from swifttide_core.limits._zone_shares import zone_order
 
 FAILED_SECONDS = 0.5
 """How long a holder that was not reached is passed over."""
 
-CLOSED_SECONDS = 1.0
-"""Longest that a refusal is believed: tokens that another entry host gives back, a
-raised limit or a moved share are seen after this time."""
+MIN_SPEND_SECONDS = 0.02
+"""Shortest life that is asked for a token that is spent at once: many trips."""
+
+MAX_SPEND_SECONDS = 0.5
+"""Longest such life."""
+
+SPEND_TRIPS = 4.0
+"""Life of such a token in round trips, of the longest of late: a token that comes
+too late is lost, and one that lives long holds up the refill."""
+
+TRIP_FADE = 0.98
+"""What remains of the longest round trip with each further answer."""
 
 HORIZON_SECONDS = 0.5
 """Demand that a draw asks ahead for."""
@@ -53,24 +65,11 @@
         self.expires_at = expires_at
 
 
-class _Closed:
-    """A zone that had no whole token, or was not reached."""
-
-    def __init__(self, now, wait, available, rate):
-        self.since = now
-        self.until = now + min(wait, CLOSED_SECONDS)
-        self.rate = rate
-        self._available = available
-
-    def available(self, now):
-        """Part of a token that has come in there, if nobody else took it."""
-        return self._available + self.rate * (now - self.since)
-
-
 class _Purse:
     """What an entry host knows of one customer."""
 
-    def __init__(self, now):
+    def __init__(self, now, order):
+        self.order = order
         self.held = []
         self.done = {}
         self.closed = {}
@@ -106,28 +105,30 @@
         self._purses = {}
         self._in_flight = {}
         self._n_draws = 0
+        self._trip = 0.0
 
-    def take(self, now: float, customer: str) -> Taken | NeedDraw | RateRefused:
+    def take(self, now: float, customer: Customer) -> Taken | NeedDraw | RateRefused:
         """Spend a token on a request that arrives.
 
         Parameters
         ----------
         now : float
             Monotonic seconds; for a draw, the time from which its batch counts.
-        customer : str
-            Customer of the request.
+        customer : Customer
+            Customer of the request, with the limits in force here.
 
         Returns
         -------
         Taken, NeedDraw or RateRefused
             After ``NeedDraw``, ``settle`` says how the request goes on.
         """
-        purse = self._purses.get(customer)
+        purse = self._purses.get(customer.name)
         if purse is None:
-            purse = self._purses[customer] = _Purse(now)
+            purse = _Purse(now, zone_order(customer, self.zones))
+            self._purses[customer.name] = purse
         purse.seen_at = now
         purse.demand.arrive(now)
-        return self._decide(now, customer, purse, frozenset())
+        return self._decide(now, customer.name, purse, frozenset())
 
     def settle(
         self, now: float, draw_id: str, answer: Batch | RateRefused | DrawFailed
@@ -143,42 +144,43 @@
         flight = self._in_flight.pop(draw_id, None)
         if flight is None:
             return None
-        purse = self._purses.setdefault(flight.customer, _Purse(now))
+        purse = self._purses[flight.customer]
         match answer:
             case Batch():
+                self._note_trip(now - flight.sent_at)
                 self._accept(purse, flight, answer)
-            case RateRefused(wait, available, rate):
-                closed = _Closed(now, wait, available, rate)
-                purse.closed[flight.zone] = closed
+            case RateRefused():
+                self._note_trip(now - flight.sent_at)
+                self._close(now, purse, flight.zone, answer)
             case DrawFailed():
-                closed = _Closed(now, FAILED_SECONDS, 0.0, 0.0)
-                purse.closed[flight.zone] = closed
+                unreached = EmptyZone.unreached(now, FAILED_SECONDS)
+                purse.closed[flight.zone] = unreached
         asked = flight.asked | {(flight.zone, flight.partial)}
         return self._decide(now, flight.customer, purse, asked)
 
     def returns(self, now: float) -> tuple[ReturnOrder, ...]:
         """Give up the batches that are of no use here; call it every 0.1 s or so."""
         orders = []
+        waiting = {flight.customer for flight in self._in_flight.values()}
         for customer in list(self._purses):
             purse = self._purses[customer]
-            self._drop_expired(now, purse)
+            self._drop_old(now, purse)
             if now - purse.seen_at >= KEEP_SECONDS:
                 self._lay_down(purse)
             orders += self._give_up(customer, purse)
-            if now - purse.seen_at >= IDLE_SECONDS:
+            if now - purse.seen_at >= IDLE_SECONDS and customer not in waiting:
                 del self._purses[customer]
         return tuple(orders)
 
     def _decide(self, now, customer, purse, asked):
-        self._drop_expired(now, purse)
+        self._drop_old(now, purse)
         if self._spend(purse):
             return Taken()
-        for zone in self.zones:
-            closed = purse.closed.get(zone)
-            if closed is not None and closed.until <= now:
-                del purse.closed[zone]
-                closed = None
-            if closed is None and (zone, False) not in asked:
+        known = sum(closed.fraction for closed in purse.closed.values())
+        for zone in purse.order:
+            if known >= WHOLE:
+                break
+            if zone not in purse.closed and (zone, False) not in asked:
                 return self._order(now, customer, purse, zone, asked, False)
         return self._join_parts(now, customer, purse, asked)
 
@@ -187,7 +189,7 @@
         held = sum(h.rest for h in purse.held)
         parts = [
             (zone, purse.closed[zone].available(now))
-            for zone in self.zones
+            for zone in purse.order
             if zone in purse.closed and (zone, True) not in asked
         ]
         if held + sum(part for _, part in parts) + TOLERANCE >= 1.0:
@@ -220,7 +222,17 @@
         flight = _InFlight(customer, zone, now, asked, partial)
         self._in_flight[draw_id] = flight
         done = tuple(purse.done.pop(zone, ()))
-        return NeedDraw(customer, zone, draw_id, wanted, partial, done)
+        spend = min(max(MIN_SPEND_SECONDS, SPEND_TRIPS * self._trip), MAX_SPEND_SECONDS)
+        return NeedDraw(customer, zone, draw_id, wanted, partial, spend, done)
+
+    def _note_trip(self, seconds):
+        self._trip = max(seconds, TRIP_FADE * self._trip)
+
+    def _close(self, now, purse, zone, refused):
+        purse.closed[zone] = EmptyZone.from_refusal(now, refused)
+        for other, known in refused.others.items():
+            if other not in purse.closed and other in purse.order:
+                purse.closed[other] = EmptyZone.from_refusal(now, known)
 
     def _accept(self, purse, flight, batch):
         # Counted from when the answer came, a batch would outlive the holder's
@@ -242,12 +254,14 @@
 
     def _sort_out(self, purse):
         for held in purse.held:
-            if held.rest <= TOLERANCE and held.batch.ttl_seconds > SPEND_SECONDS:
+            if held.rest <= TOLERANCE and held.batch.tokens != 1.0:
                 spent = Batch(held.batch.draw_id, 0.0, 0.0)
                 purse.done.setdefault(held.zone, []).append(spent)
         purse.held = [h for h in purse.held if h.rest > TOLERANCE]
 
-    def _drop_expired(self, now, purse):
+    def _drop_old(self, now, purse):
+        if any(closed.until <= now for closed in purse.closed.values()):
+            purse.closed = {z: c for z, c in purse.closed.items() if c.until > now}
         if any(h.expires_at <= now for h in purse.held):
             purse.held = [h for h in purse.held if h.expires_at > now]
 
--- a/packages/swifttide_core/src/swifttide_core/limits/_need_draw.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_need_draw.py
@@ -21,6 +21,8 @@
         Tokens that the entry host can use during a batch's life.
     partial : bool
         Whether less than a whole token is of use.
+    spend_seconds : float
+        Time within which a single token will be spent.
     returned : tuple of Batch
         Earlier batches of the same holder that are done with, and what is left.
     """
@@ -30,4 +32,5 @@
     draw_id: str
     wanted: float
     partial: bool = False
+    spend_seconds: float = 0.1
     returned: tuple[Batch, ...] = ()
--- a/packages/swifttide_core/src/swifttide_core/limits/_rate_refused.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_rate_refused.py
@@ -1,6 +1,7 @@
 """Refusal of a request that is beyond its customer's rate."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,8 +17,14 @@
         that other zones have.
     rate : float
         Tokens a second that come in at the refusing holder.
+    fraction : float
+        Part of the customer's rate and burst that it speaks for.
+    others : mapping of str to RateRefused
+        What it knows of other zones that are empty as well.
     """
 
     retry_after_seconds: float
     available: float = 0.0
     rate: float = 0.0
+    fraction: float = 0.0
+    others: Mapping[str, "RateRefused"] = field(default_factory=dict)
--- a/packages/swifttide_core/src/swifttide_core/limits/_share_plan.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_share_plan.py
@@ -3,7 +3,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from swifttide_core.limits._zone_shares import KEEP_FRACTION, MIN_MOVE, ZoneShares
+from swifttide_core.documents import Customer
+from swifttide_core.limits._zone_shares import (
+    KEEP_FRACTION,
+    MIN_MOVE,
+    ZoneShares,
+    served_zones,
+)
 
 MIN_DRAWN_PER_SECOND = 0.5
 """Draws from another zone that are worth two writes at the platform. Below it a
@@ -34,8 +40,9 @@
 def plan_move(
     shares: ZoneShares,
     zone: str,
+    zones: tuple[str, ...],
     drawn_per_second: Mapping[str, float],
-    rate_per_second: float,
+    customer: Customer,
 ) -> GiveUp | Stay:
     """Decide what the holder in ``zone`` gives up.
 
@@ -45,27 +52,49 @@
         The row as last read.
     zone : str
         Own zone.
+    zones : tuple of str
+        All zones.
     drawn_per_second : mapping of str to float
         Tokens a second lent from here, by the zone of the entry host that drew:
         another zone draws here only when its own share does not suffice.
-    rate_per_second : float
-        The customer's whole rate.
+    customer : Customer
+        With the limits in force.
 
     Returns
     -------
     GiveUp or Stay
     """
-    others = {z: d for z, d in drawn_per_second.items() if z != zone}
-    if not others or rate_per_second <= 0.0:
+    served = served_zones(customer, zones)
+    if zone not in served:
+        return _leave(shares, zone, served)
+    missing = [z for z in served if z not in shares.zones and z not in shares.offers]
+    if missing:
+        return _settle_in(shares, zone, served, missing[0])
+    others = {z: d for z, d in drawn_per_second.items() if z != zone and z in served}
+    if not others or customer.rate_per_second <= 0.0:
         return Stay()
     to_zone = max(others, key=lambda z: (others[z], z))
     if others[to_zone] < MIN_DRAWN_PER_SECOND:
         return Stay()
-    n_zones = max(1, len(shares.zones))
-    floor = KEEP_FRACTION / n_zones
-    own_need = drawn_per_second.get(zone, 0.0) / rate_per_second
+    floor = KEEP_FRACTION / len(served)
+    own_need = drawn_per_second.get(zone, 0.0) / customer.rate_per_second
     spare = shares.fraction(zone) - max(floor, own_need)
-    fraction = min(spare, others[to_zone] / rate_per_second)
+    fraction = min(spare, others[to_zone] / customer.rate_per_second)
     if fraction < MIN_MOVE:
         return Stay()
     return GiveUp(to_zone, fraction)
+
+
+def _leave(shares, zone, served):
+    """Give all up: after an edit the burst is too small for so many zones."""
+    if shares.fraction(zone) <= 0.0:
+        return Stay()
+    return GiveUp(served[0], shares.fraction(zone))
+
+
+def _settle_in(shares, zone, served, missing):
+    """Give a part up for a zone that has none since an edit raised the burst."""
+    richest = max(shares.zones, key=lambda z: (shares.zones[z], z))
+    if zone != richest:
+        return Stay()
+    return GiveUp(missing, min(1.0 / len(served), shares.fraction(zone) / 2.0))
--- a/packages/swifttide_core/src/swifttide_core/limits/_zone_shares.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_zone_shares.py
@@ -30,6 +30,11 @@
 """Part of an equal share that a zone never gives up, for when it is cut off."""
 
 
+MIN_ZONE_BURST = 4.0
+"""Burst below which a zone's share isn't worth having: parts of a token in five
+zones refuse a small customer that one bucket would serve."""
+
+
 @dataclass(frozen=True, slots=True)
 class ZoneShares:
     """Value of one ``shares`` row.
@@ -47,20 +52,9 @@
 
     @classmethod
     def from_config(cls, customer: Customer, zones: Iterable[str]) -> "ZoneShares":
-        """Divide equally among as many zones as a whole token of burst is there for.
-
-        A burst of 3 over five zones would leave 0.6 in each, which never makes a
-        whole token: a zone that is cut off could not serve at all.
-        """
-        ranked = sorted(
-            zones,
-            key=lambda zone: xxhash.xxh64_intdigest(
-                f"{customer.name}\0{zone}".encode()
-            ),
-        )
-        n_served = max(1, min(len(ranked), int(customer.burst)))
-        fraction = 1.0 / n_served
-        return cls(dict.fromkeys(ranked[:n_served], fraction), {})
+        """Divide equally among the zones that ``served_zones`` names."""
+        served = served_zones(customer, zones)
+        return cls(dict.fromkeys(served, 1.0 / len(served)), {})
 
     @classmethod
     def from_row(cls, value: Mapping) -> "ZoneShares":
@@ -106,6 +100,42 @@
         return ZoneShares({**self.zones, zone: self.fraction(zone) + amount}, offers)
 
 
+def served_zones(customer: Customer, zones: Iterable[str]) -> tuple[str, ...]:
+    """Return the zones that a customer's rate and burst are divided among.
+
+    As many as get ``MIN_ZONE_BURST`` tokens each, by rendezvous hashing.
+    """
+    ranked = sorted(
+        zones,
+        key=lambda zone: xxhash.xxh64_intdigest(f"{customer.name}\0{zone}".encode()),
+    )
+    n_served = max(1, min(len(ranked), int(customer.burst / MIN_ZONE_BURST)))
+    return tuple(ranked[:n_served])
+
+
+def zone_order(customer: Customer, zones: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the zones in which an entry host draws, one after the other.
+
+    Parameters
+    ----------
+    customer : Customer
+        With the limits in force.
+    zones : tuple of str
+        All zones, the own one first.
+
+    Returns
+    -------
+    tuple of str
+        The own zone if it has a share, other zones with one, then the rest, which
+        may have got one by a move.
+    """
+    served = served_zones(customer, zones)
+    order = [zone for zone in zones[:1] if zone in served]
+    order += [zone for zone in served if zone not in order]
+    order += [zone for zone in zones if zone not in order]
+    return tuple(order)
+
+
 def check_zone_shares(shares: ZoneShares) -> None:
     """Check that fractions and offers are a division of one.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -16,13 +16,11 @@
     ring_neighbours,
 )
 from swifttide_core.slots import SlotKind, slot_of
-
 from swifttide_daemon.membership._lease_keeper import LeaseKeeper
 from swifttide_daemon.membership._rows import (
     HOSTS,
     SLOTS,
     ZONE_HEADS,
-    host_row_of,
     host_value,
     slot_key,
     slot_value,
