--- a/packages/swifttide_daemon/src/swifttide_daemon/configuration/_editor.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/_editor.py
@@ -3,9 +3,9 @@
 from typing import Any
 
 from expression import Error, Ok, Result
+
 from swifttide_core.configuration import Change
 from swifttide_core.documents import DocumentKind
-
 from swifttide_daemon.configuration._edit import (
     Accepted,
     EditOutcome,
--- a/packages/swifttide_daemon/src/swifttide_daemon/configuration/_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/_rows.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import msgspec
+
 from swifttide_core.configuration import Change
 from swifttide_core.documents import DocumentKind
 from swifttide_daemon.platform import Row
--- a/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 
 import msgspec
+
 from swifttide_core.configuration import Change, ConfigState
 from swifttide_core.documents import (
     Customer,
@@ -14,7 +15,6 @@
     Profile,
     Target,
 )
-
 from swifttide_daemon.configuration._rows import (
     CONFIG,
     DOCS,
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_authenticator.py
@@ -0,0 +1,85 @@
+"""Who a request comes from."""
+
+import hmac
+from dataclasses import dataclass
+from hashlib import sha256
+
+from expression import Error, Ok, Result
+
+from swifttide_core.verdicts import Reason, Refusal
+from swifttide_daemon.configuration import ConfigService
+from swifttide_daemon.web import Request
+
+BEARER = "Bearer "
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """The holder of a key.
+
+    Parameters
+    ----------
+    key_hash : str
+        SHA-256 of the key; the key itself is not kept.
+    customer : str
+        Empty for an operator.
+    """
+
+    key_hash: str
+    customer: str
+
+
+class Authenticator:
+    """Checks the key that a request carries.
+
+    Parameters
+    ----------
+    config : ConfigService
+    operator_hashes : tuple of str
+        Hashes from the settings, that hold before any operator's key is granted.
+    """
+
+    def __init__(self, config: ConfigService, operator_hashes: tuple[str, ...]) -> None:
+        self.config = config
+        self.operator_hashes = operator_hashes
+
+    def customer(self, req: Request) -> Result[Identity, Refusal]:
+        """Return the customer of a request's key."""
+        key_hash = _key_hash(req)
+        grant = self.config.key(key_hash) if key_hash else None
+        if grant is None or not grant.customer:
+            return Error(_unauthenticated())
+        return Ok(Identity(key_hash, grant.customer))
+
+    def operator(self, req: Request) -> Result[Identity, Refusal]:
+        """Return the operator of a request's key."""
+        key_hash = _key_hash(req)
+        if not key_hash:
+            return Error(_unauthenticated())
+        if any(hmac.compare_digest(key_hash, known) for known in self.operator_hashes):
+            return Ok(Identity(key_hash, ""))
+        grant = self.config.key(key_hash)
+        if grant is None:
+            return Error(_unauthenticated())
+        if not grant.operator:
+            return Error(Refusal(Reason.FORBIDDEN, "the key is not an operator's"))
+        return Ok(Identity(key_hash, ""))
+
+
+def _key_hash(req: Request) -> str:
+    """Return the hash of the request's key, or an empty string.
+
+    Looking the hash up takes a time that depends on the hash alone, which tells an
+    attacker nothing about keys.
+    """
+    value = req.header("authorization")
+    if not value.startswith(BEARER) or len(value) <= len(BEARER):
+        return ""
+    key = value[len(BEARER) :].strip()
+    return sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+def _unauthenticated() -> Refusal:
+    return Refusal(
+        Reason.UNAUTHENTICATED, "expected a granted key as 'Authorization: Bearer KEY'"
+    )
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_chat_answer.py
@@ -0,0 +1,214 @@
+"""A chat turn's events as the caller wants them."""
+
+from collections.abc import Iterator
+from itertools import chain
+
+import msgspec
+
+from swifttide_core.verdicts import Reason, Refusal, Verdict
+from swifttide_daemon.calls import (
+    Call,
+    CallEvent,
+    Content,
+    Failed,
+    Finished,
+    Reset,
+    Waiting,
+)
+from swifttide_daemon.web import Response
+
+REQUEST_ID_HEADER = "Swifttide-Request-Id"
+SSE = "text/event-stream"
+KEEPALIVE = b": waiting\n\n"
+
+
+def whole_answer(call: Call, events: Iterator[CallEvent]) -> Response:
+    """Return the answer of a turn as one JSON body."""
+    for event in events:
+        match event:
+            case Finished():
+                return Response.ran(
+                    event.status,
+                    msgspec.json.encode(_completion(call, event)),
+                    (
+                        ("Content-Type", "application/json"),
+                        *_headers(call, event.turn),
+                    ),
+                )
+            case Failed(refusal):
+                return _refused(call, refusal)
+    return _refused(call, _broke_off())
+
+
+def streamed_answer(call: Call, events: Iterator[CallEvent]) -> Response:
+    """Return the answer of a turn as server-sent events.
+
+    The status line waits for the first piece of text, so that a refusal is still a
+    refusal with its own status.
+    """
+    for event in events:
+        match event:
+            case Failed(refusal):
+                return _refused(call, refusal)
+            case Content() | Finished():
+                body = _sse(call, chain([event], events))
+                headers = (("Content-Type", SSE), *_headers(call, 0))
+                return Response(200, body, headers)
+    return _refused(call, _broke_off())
+
+
+def _sse(call: Call, events: Iterator[CallEvent]) -> Iterator[bytes]:
+    """Yield server-sent events; an answer that lacks ``[DONE]`` isn't whole."""
+    text = _SentText()
+    for event in events:
+        match event:
+            case Content(piece):
+                fresh = text.add(piece)
+                if fresh is None:
+                    yield _error(_differs())
+                    return
+                if fresh:
+                    yield _data(_chunk(call, fresh))
+            case Reset():
+                text.start_over()
+            case Waiting():
+                yield KEEPALIVE
+            case Finished():
+                rest = text.complete(event.body.decode())
+                if rest is None:
+                    yield _error(_differs())
+                    return
+                if rest:
+                    yield _data(_chunk(call, rest))
+                yield _data(_last_chunk(call, event))
+                yield b"data: [DONE]\n\n"
+                return
+            case Failed(refusal):
+                yield _error(refusal)
+                return
+    yield _error(_broke_off())
+
+
+class _SentText:
+    """What the caller has of the text, when a turn has to be run again.
+
+    Another engine may word its answer differently. Stitching the two together would
+    hand the caller a text that nobody generated and no history holds.
+    """
+
+    def __init__(self) -> None:
+        self._sent = ""
+        self._made = ""
+
+    def start_over(self) -> None:
+        """Void what was generated; what was sent stays sent."""
+        self._made = ""
+
+    def add(self, piece: str) -> str | None:
+        """Return what of a piece is new to the caller; None when it contradicts."""
+        self._made += piece
+        return self._fresh()
+
+    def complete(self, whole: str) -> str | None:
+        """Return what is missing of the whole text; None when it contradicts."""
+        self._made = whole
+        return self._fresh()
+
+    def _fresh(self) -> str | None:
+        if self._sent.startswith(self._made):
+            return ""
+        if not self._made.startswith(self._sent):
+            return None
+        fresh = self._made[len(self._sent) :]
+        self._sent = self._made
+        return fresh
+
+
+def _completion(call: Call, event: Finished) -> dict[str, object]:
+    return {
+        "id": call.request_id,
+        "object": "chat.completion",
+        "choices": [
+            {
+                "index": 0,
+                "message": {"role": "assistant", "content": event.body.decode()},
+                "finish_reason": "stop",
+            }
+        ],
+        "usage": _usage(event),
+        "swifttide": {"turn": event.turn, "replayed": event.replayed},
+    }
+
+
+def _chunk(call: Call, text: str) -> dict[str, object]:
+    return {
+        "id": call.request_id,
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": text}}],
+    }
+
+
+def _last_chunk(call: Call, event: Finished) -> dict[str, object]:
+    return {
+        "id": call.request_id,
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+        "usage": _usage(event),
+        "swifttide": {
+            "turn": event.turn,
+            "replayed": event.replayed,
+            "verdict": Verdict.RAN,
+        },
+    }
+
+
+def _usage(event: Finished) -> dict[str, int]:
+    return {
+        "prompt_tokens": event.prompt_tokens,
+        "completion_tokens": event.completion_tokens,
+        "total_tokens": event.prompt_tokens + event.completion_tokens,
+        "cached_tokens": event.cached_tokens,
+    }
+
+
+def _headers(call: Call, turn: int) -> tuple[tuple[str, str], ...]:
+    headers = [(REQUEST_ID_HEADER, call.request_id)]
+    if turn:
+        headers.append(("Swifttide-Turn", str(turn)))
+    return tuple(headers)
+
+
+def _refused(call: Call, refusal: Refusal) -> Response:
+    answer = Response.from_refusal(refusal, request_id=call.request_id)
+    headers = (*answer.headers, (REQUEST_ID_HEADER, call.request_id))
+    return Response(answer.status, answer.body, headers)
+
+
+def _data(value: dict[str, object]) -> bytes:
+    return b"data: " + msgspec.json.encode(value) + b"\n\n"
+
+
+def _error(refusal: Refusal) -> bytes:
+    problem = {
+        "status": refusal.status,
+        "reason": refusal.reason,
+        "detail": refusal.detail,
+        "verdict": refusal.verdict,
+        "retry_after_seconds": refusal.retry_after_seconds,
+    }
+    return b"event: error\ndata: " + msgspec.json.encode(problem) + b"\n\n"
+
+
+def _differs() -> Refusal:
+    return Refusal(
+        Reason.TARGET_FAILED,
+        "the turn was run again and its text differs; send the same turn again",
+        verdict=Verdict.MAY_HAVE_RUN,
+        retry_after_seconds=1.0,
+    )
+
+
+def _broke_off() -> Refusal:
+    return Refusal(
+        Reason.INTERNAL, "the answer broke off", verdict=Verdict.MAY_HAVE_RUN
+    )
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_handlers.py
@@ -0,0 +1,265 @@
+"""What callers can ask of a host."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from expression import Error, Ok, Result
+
+from swifttide_core.documents import Profile
+from swifttide_core.verdicts import Reason, Refusal, Verdict
+from swifttide_daemon.calls import Call, CallEvent, CallKind, Failed, Finished
+from swifttide_daemon.configuration import ConfigService
+from swifttide_daemon.entry._authenticator import Authenticator, Identity
+from swifttide_daemon.entry._call_headers import CallHeaders
+from swifttide_daemon.entry._chat_answer import (
+    REQUEST_ID_HEADER,
+    streamed_answer,
+    whole_answer,
+)
+from swifttide_daemon.entry._dispatcher import Dispatcher
+from swifttide_daemon.entry._gate import Gate
+from swifttide_daemon.entry._program_roots import ProgramRoots
+from swifttide_daemon.limits import RateLimiter
+from swifttide_daemon.platform import new_id
+from swifttide_daemon.runners import ChatBody, must_not_repeat
+from swifttide_daemon.telemetry import Telemetry
+from swifttide_daemon.web import Request, Response
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that has passed all checks at its entry host."""
+
+    call: Call
+    profile: Profile
+
+
+class CallHandlers:
+    """Chat turns and service calls at their entry host.
+
+    Parameters
+    ----------
+    gate : Gate
+    authenticator : Authenticator
+    config : ConfigService
+    limiter : RateLimiter
+    roots : ProgramRoots
+    dispatcher : Dispatcher
+    telemetry : Telemetry
+    """
+
+    def __init__(
+        self,
+        gate: Gate,
+        authenticator: Authenticator,
+        config: ConfigService,
+        limiter: RateLimiter,
+        roots: ProgramRoots,
+        dispatcher: Dispatcher,
+        telemetry: Telemetry,
+    ) -> None:
+        self.gate = gate
+        self.authenticator = authenticator
+        self.config = config
+        self.limiter = limiter
+        self.roots = roots
+        self.dispatcher = dispatcher
+        self.telemetry = telemetry
+
+    def chat(self, req: Request) -> Response:
+        """Answer ``POST /v1/chat/completions``."""
+        return self._inside(lambda: self._chat(req))
+
+    def service(self, req: Request, service: str, path: str) -> Response:
+        """Answer ``POST /v1/services/{service}/{path}``."""
+        return self._inside(lambda: self._service(req, service, path))
+
+    def _inside(self, answer) -> Response:
+        """Run a handler between entering and leaving the gate."""
+        refusal = self.gate.enter()
+        if refusal is not None:
+            response = Response.from_refusal(refusal)
+            # The balancer must not send another request on this connection.
+            headers = (*response.headers, ("Connection", "close"))
+            return replace(response, headers=headers)
+        try:
+            response = answer()
+        except BaseException:
+            self.gate.leave()
+            raise
+        if isinstance(response.body, bytes):
+            self.gate.leave()
+            return response
+        return replace(response, body=self.gate.follow(response.body))
+
+    def _chat(self, req: Request) -> Response:
+        admitted = self._admit(req, CallKind.CHAT)
+        if admitted.is_error():
+            return self._refuse("", admitted.error)
+        body = ChatBody.from_bytes(req.body)
+        if body.is_error():
+            return self._refuse(admitted.ok.call.customer, body.error)
+        admission = self._take_token(admitted.ok.call)
+        if admission is not None:
+            return self._refuse(admitted.ok.call.customer, admission)
+        call = admitted.ok.call
+        events = self._events(call, req)
+        if body.ok.stream:
+            return streamed_answer(call, events)
+        return whole_answer(call, events)
+
+    def _service(self, req: Request, service: str, path: str) -> Response:
+        admitted = self._admit(req, CallKind.SERVICE)
+        if admitted.is_error():
+            return self._refuse("", admitted.error)
+        profile = admitted.ok.profile
+        call = replace(
+            admitted.ok.call,
+            service=service,
+            path=path,
+            content_type=req.header("content-type"),
+        )
+        refusal = _check_service(profile, call) or self._take_token(call)
+        if refusal is not None:
+            return self._refuse(call.customer, refusal)
+        for event in self._events(call, req):
+            match event:
+                case Finished():
+                    headers = (
+                        ("Content-Type", event.content_type),
+                        (REQUEST_ID_HEADER, call.request_id),
+                    )
+                    return Response.ran(event.status, event.body, headers)
+                case Failed(refusal):
+                    return Response.from_refusal(refusal, request_id=call.request_id)
+        return Response.from_refusal(
+            Refusal(Reason.INTERNAL, "the answer broke off", Verdict.MAY_HAVE_RUN)
+        )
+
+    def _admit(self, req: Request, kind: CallKind) -> Result[Admitted, Refusal]:
+        identity = self.authenticator.customer(req)
+        if identity.is_error():
+            return identity
+        headers = CallHeaders.from_request(req)
+        if headers.is_error():
+            return headers
+        profile = self.config.profile(headers.ok.profile)
+        if profile is None:
+            return Error(
+                Refusal(Reason.NOT_FOUND, f"no profile {headers.ok.profile!r}")
+            )
+        customer = identity.ok.customer
+        if profile.customers and customer not in profile.customers:
+            return Error(
+                Refusal(Reason.FORBIDDEN, "the profile isn't for this customer")
+            )
+        if self.config.customer(customer) is None:
+            return Error(Refusal(Reason.FORBIDDEN, f"no customer {customer!r}"))
+        return self._place(req, kind, identity.ok, headers.ok, profile)
+
+    def _place(
+        self,
+        req: Request,
+        kind: CallKind,
+        identity: Identity,
+        headers: CallHeaders,
+        profile: Profile,
+    ) -> Result[Admitted, Refusal]:
+        root = self.roots.root(identity.customer, headers.program, headers.parent)
+        if root.is_error():
+            return root
+        call = Call(
+            request_id=new_id(),
+            kind=kind,
+            customer=identity.customer,
+            key_hash=identity.key_hash,
+            profile=profile.name,
+            program=headers.program,
+            root=root.ok,
+            parent=headers.parent,
+            turn=headers.turn,
+            idempotency_key=headers.idempotency_key,
+            body=req.body,
+            remaining_seconds=profile.turn_timeout_seconds,
+        )
+        return Ok(Admitted(call, profile))
+
+    def _take_token(self, call: Call) -> Refusal | None:
+        return self.limiter.admit(call.customer)
+
+    def _events(self, call: Call, req: Request) -> Iterator[CallEvent]:
+        """Yield the call's events, ending them when the caller's key is withdrawn."""
+        with self.telemetry.span(
+            "entry",
+            req.header("traceparent"),
+            request_id=call.request_id,
+            customer=call.customer,
+            program=call.program,
+        ) as span:
+            for event in self.dispatcher.follow(call, span.traceparent):
+                grant = self.config.key(call.key_hash)
+                if grant is None and not isinstance(event, Finished):
+                    # The connection was there before the key was withdrawn; it must
+                    # not carry the rest of the answer.
+                    yield Failed(_withdrawn())
+                    return
+                if isinstance(event, Failed):
+                    self._note(call, event.refusal)
+                    span.set(verdict=event.refusal.verdict.value)
+                elif isinstance(event, Finished):
+                    span.set(verdict=Verdict.RAN.value)
+                    self.telemetry.log.debug(
+                        "request_ran",
+                        request_id=call.request_id,
+                        customer=call.customer,
+                        program=call.program,
+                        seconds=round(time.monotonic() - req.arrived_at, 4),
+                    )
+                yield event
+
+    def _refuse(self, customer: str, refusal: Refusal) -> Response:
+        within = refusal.reason not in (
+            Reason.RATE_LIMITED,
+            Reason.UNAUTHENTICATED,
+            Reason.BAD_REQUEST,
+        )
+        self.telemetry.metrics.refuse(
+            customer, refusal.reason, refusal.verdict, within_rate=within
+        )
+        return Response.from_refusal(refusal)
+
+    def _note(self, call: Call, refusal: Refusal) -> None:
+        self.telemetry.metrics.refuse(
+            call.customer, refusal.reason, refusal.verdict, within_rate=True
+        )
+        self.telemetry.log.info(
+            "request_refused",
+            request_id=call.request_id,
+            customer=call.customer,
+            program=call.program,
+            reason=refusal.reason.value,
+            verdict=refusal.verdict.value,
+        )
+
+
+def _check_service(profile: Profile, call: Call) -> Refusal | None:
+    if profile.services and call.service not in profile.services:
+        return Refusal(
+            Reason.FORBIDDEN, f"the profile doesn't allow service {call.service!r}"
+        )
+    if must_not_repeat(profile, call) and not call.idempotency_key:
+        # Without a key, a call that is sent again can't be told from a second order.
+        return Refusal(
+            Reason.BAD_REQUEST,
+            "the call may not be repeated: expected an Idempotency-Key",
+        )
+    return None
+
+
+def _withdrawn() -> Refusal:
+    return Refusal(
+        Reason.UNAUTHENTICATED,
+        "the key was withdrawn while the call ran",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_program_roots.py
@@ -0,0 +1,57 @@
+"""Finding the root of a program, which decides where its calls go."""
+
+import threading
+from collections import OrderedDict
+
+from expression import Error, Ok, Result
+
+from swifttide_core.verdicts import Reason, Refusal
+from swifttide_daemon.programs import ProgramBook
+
+MAX_KNOWN = 20_000
+
+
+class ProgramRoots:
+    """Roots by parent, read once from the platform and remembered.
+
+    Parameters
+    ----------
+    book : ProgramBook
+        Reads rows.
+    """
+
+    def __init__(self, book: ProgramBook) -> None:
+        self.book = book
+        self._known: OrderedDict[tuple[str, str], str] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def root(self, customer: str, program: str, parent: str) -> Result[str, Refusal]:
+        """Return the root of a program.
+
+        Parameters
+        ----------
+        customer, program : str
+        parent : str
+            Program that started it; empty for a root.
+        """
+        if not parent:
+            return Ok(program)
+        with self._lock:
+            known = self._known.get((customer, parent))
+        if known is not None:
+            return Ok(known)
+        row = self.book.read(customer, parent)
+        if row.is_error():
+            return row
+        if row.ok is None:
+            return Error(
+                Refusal(Reason.NOT_FOUND, f"no program {parent!r} to be the parent")
+            )
+        self._remember(customer, parent, row.ok.root)
+        return Ok(row.ok.root)
+
+    def _remember(self, customer: str, parent: str, root: str) -> None:
+        with self._lock:
+            self._known[(customer, parent)] = root
+            if len(self._known) > MAX_KNOWN:
+                self._known.popitem(last=False)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_rows.py
@@ -0,0 +1,86 @@
+"""The division of a customer's rate among zones, in the platform's table."""
+
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from swifttide_core.documents import Customer
+from swifttide_core.limits import ZoneShares
+from swifttide_daemon.platform import (
+    Check,
+    Committed,
+    PlatformClient,
+    PlatformError,
+    Transaction,
+    Write,
+)
+
+SHARES = "shares"
+HOSTS = "hosts"
+
+
+@dataclass(frozen=True, slots=True)
+class StoredShares:
+    """The row of a customer.
+
+    Parameters
+    ----------
+    shares : ZoneShares
+    version : int
+    created : bool
+        Whether this very call made the row: nobody can have served the customer.
+    """
+
+    shares: ZoneShares
+    version: int
+    created: bool = False
+
+
+class ShareRows:
+    """Reads, makes and moves shares.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+    """
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self.platform = platform
+
+    def read(self, customer: Customer) -> Result[StoredShares, PlatformError]:
+        """Return a customer's division, making it at the first call of all."""
+        found = self.platform.read(SHARES, customer.name)
+        if found.is_error():
+            return found
+        if found.ok is not None:
+            shares = ZoneShares.from_row(found.ok.value)
+            return Ok(StoredShares(shares, found.ok.version))
+        return self._create(customer)
+
+    def write(self, customer: str, stored: StoredShares, shares: ZoneShares) -> bool:
+        """Write a division if nobody else has since; return whether it took effect."""
+        tx = Transaction(
+            (Check(SHARES, customer, stored.version),),
+            (Write(SHARES, customer, shares.to_row()),),
+        )
+        outcome = self.platform.commit(tx)
+        return outcome.is_ok() and isinstance(outcome.ok, Committed)
+
+    def _create(self, customer: Customer) -> Result[StoredShares, PlatformError]:
+        zones = self._zones()
+        if zones.is_error():
+            return zones
+        shares = ZoneShares.from_config(customer, zones.ok)
+        if self.write(customer.name, StoredShares(shares, 0), shares):
+            again = self.platform.read(SHARES, customer.name)
+            version = again.ok.version if again.is_ok() and again.ok else 0
+            return Ok(StoredShares(shares, version, created=True))
+        found = self.platform.read(SHARES, customer.name)
+        if found.is_error() or found.ok is None:
+            return Error(PlatformError("the shares can't be made"))
+        shares = ZoneShares.from_row(found.ok.value)
+        return Ok(StoredShares(shares, found.ok.version))
+
+    def _zones(self) -> Result[list[str], PlatformError]:
+        rows = self.platform.scan(HOSTS)
+        return rows.map(lambda found: sorted({row.key.split("/")[0] for row in found}))
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
@@ -46,6 +46,10 @@
         self.lease = HostLease.from_times(times)
         self.config_version = config_version
 
+    def set_urls(self, caller_url: str, peer_url: str) -> None:
+        """Set where this host is reached, known once its ports are bound."""
+        self.row = replace(self.row, caller_url=caller_url, peer_url=peer_url)
+
     def holds(self) -> bool:
         """Return whether this host may act as a holder right now."""
         return self.lease.holds(time.monotonic())
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_rows.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import msgspec
+
 from swifttide_core.membership import HostRow, SlotRow
 from swifttide_daemon.platform import Row
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -3,6 +3,7 @@
 import logging
 import threading
 import time
+from collections.abc import Iterable
 from dataclasses import replace
 
 from swifttide_core.membership import (
@@ -16,13 +17,11 @@
     ring_neighbours,
 )
 from swifttide_core.slots import SlotKind, slot_of
-
 from swifttide_daemon.membership._lease_keeper import LeaseKeeper
 from swifttide_daemon.membership._rows import (
     HOSTS,
     SLOTS,
     ZONE_HEADS,
-    host_row_of,
     host_value,
     slot_key,
     slot_value,
@@ -75,6 +74,7 @@
         self.watch = LeaseWatch.from_times(times)
         self.view = ZoneView()
         self._others: dict[str, ZoneView] = {}
+        self._known_zones: set[str] = set()
         self._held: dict[int, int] = {}
         self._given_up: set[int] = set()
         self._lock = threading.Lock()
@@ -135,6 +135,14 @@
         rows = self.view.hosts.values()
         return [row for row in rows if row.state is not HostState.DEAD]
 
+    def zones(self) -> list[str]:
+        """Return the zones that targets or hosts are known to stand in."""
+        return sorted({self.me.zone, *self._known_zones})
+
+    def note_zones(self, zones: Iterable[str]) -> None:
+        """Learn of zones from the documents of targets."""
+        self._known_zones.update(zones)
+
     def neighbours(self) -> list[HostRow]:
         """Return the hosts that this one watches."""
         hosts = {row.host: row for row in self.zone_hosts()}
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_zone_reader.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_zone_reader.py
@@ -3,6 +3,7 @@
 import time
 
 from expression import Ok, Result
+
 from swifttide_core.membership import SlotRow
 from swifttide_daemon.membership._rows import (
     HOSTS,
@@ -58,5 +59,3 @@
                 read_at=time.monotonic(),
             )
         )
-
-
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/operators/__init__.py
@@ -0,0 +1,5 @@
+"""Operators' calls."""
+
+from swifttide_daemon.operators._handlers import OperatorHandlers
+
+__all__ = ["OperatorHandlers"]
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/operators/_handlers.py
@@ -0,0 +1,219 @@
+"""What operators can ask of a host, by any host of the fleet."""
+
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from swifttide_core.documents import DocumentKind, check_document, document_name
+from swifttide_core.verdicts import Reason, Refusal, Verdict
+from swifttide_daemon.configuration import (
+    Accepted,
+    ConfigEditor,
+    ConfigService,
+    Raced,
+    Unknown,
+)
+from swifttide_daemon.entry import Authenticator, Identity, ProgramHandlers
+from swifttide_daemon.platform import PlatformClient
+from swifttide_daemon.programs import platform_refusal
+from swifttide_daemon.web import Request, Response
+
+OPERATOR_HASH_CHARS = 8
+"""Characters of the key's hash that the history shows."""
+
+
+class OperatorHandlers:
+    """Edits and views of the configuration and the fleet.
+
+    Parameters
+    ----------
+    authenticator : Authenticator
+    config : ConfigService
+    editor : ConfigEditor
+    platform : PlatformClient
+    programs : ProgramHandlers
+    """
+
+    def __init__(
+        self,
+        authenticator: Authenticator,
+        config: ConfigService,
+        editor: ConfigEditor,
+        platform: PlatformClient,
+        programs: ProgramHandlers,
+    ) -> None:
+        self.authenticator = authenticator
+        self.config = config
+        self.editor = editor
+        self.platform = platform
+        self.programs = programs
+
+    def list_documents(self, req: Request, kind: str) -> Response:
+        """Answer ``GET /v1/operator/documents/{kind}``."""
+        checked = self._check(req, kind)
+        if checked.is_error():
+            return Response.from_refusal(checked.error)
+        changes = self.config.state.newest_of(checked.ok[1])
+        return Response.from_json(
+            {
+                "documents": [_shown(change) for change in changes],
+                "config_version": self.config.version,
+            }
+        )
+
+    def show_document(self, req: Request, kind: str, name: str) -> Response:
+        """Answer ``GET /v1/operator/documents/{kind}/{name}``."""
+        checked = self._check(req, kind)
+        if checked.is_error():
+            return Response.from_refusal(checked.error)
+        change = self.config.state.newest(checked.ok[1], name)
+        if change is None or change.document is None:
+            return Response.from_refusal(
+                Refusal(Reason.NOT_FOUND, f"no {kind} {name!r} in force here")
+            )
+        return Response.from_json(_shown(change))
+
+    def put_document(self, req: Request, kind: str, name: str) -> Response:
+        """Answer ``PUT /v1/operator/documents/{kind}/{name}``."""
+        checked = self._check(req, kind)
+        if checked.is_error():
+            return Response.from_refusal(checked.error)
+        identity, of_kind = checked.ok
+        body = _edit_body(req.body)
+        if body.is_error():
+            return Response.from_refusal(body.error)
+        document, base_version = body.ok
+        if document is not None:
+            decoded = check_document(of_kind, document)
+            if decoded.is_error():
+                return _wrong_document(decoded.error)
+            if document_name(of_kind, decoded.ok) != name:
+                return Response.from_refusal(
+                    Refusal(
+                        Reason.BAD_REQUEST,
+                        f"got a document named {document_name(of_kind, decoded.ok)!r}, "
+                        f"expected {name!r}",
+                    )
+                )
+            document = msgspec.to_builtins(decoded.ok)
+        outcome = self.editor.edit(
+            of_kind,
+            name,
+            document,
+            base_version,
+            identity.key_hash[:OPERATOR_HASH_CHARS],
+        )
+        match outcome:
+            case Accepted(version):
+                self.config.refresh()
+                return Response.from_json({"version": version})
+            case Raced(current_version, current_document):
+                return Response.from_refusal(
+                    Refusal(
+                        Reason.CONFLICT,
+                        f"{kind} {name!r} is at version {current_version}, the edit "
+                        f"expected version {base_version}",
+                    ),
+                    current_version=current_version,
+                    current_document=current_document,
+                )
+            case Unknown(may_have_committed):
+                verdict = (
+                    Verdict.MAY_HAVE_RUN if may_have_committed else Verdict.NOT_RUN
+                )
+                return Response.from_refusal(platform_refusal(verdict))
+
+    def history(self, req: Request) -> Response:
+        """Answer ``GET /v1/operator/history``, newest last."""
+        identity = self.authenticator.operator(req)
+        if identity.is_error():
+            return Response.from_refusal(identity.error)
+        rows = self.platform.scan("config_log")
+        if rows.is_error():
+            return Response.from_refusal(platform_refusal())
+        kind, name = req.param("kind"), req.param("name")
+        changes = [row.value for row in rows.ok]
+        wanted = [
+            change
+            for change in changes
+            if kind in ("", change["kind"]) and name in ("", change["name"])
+        ]
+        return Response.from_json({"changes": wanted})
+
+    def hosts(self, req: Request) -> Response:
+        """Answer ``GET /v1/operator/hosts`` from the platform's lease rows."""
+        identity = self.authenticator.operator(req)
+        if identity.is_error():
+            return Response.from_refusal(identity.error)
+        rows = self.platform.scan("hosts")
+        if rows.is_error():
+            return Response.from_refusal(platform_refusal())
+        shown = ("host", "zone", "state", "incarnation", "config_version")
+        return Response.from_json(
+            {"hosts": [{k: row.value.get(k) for k in shown} for row in rows.ok]}
+        )
+
+    def targets(self, req: Request) -> Response:
+        """Answer ``GET /v1/operator/targets``."""
+        identity = self.authenticator.operator(req)
+        if identity.is_error():
+            return Response.from_refusal(identity.error)
+        return Response.from_json({"targets": self.config.targets()})
+
+    def show_program(self, req: Request, customer: str, program: str) -> Response:
+        """Answer ``GET /v1/operator/programs/{customer}/{program}``."""
+        identity = self.authenticator.operator(req)
+        if identity.is_error():
+            return Response.from_refusal(identity.error)
+        return self.programs.show_of(customer, program)
+
+    def end_program(self, req: Request, customer: str, program: str) -> Response:
+        """Answer ``DELETE /v1/operator/programs/{customer}/{program}``."""
+        identity = self.authenticator.operator(req)
+        if identity.is_error():
+            return Response.from_refusal(identity.error)
+        return self.programs.end_of(customer, program)
+
+    def _check(
+        self, req: Request, kind: str
+    ) -> Result[tuple[Identity, DocumentKind], Refusal]:
+        identity = self.authenticator.operator(req)
+        if identity.is_error():
+            return identity
+        try:
+            return Ok((identity.ok, DocumentKind(kind)))
+        except ValueError:
+            kinds = ", ".join(DocumentKind)
+            return Error(
+                Refusal(Reason.NOT_FOUND, f"got kind {kind!r}, expected one of {kinds}")
+            )
+
+
+def _shown(change: Any) -> dict[str, Any]:
+    return {
+        "name": change.name,
+        "version": change.version,
+        "document": change.document,
+    }
+
+
+def _edit_body(
+    body: bytes,
+) -> Result[tuple[dict[str, Any] | None, int | None], Refusal]:
+    try:
+        raw = msgspec.json.decode(body, type=dict[str, Any])
+        document = msgspec.convert(raw.get("document"), dict[str, Any] | None)
+        base = msgspec.convert(raw.get("base_version"), int | None)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        return Error(Refusal(Reason.BAD_REQUEST, f"the body: {exc}"))
+    if "document" not in raw:
+        return Error(Refusal(Reason.BAD_REQUEST, "expected the member 'document'"))
+    return Ok((document, base))
+
+
+def _wrong_document(errors: tuple[Any, ...]) -> Response:
+    detail = "; ".join(str(error) for error in errors)
+    return Response.from_refusal(
+        Refusal(Reason.BAD_REQUEST, detail), errors=[str(error) for error in errors]
+    )
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peering/_heartbeat.py
@@ -0,0 +1,83 @@
+"""Heartbeats between neighbours, by which configuration spreads without the platform.
+
+A zone can lose the platform and still reach other hosts. Each host tells its
+neighbours the configuration version it has; whoever has less pulls the rest of the
+log from the other.
+"""
+
+import logging
+import threading
+
+import msgspec
+
+from swifttide_core.configuration import Change
+from swifttide_core.membership import HostRow
+from swifttide_daemon.configuration import ConfigService
+from swifttide_daemon.membership import MembershipService
+from swifttide_daemon.peers import PeerClient
+
+log = logging.getLogger(__name__)
+
+PERIOD_SECONDS = 1.0
+
+
+class Heartbeat:
+    """Talks to the neighbours once a period.
+
+    Parameters
+    ----------
+    membership : MembershipService
+    config : ConfigService
+    peers : PeerClient
+    """
+
+    def __init__(
+        self, membership: MembershipService, config: ConfigService, peers: PeerClient
+    ) -> None:
+        self.membership = membership
+        self.config = config
+        self.peers = peers
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Send heartbeats from now on."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Send no more heartbeats."""
+        self._stop.set()
+
+    def message(self) -> dict[str, object]:
+        """Return what this host says of itself."""
+        me = self.membership.me
+        return {
+            "host": me.host,
+            "zone": me.zone,
+            "incarnation": me.incarnation,
+            "config_version": self.config.version,
+            "state": me.state.value,
+        }
+
+    def _run(self) -> None:
+        while not self._stop.wait(PERIOD_SECONDS):
+            for row in self.membership.neighbours():
+                try:
+                    self._beat(row)
+                except (msgspec.MsgspecError, KeyError):
+                    log.exception("a heartbeat's answer can't be read")
+
+    def _beat(self, row: HostRow) -> None:
+        answer = self.peers.call(
+            row.peer_url, "POST", "/peer/v1/heartbeat", self.message()
+        )
+        if answer.is_error():
+            return
+        if answer.ok["config_version"] > self.config.version:
+            self._pull(row)
+
+    def _pull(self, row: HostRow) -> None:
+        path = f"/peer/v1/config?after={self.config.version}"
+        answer = self.peers.call(row.peer_url, "GET", path)
+        if answer.is_ok():
+            self.config.learn(msgspec.convert(answer.ok["changes"], list[Change]))
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_client.py
@@ -7,8 +7,8 @@
 import msgspec
 import urllib3
 from expression import Error, Ok, Result
-from swifttide_core.verdicts import Verdict
 
+from swifttide_core.verdicts import Verdict
 from swifttide_daemon.platform._types import (
     Committed,
     Conflict,
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/__init__.py
@@ -0,0 +1,20 @@
+"""What the holder of a program does with its calls."""
+
+from swifttide_daemon.runners._call_runner import CallRunner
+from swifttide_daemon.runners._chat_body import ChatBody
+from swifttide_daemon.runners._chat_runner import ChatRunner
+from swifttide_daemon.runners._crash_detector import CrashDetector
+from swifttide_daemon.runners._placement import Placer
+from swifttide_daemon.runners._retry_account import RetryAccount
+from swifttide_daemon.runners._service_runner import ServiceRunner, must_not_repeat
+
+__all__ = [
+    "CallRunner",
+    "ChatBody",
+    "ChatRunner",
+    "CrashDetector",
+    "Placer",
+    "RetryAccount",
+    "ServiceRunner",
+    "must_not_repeat",
+]
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_call_runner.py
@@ -0,0 +1,63 @@
+"""Runs whatever kind of call it is given."""
+
+import time
+
+from swifttide_core.verdicts import Reason, Refusal
+from swifttide_daemon.calls import Call, CallKind, Failed, RunningCall
+from swifttide_daemon.configuration import ConfigService
+from swifttide_daemon.runners._chat_runner import ChatRunner
+from swifttide_daemon.runners._permit import Permit
+from swifttide_daemon.runners._service_runner import ServiceRunner
+from swifttide_daemon.telemetry import Telemetry
+
+
+class CallRunner:
+    """Entry point of the holder's work.
+
+    Parameters
+    ----------
+    config : ConfigService
+    chats : ChatRunner
+    services : ServiceRunner
+    telemetry : Telemetry
+    """
+
+    def __init__(
+        self,
+        config: ConfigService,
+        chats: ChatRunner,
+        services: ServiceRunner,
+        telemetry: Telemetry,
+    ) -> None:
+        self.config = config
+        self.chats = chats
+        self.services = services
+        self.telemetry = telemetry
+
+    def run(self, call: Call, running: RunningCall, traceparent: str = "") -> None:
+        """Run a call; its last event is final."""
+        profile = self.config.profile(call.profile)
+        if profile is None:
+            running.append(Failed(_no_profile(call.profile)))
+            return
+        permit = Permit(call, profile, self.config, time.monotonic())
+        refusal = permit.refusal()
+        if refusal is not None:
+            running.append(Failed(refusal))
+            return
+        with self.telemetry.span(
+            "slot_holder",
+            traceparent,
+            request_id=call.request_id,
+            customer=call.customer,
+            program=call.program,
+        ) as span:
+            match call.kind:
+                case CallKind.CHAT:
+                    self.chats.run(permit, running, span.traceparent)
+                case CallKind.SERVICE:
+                    self.services.run(permit, running, span.traceparent)
+
+
+def _no_profile(name: str) -> Refusal:
+    return Refusal(Reason.NOT_FOUND, f"no profile {name!r} at this host yet")
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_placement.py
@@ -0,0 +1,172 @@
+"""A target that a call was admitted to."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from swifttide_core.admission import Outcome, OutcomeStatus
+from swifttide_core.documents import Target
+from swifttide_core.retries import Blocked, Pass
+from swifttide_core.routing import CachedPrefix, NoTarget, RouteRequest
+from swifttide_core.verdicts import Reason, Refusal
+from swifttide_daemon.runners._permit import Permit
+from swifttide_daemon.targets import (
+    POLL_SECONDS,
+    AcquireRequest,
+    GrantBook,
+    TargetBoard,
+)
+
+MAX_TARGETS_ASKED = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a call needs of a target.
+
+    Parameters
+    ----------
+    serves : str
+        Model or service.
+    prompt_tokens : int
+    expected_tokens : float
+        Tokens that the target will compute.
+    attained_tokens : float
+        Tokens that the program was served so far.
+    prefixes : tuple of CachedPrefix
+        Targets that may hold its cache.
+    """
+
+    serves: str
+    prompt_tokens: int = 0
+    expected_tokens: float = 1.0
+    attained_tokens: float = 0.0
+    prefixes: tuple[CachedPrefix, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """An admitted call; exactly one of the methods of `Placer` ends it."""
+
+    target: Target
+    ticket_id: str
+    passed: Pass
+    granted_at: float
+
+
+class Placer:
+    """Chooses targets and gets calls admitted there.
+
+    Parameters
+    ----------
+    board : TargetBoard
+    grants : GrantBook
+    zone : str
+        Zone of this host.
+    on_admit : callable
+        Called with customer, target and queued seconds.
+    """
+
+    def __init__(
+        self,
+        board: TargetBoard,
+        grants: GrantBook,
+        zone: str,
+        on_admit: Callable[[str, str, float], None],
+    ) -> None:
+        self.board = board
+        self.grants = grants
+        self.zone = zone
+        self.on_admit = on_admit
+
+    def place(
+        self, permit: Permit, demand: Demand, ticket_id: str, avoid: frozenset[str]
+    ) -> Result[Placement, Refusal]:
+        """Wait for a target; the first final refusal without another way is returned.
+
+        Parameters
+        ----------
+        permit : Permit
+        demand : Demand
+        ticket_id : str
+            Unique for each try of the call.
+        avoid : frozenset of str
+            Targets on which this call failed.
+        """
+        refusal: Refusal | None = None
+        for _ in range(MAX_TARGETS_ASKED):
+            choice = self.board.choose(self._route(demand, avoid))
+            if isinstance(choice, NoTarget):
+                return Error(refusal or choice.refusal)
+            target = self.board.target(choice.target)
+            passed = self.board.ask(choice.target)
+            if target is None or isinstance(passed, Blocked):
+                self.board.finished(choice.target)
+                avoid |= {choice.target}
+                continue
+            asked = self._ask(permit, demand, target, ticket_id)
+            if asked.is_ok():
+                return Ok(Placement(target, ticket_id, passed, time.monotonic()))
+            self.board.withdraw(target.name, passed)
+            self.board.finished(target.name)
+            refusal, elsewhere = asked.error
+            if not elsewhere:
+                return Error(refusal)
+            avoid |= {target.name}
+        return Error(refusal or Refusal(Reason.NO_TARGET, "no target took the call"))
+
+    def finish(self, placement: Placement, outcome: Outcome, ok: bool) -> None:
+        """End an admitted call that was sent."""
+        self.board.report(placement.target.name, placement.passed, ok)
+        self._release(placement, outcome)
+
+    def drop(self, placement: Placement) -> None:
+        """End an admitted call that was not sent."""
+        self.board.withdraw(placement.target.name, placement.passed)
+        self._release(placement, Outcome(OutcomeStatus.NOT_SENT))
+
+    def _release(self, placement: Placement, outcome: Outcome) -> None:
+        name = placement.target.name
+        self.board.finished(name)
+        answer = self.grants.release(placement.target, placement.ticket_id, outcome)
+        if answer is not None:
+            self.board.learn(name, answer.snapshot)
+
+    def _ask(
+        self, permit: Permit, demand: Demand, target: Target, ticket_id: str
+    ) -> Result[None, tuple[Refusal, bool]]:
+        call = permit.call
+        profile = permit.profile
+        asked_at = time.monotonic()
+        req = AcquireRequest(
+            ticket_id=ticket_id,
+            customer=call.customer,
+            program=call.program or call.request_id,
+            weight=profile.weight,
+            urgency=profile.urgency,
+            deadline_in_seconds=min(profile.deadline_seconds, permit.remaining),
+            expected_tokens=demand.expected_tokens,
+            attained_tokens=demand.attained_tokens,
+            waited_seconds=asked_at - permit.started_at,
+            wait_seconds=POLL_SECONDS,
+        )
+        answer = self.grants.wait(target, req, permit.deadline)
+        if answer.is_error():
+            return Error((answer.error, True))
+        self.board.learn(target.name, answer.ok.snapshot)
+        if not answer.ok.admitted:
+            return Error((answer.ok.refusal, answer.ok.try_elsewhere))
+        waited = time.monotonic() - asked_at
+        self.on_admit(call.customer, target.name, waited)
+        return Ok(None)
+
+    def _route(self, demand: Demand, avoid: frozenset[str]) -> RouteRequest:
+        return RouteRequest(
+            serves=demand.serves,
+            zone=self.zone,
+            prompt_tokens=demand.prompt_tokens,
+            prefixes=demand.prefixes,
+            avoid=avoid,
+        )
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_retry_account.py
@@ -0,0 +1,67 @@
+"""Retry budgets of targets and customers at this host."""
+
+import random
+import threading
+import time
+
+from swifttide_core.retries import Backoff, GiveUp, Retry, RetryBudget, decide_retry
+from swifttide_core.verdicts import Verdict
+
+MAX_BUDGETS = 10_000
+
+
+class RetryAccount:
+    """Budgets by name, and the decision whether a call is tried again.
+
+    Parameters
+    ----------
+    backoff : Backoff
+    """
+
+    def __init__(self, backoff: Backoff) -> None:
+        self.backoff = backoff
+        self._budgets: dict[str, RetryBudget] = {}
+        self._lock = threading.Lock()
+
+    @classmethod
+    def from_rng(cls, rng: random.Random) -> "RetryAccount":
+        """Return an account whose pauses are drawn from `rng`."""
+        return cls(Backoff(rng))
+
+    def first_try(self, target: str, customer: str) -> None:
+        """Count a call that is sent for the first time."""
+        now = time.monotonic()
+        with self._lock:
+            for budget in self._pair(target, customer, now):
+                budget.first_try(now)
+
+    def decide(
+        self,
+        verdict: Verdict,
+        repeatable: bool,
+        n_tries: int,
+        deadline: float,
+        target: str,
+        customer: str,
+    ) -> Retry | GiveUp:
+        """Decide what follows a try that failed; see `decide_retry`."""
+        now = time.monotonic()
+        with self._lock:
+            return decide_retry(
+                verdict,
+                repeatable,
+                0,
+                now=now,
+                n_tries=n_tries,
+                deadline=deadline,
+                budgets=self._pair(target, customer, now),
+                backoff=self.backoff,
+            )
+
+    def _pair(self, target: str, customer: str, now: float) -> list[RetryBudget]:
+        if len(self._budgets) > MAX_BUDGETS:
+            self._budgets.clear()
+        return [
+            self._budgets.setdefault(name, RetryBudget(now))
+            for name in (f"target/{target}", f"customer/{customer}")
+        ]
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_queue_keeper.py
@@ -0,0 +1,138 @@
+"""The queue of one target at its holder, with the threads that wait in it."""
+
+import threading
+import time
+from dataclasses import replace
+
+from swifttide_core.admission import (
+    AdmissionConfig,
+    Admitted,
+    Decision,
+    LoadReport,
+    Queued,
+    Refused,
+    TargetQueue,
+    Ticket,
+)
+from swifttide_core.documents import Target, TargetKind
+from swifttide_daemon.targets._messages import (
+    AcquireAnswer,
+    AcquireRequest,
+    ReleaseRequest,
+)
+
+
+class QueueKeeper:
+    """A `TargetQueue` shared by threads.
+
+    Parameters
+    ----------
+    queue : TargetQueue
+    """
+
+    def __init__(self, queue: TargetQueue) -> None:
+        self.queue = queue
+        self._changed = threading.Condition()
+        self._decided: dict[str, Decision] = {}
+
+    @classmethod
+    def from_target(cls, target: Target) -> "QueueKeeper":
+        """Return an empty queue with the settings of the target's kind."""
+        match target.kind:
+            case TargetKind.ENGINE:
+                cfg = AdmissionConfig()
+            case TargetKind.SERVICE:
+                cfg = AdmissionConfig.for_service()
+        keeper = cls(TargetQueue.from_config(cfg, target.max_concurrency))
+        if target.leaving:
+            keeper.queue.set_leaving(time.monotonic())
+        return keeper
+
+    def acquire(self, req: AcquireRequest) -> AcquireAnswer:
+        """Offer a call and wait for its turn, at most as long as it asked for."""
+        now = time.monotonic()
+        ends_at = now + req.wait_seconds
+        with self._changed:
+            decision = self._decided.pop(req.ticket_id, None)
+            if decision is None:
+                decision = self.queue.offer(now, _ticket(req, now))
+            while isinstance(decision, Queued):
+                left = ends_at - time.monotonic()
+                if left <= 0:
+                    return self._answer(None)
+                self._changed.wait(left)
+                decision = self._decided.pop(req.ticket_id, decision)
+            return self._answer(decision)
+
+    def release(self, req: ReleaseRequest) -> AcquireAnswer:
+        """End an admitted call; others may go on."""
+        with self._changed:
+            now = time.monotonic()
+            self._tell(self.queue.release(now, req.ticket_id, req.outcome))
+            return self._answer(None)
+
+    def withdraw(self, ticket_id: str) -> None:
+        """Forget a call that nobody waits for any more."""
+        with self._changed:
+            self._decided.pop(ticket_id, None)
+            self._tell(self.queue.withdraw(time.monotonic(), ticket_id))
+
+    def renew(self, ticket_ids: tuple[str, ...]) -> None:
+        """Prolong the grants of calls that still run."""
+        with self._changed:
+            now = time.monotonic()
+            for ticket_id in ticket_ids:
+                self.queue.renew(now, ticket_id)
+
+    def tick(self) -> None:
+        """Let time pass: expire grants and refuse what comes too late."""
+        with self._changed:
+            self._tell(self.queue.tick(time.monotonic()))
+
+    def report_load(self, report: LoadReport) -> None:
+        """Pass on the engine's own load report."""
+        with self._changed:
+            self._tell(self.queue.report_load(time.monotonic(), report))
+
+    def set_target(self, target: Target) -> None:
+        """Take over an edit of the target's document."""
+        with self._changed:
+            now = time.monotonic()
+            self._tell(self.queue.set_leaving(now, target.leaving))
+            if not target.leaving:
+                self._tell(self.queue.set_max_concurrency(now, target.max_concurrency))
+
+    def n_queued(self) -> int:
+        """Return how many calls wait."""
+        with self._changed:
+            return self.queue.snapshot(time.monotonic()).queued
+
+    def _tell(self, decisions: tuple[Decision, ...]) -> None:
+        for decision in decisions:
+            self._decided[decision.ticket_id] = decision
+        if decisions:
+            self._changed.notify_all()
+
+    def _answer(self, decision: Decision | None) -> AcquireAnswer:
+        snapshot = replace(self.queue.snapshot(time.monotonic()), measured_at=0.0)
+        match decision:
+            case Admitted():
+                return AcquireAnswer(True, snapshot=snapshot)
+            case Refused(refusal=refusal, try_elsewhere=elsewhere):
+                return AcquireAnswer(False, refusal, elsewhere, snapshot)
+            case _:
+                return AcquireAnswer(False, snapshot=snapshot)
+
+
+def _ticket(req: AcquireRequest, now: float) -> Ticket:
+    return Ticket(
+        ticket_id=req.ticket_id,
+        customer=req.customer,
+        program=req.program,
+        weight=req.weight,
+        urgency=req.urgency,
+        deadline_at=now + req.deadline_in_seconds,
+        expected_tokens=req.expected_tokens,
+        attained_tokens=req.attained_tokens,
+        offered_at=now - req.waited_seconds,
+    )
--- a/packages/swifttide_daemon/src/swifttide_daemon/transport/_failure.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/transport/_failure.py
@@ -1,8 +1,9 @@
 """What a failed exchange says about whether the request arrived."""
 
-from swifttide_core.verdicts import Verdict
 from urllib3 import exceptions
 
+from swifttide_core.verdicts import Verdict
+
 
 def verdict_of(exc: Exception) -> Verdict:
     """Return what is known of a request whose exchange raised `exc`.
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_server.py
@@ -3,6 +3,7 @@
 import threading
 
 from cheroot import wsgi
+
 from swifttide_daemon.settings import LimitSettings
 from swifttide_daemon.web._app import App
 
