--- a/packages/swifttide_core/src/swifttide_core/limits/_zone_shares.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_zone_shares.py
@@ -53,7 +53,10 @@
         whole token: a zone that is cut off could not serve at all.
         """
         ranked = sorted(
-            zones, key=lambda zone: xxhash.xxh64_intdigest(f"{customer.name}\0{zone}")
+            zones,
+            key=lambda zone: xxhash.xxh64_intdigest(
+                f"{customer.name}\0{zone}".encode()
+            ),
         )
         n_served = max(1, min(len(ranked), int(customer.burst)))
         fraction = 1.0 / n_served
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_chat_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_chat_runner.py
@@ -14,6 +14,7 @@
     RefuseTurn,
     ReplayTurn,
     RunTurn,
+    TurnDecision,
     TurnRequest,
     decide_turn,
 )
@@ -171,14 +172,12 @@
         running: RunningCall,
         traceparent: str,
     ) -> None:
-        call = permit.call
-        # The row may have changed while this call waited for an earlier one.
-        reopened = self.book.open(call, permit.profile)
-        if reopened.is_error():
-            running.append(Failed(reopened.error))
+        body_hash = sha256(permit.call.body).hexdigest()
+        decision = self._decide(permit, entry, body_hash)
+        if decision.is_error():
+            running.append(Failed(decision.error))
             return
-        body_hash = sha256(call.body).hexdigest()
-        match decide_turn(entry.row, TurnRequest(call.turn, body_hash)):
+        match decision.ok:
             case RefuseTurn(refusal):
                 running.append(Failed(refusal))
             case ReplayTurn(number, chunk):
@@ -190,6 +189,26 @@
                     )
                 )
 
+    def _decide(
+        self, permit: Permit, entry: ProgramEntry, body_hash: str
+    ) -> Result[TurnDecision, Refusal]:
+        """Decide by the row in memory, and refuse only by the platform's."""
+        call = permit.call
+        asked = TurnRequest(call.turn, body_hash)
+        # The row may have changed while this call waited for an earlier one.
+        opened = self.book.open(call, permit.profile)
+        if opened.is_error():
+            return Error(opened.error)
+        decision = decide_turn(entry.row, asked)
+        if not isinstance(decision, RefuseTurn):
+            return Ok(decision)
+        # Another zone may have gone on with the program since it was read here.
+        self.book.reload(call)
+        opened = self.book.open(call, permit.profile)
+        if opened.is_error():
+            return Error(opened.error)
+        return Ok(decide_turn(entry.row, asked))
+
     def _run_next(
         self,
         permit: Permit,
@@ -268,9 +287,29 @@
             target=made.target,
         )
         committed = self.book.commit(permit.call, permit.profile, result)
-        if committed.is_error():
+        if committed.is_ok():
+            return _finished(turn.number, made)
+        if committed.error.reason is not Reason.CONFLICT:
             return Failed(committed.error)
-        return _finished(turn.number, made)
+        return self._committed_elsewhere(permit, turn, committed.error)
+
+    def _committed_elsewhere(
+        self, permit: Permit, turn: Turn, refusal: Refusal
+    ) -> Finished | Failed:
+        """Answer a turn that another host committed while this one ran it.
+
+        The caller had sent it again through another zone. Both get the answer that
+        the history holds.
+        """
+        opened = self.book.open(permit.call, permit.profile)
+        if opened.is_error():
+            return Failed(refusal)
+        asked = TurnRequest(turn.number, turn.body_hash)
+        match decide_turn(opened.ok.row, asked):
+            case ReplayTurn(number, chunk):
+                return self._replayed(number, chunk)
+            case _:
+                return Failed(refusal)
 
     def _generate(
         self, permit: Permit, turn: Turn, running: RunningCall, traceparent: str
