--- /dev/null
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_findings.py
@@ -0,0 +1,44 @@
+"""What the demo saw."""
+
+from dataclasses import dataclass
+
+from swifttide_standins.loadgen import Attempt, ProgramRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Findings:
+    """What callers got and what the service counted.
+
+    Parameters
+    ----------
+    programs : tuple of ProgramRecord
+        All programs.
+    effects : dict of str to int
+        Effects at the service by idempotency key.
+    withdrawn : dict of str to float
+        Seconds from the accepted edit to the first refusal, by host; infinite for
+        a host that never refused.
+    answered_before : int
+        Fewest calls that a host answered with the key before it refused one; a key
+        that never worked would prove nothing.
+    answered_after_refusal : int
+        Calls with the withdrawn key that a host answered after it had refused one.
+    stop_status : int or None
+        Exit status of the host that was stopped gracefully.
+    stop_seconds : float
+        From SIGTERM to its end.
+    long_streams : tuple of Attempt
+        Long streams under way at that host during the stop.
+    cut : int
+        Answers that the graceful stop cut, of programs and long streams.
+    """
+
+    programs: tuple[ProgramRecord, ...]
+    effects: dict[str, int]
+    withdrawn: dict[str, float]
+    answered_before: int
+    answered_after_refusal: int
+    stop_status: int | None
+    stop_seconds: float
+    long_streams: tuple[Attempt, ...]
+    cut: int
--- a/packages/swifttide_standins/src/swifttide_standins/launcher/__init__.py
+++ b/packages/swifttide_standins/src/swifttide_standins/launcher/__init__.py
@@ -7,7 +7,7 @@
 from swifttide_standins.launcher._fleet_plan import FleetPlan
 from swifttide_standins.launcher._launcher import Launcher
 from swifttide_standins.launcher._managed_process import ManagedProcess
-from swifttide_standins.launcher._operator import EditRefused, Operator
+from swifttide_standins.launcher._operator import EditRefused, Operator, hash_key
 
 __all__ = [
     "EditRefused",
@@ -16,4 +16,5 @@
     "Launcher",
     "ManagedProcess",
     "Operator",
+    "hash_key",
 ]
--- a/packages/swifttide_standins/src/swifttide_standins/launcher/_fleet.py
+++ b/packages/swifttide_standins/src/swifttide_standins/launcher/_fleet.py
@@ -1,7 +1,7 @@
 """A platform, targets and daemons, up and known to each other."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import urllib3
 
@@ -96,9 +96,12 @@
         models = self.plan.engine_options.get("models", "default").split(",")
         for engine in self.engines.values():
             for model in models:
-                self._put_target(engine, "engine", model)
+                self._put_target(engine, "engine", model, engine.name)
         for service in self.services.values():
-            self._put_target(service, "service", service.name)
+            for zone in self.plan.zones:
+                place = replace(service, zone=zone)
+                name = f"{service.name}-{zone}"
+                self._put_target(place, "service", service.name, name)
 
     def fault(self, member: Member, **fault: object) -> None:
         """Set a stand-in's fault."""
@@ -150,21 +153,21 @@
             options = {"journal": journal, **plan.service_options}
             process = self._launcher.standin("service", name, **options)
             url = LOOPBACK_URL.format(process.wait_ready()["port"])
-            self.services[name] = Member(name, plan.zones[0], process, url)
+            self.services[name] = Member(name, "", process, url)
 
-    def _put_target(self, member: Member, kind: str, serves: str) -> None:
+    def _put_target(self, member: Member, kind: str, serves: str, name: str) -> None:
         checks = kind == "engine" and bool(
             self.plan.engine_options.get("checks_fencing", False)
         )
         document = {
-            "name": member.name,
+            "name": name,
             "kind": kind,
             "zone": member.zone,
             "url": member.url,
             "serves": serves,
             "checks_fencing": checks,
         }
-        self.operator.put("target", member.name, document)
+        self.operator.put("target", name, document)
 
 
 def plan_range(plan: FleetPlan) -> range:
--- a/packages/swifttide_standins/src/swifttide_standins/launcher/_fleet_plan.py
+++ b/packages/swifttide_standins/src/swifttide_standins/launcher/_fleet_plan.py
@@ -14,7 +14,7 @@
     hosts_per_zone, engines_per_zone : int
         Processes of each zone.
     services : tuple of str
-        Plain services; each stands in the first zone and serves all.
+        Plain services, one process each, which is a target of every zone.
     n_slots : int
         Slots of a zone.
     lease_seconds, renew_seconds, drift_margin_seconds : float
