--- a/packages/swifttide_standins/src/swifttide_standins/platform/_app.py
+++ b/packages/swifttide_standins/src/swifttide_standins/platform/_app.py
@@ -81,21 +81,25 @@
         self, handler: Callable[[Request], Response], kind: str
     ) -> Callable[[Request], Response]:
         def guarded(req: Request) -> Response:
-            host = req.header("X-Host")
-            what = req.params.get("table") or req.path.split("/")[2]
-            self._counters.add(kind, host, len(req.body), what)
             modes = self._modes(req)
             if PlatformFaultMode.DOWN in modes:
+                self._count(kind, req, Response(503))
                 req.close()
                 return Response(503)
             time.sleep(modes.get(PlatformFaultMode.SLOW, 0.0))
-            response = handler(req)
+            response = _answer(handler, req)
+            self._count(kind, req, response)
             if kind == "writes" and PlatformFaultMode.LOST_ANSWER in modes:
                 req.close()
             return response
 
         return guarded
 
+    def _count(self, kind: str, req: Request, response: Response) -> None:
+        what = req.params.get("table") or req.path.split("/")[2]
+        host = req.header("X-Host")
+        self._counters.add(kind, host, what, req.n_bytes, response.n_bytes)
+
     def _modes(self, req: Request) -> dict[PlatformFaultMode, float]:
         found = self._faults.find(req.header("X-Host"), req.header("X-Zone"))
         return {s.fault.mode: s.fault.seconds for s in found}
@@ -173,6 +177,13 @@
         return Response.from_json(report)
 
 
+def _answer(handler: Callable[[Request], Response], req: Request) -> Response:
+    try:
+        return handler(req)
+    except BadInput as exc:
+        return Response.from_problem(exc.status, exc.detail)
+
+
 def _outcome_response(outcome: Outcome) -> Response:
     if outcome.committed:
         body = {"committed": True, "versions": outcome.versions}
--- a/packages/swifttide_standins/src/swifttide_standins/platform/_counters.py
+++ b/packages/swifttide_standins/src/swifttide_standins/platform/_counters.py
@@ -12,7 +12,9 @@
         self._total: Counter[str] = Counter()
         self._by_host: dict[str, Counter[str]] = {}
 
-    def add(self, kind: str, host: str, n_bytes: int, what: str) -> None:
+    def add(
+        self, kind: str, host: str, what: str, bytes_in: int, bytes_out: int
+    ) -> None:
         """Count one call.
 
         Parameters
@@ -21,16 +23,18 @@
             "reads" or "writes".
         host : str
             Value of ``X-Host``.
-        n_bytes : int
-            Size of the request's body.
         what : str
             Table or collection that it was about.
+        bytes_in, bytes_out : int
+            Size of the request and of the answer, HTTP headers included.
         """
         with self._lock:
             self._total[kind] += 1
             self._total[f"{kind}:{what}"] += 1
-            self._total["bytes_in"] += n_bytes
-            self._by_host.setdefault(host, Counter())[kind] += 1
+            self._total[f"bytes:{what}"] += bytes_in + bytes_out
+            of_host = self._by_host.setdefault(host, Counter())
+            of_host[kind] += 1
+            of_host["bytes"] += bytes_in + bytes_out
 
     def report(self) -> dict[str, object]:
         """Return the counts as a JSON object."""
--- a/packages/swifttide_standins/src/swifttide_standins/web/_request.py
+++ b/packages/swifttide_standins/src/swifttide_standins/web/_request.py
@@ -38,3 +38,9 @@
     def header(self, name: str) -> str:
         """Return a header's value, or the empty string."""
         return self.headers.get(name.lower(), "")
+
+    @property
+    def n_bytes(self) -> int:
+        """Size on the connection, but for the query and the framing of a body."""
+        headers = sum(len(n) + len(v) + 4 for n, v in self.headers.items())
+        return len(self.method) + len(self.path) + headers + len(self.body) + 14
--- a/packages/swifttide_standins/src/swifttide_standins/web/_response.py
+++ b/packages/swifttide_standins/src/swifttide_standins/web/_response.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+USUAL_HEADER_BYTES = 160
+"""Status line and the headers that the server adds to every answer."""
+
 
 @dataclass(frozen=True, slots=True)
 class Response:
@@ -47,3 +50,9 @@
     def chunks(self) -> Iterable[bytes]:
         """Return what goes onto the connection after the headers."""
         return [self.body] if self.stream is None else self.stream
+
+    @property
+    def n_bytes(self) -> int:
+        """Size on the connection of an answer that isn't streamed, about."""
+        headers = sum(len(n) + len(v) + 4 for n, v in self.headers)
+        return USUAL_HEADER_BYTES + headers + len(self.body)
