ENH Measure capacity on real processes

make capacity starts fleets of 2 to 32 daemons and fits lines through what they use: processor time from /proc, calls and bytes from the platform's counters. Not run yet: it waits for the daemon.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/swifttide_$(p))
 
-.PHONY: setup lint format test demo
+.PHONY: setup lint format test demo capacity
 
 setup: $(STAMP)
 
@@ -28,4 +28,9 @@
 	$(BIN)/python tools/run_tests.py
 
 demo: setup
-	@echo "no demo yet"
+	$(BIN)/python -m swifttide_standins.demo
+
+# Some four minutes; PARTS="control edits" measures only those.
+capacity: setup
+	mkdir -p out
+	$(BIN)/python -m swifttide_standins.capacity $(PARTS) --json out/capacity.json
--- /dev/null
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_report.py
@@ -0,0 +1,25 @@
+"""The slopes as a table and as JSON."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from swifttide_standins.capacity._slope import Slope
+
+
+def print_slopes(slopes: Sequence[Slope]) -> None:
+    """Print a table."""
+    table = Table("measured", "value", "unit", "from")
+    for slope in slopes:
+        samples = ", ".join(f"{x:g}: {y:.4g}" for x, y in slope.samples)
+        table.add_row(slope.name, f"{slope.value:.4g}", slope.unit, samples)
+    Console(width=150).print(table)
+
+
+def write_slopes(slopes: Sequence[Slope], path: str) -> None:
+    """Write a JSON list."""
+    encoded = msgspec.json.format(msgspec.json.encode(list(slopes)))
+    Path(path).write_bytes(encoded + b"\n")
