--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_site.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_site.py
@@ -89,7 +89,7 @@
         """Grant or withdraw a key."""
         document = {"key_hash": hash_key(key), "customer": customer}
         document["withdrawn"] = withdrawn
-        self.fleet.operator.put("key", hash_key(key)[:16], document)
+        self.fleet.operator.put("key", hash_key(key), document)
 
 
 def turn(program: str, words: int, content: str = "go on") -> CallSpec:
--- a/packages/swifttide_standins/src/swifttide_standins/demo/__main__.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/__main__.py
@@ -18,10 +18,13 @@
     started = time.monotonic()
     with Launcher() as launcher:
         found = DemoRun(launcher).run()
-    checks = check_all(found)
+        checks = check_all(found)
+        passed = all(check.holds for check in checks)
+        if not passed:
+            launcher.show_logs()
     print_report(found, checks)
     print(f"{time.monotonic() - started:.1f} s in all")
-    return 0 if all(check.holds for check in checks) else 1
+    return 0 if passed else 1
 
 
 if __name__ == "__main__":
--- a/packages/swifttide_standins/src/swifttide_standins/demo/_demo_run.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_demo_run.py
@@ -97,7 +97,7 @@
     def _grant(self, key: str, customer: str, withdrawn: bool = False) -> None:
         document = {"key_hash": hash_key(key), "customer": customer}
         document["withdrawn"] = withdrawn
-        self._fleet.operator.put("key", hash_key(key)[:16], document)
+        self._fleet.operator.put("key", hash_key(key), document)
 
     def _start_programs(
         self, pool: ThreadPoolExecutor, balancer: Balancer
--- a/packages/swifttide_standins/src/swifttide_standins/launcher/_launcher.py
+++ b/packages/swifttide_standins/src/swifttide_standins/launcher/_launcher.py
@@ -1,6 +1,7 @@
 """Starts processes in a temporary directory and always ends them."""
 
 import json
+import logging
 import secrets
 import sys
 import tempfile
@@ -9,6 +10,8 @@
 
 from swifttide_standins.launcher._managed_process import ManagedProcess
 
+logger = logging.getLogger(__name__)
+
 STANDIN = "swifttide_standins.{}"
 DAEMON = "swifttide_daemon"
 
@@ -39,11 +42,24 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """End every process, frozen ones too, and delete the directory."""
+        """End every process, frozen ones too, and delete the directory.
+
+        After an error the end of each log is logged first, since the logs are gone
+        afterwards.
+        """
         for process in self._processes:
             process.kill()
+        if exc is not None:
+            self.show_logs()
         self._temporary.cleanup()
 
+    def show_logs(self) -> None:
+        """Log the end of each process's log that has more than its first line."""
+        for process in self._processes:
+            tail = process.log_tail()
+            if tail.count("\n") > 1:
+                logger.error("log of %s:\n%s", process.name, tail)
+
     def standin(self, kind: str, name: str, **options: object) -> ManagedProcess:
         """Start a stand-in.
 
