--- a/packages/swifttide_core/src/swifttide_core/admission/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission and queueing at one target."""
 
+from swifttide_core.admission._call_cost import call_cost
 from swifttide_core.admission._concurrency_limit import ConcurrencyLimit
 from swifttide_core.admission._config import AdmissionConfig, check_admission_config
 from swifttide_core.admission._decision import Admitted, Decision, Queued, Refused
@@ -26,6 +27,7 @@
     "Refused",
     "TargetQueue",
     "Ticket",
+    "call_cost",
     "check_admission_config",
     "check_ticket",
 ]
--- a/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
@@ -16,7 +16,7 @@
 """
 
 import heapq
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from swifttide_core.admission._concurrency_limit import ConcurrencyLimit
 from swifttide_core.admission._config import (
@@ -154,22 +154,25 @@
             self._drain.released(len(self._queue) > 0, seconds, tokens)
         return self._settle(now)
 
-    def renew(self, now: float, ticket_id: str) -> Admitted | None:
+    def renew(self, now: float, ticket: Ticket) -> Admitted:
         """Prolong the lease of a grant whose stream still runs.
 
-        Returns
-        -------
-        Admitted or None
-            None when the grant has expired; the call then counts for nothing here.
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        ticket : Ticket
+            The running call. A holder that took the target over does not know
+            it yet and counts it from now on; otherwise it would admit a full
+            limit of calls beside those that run.
         """
         self._observe(now)
-        grant = self._grants.get(ticket_id)
-        if grant is None:
-            return None
-        expires_at = now + self._cfg.lease_seconds
-        self._grants[ticket_id] = replace(grant, expires_at=expires_at)
-        heapq.heappush(self._expiries, (expires_at, ticket_id))
-        return Admitted(ticket_id, expires_at)
+        known = self._grants.get(ticket.ticket_id)
+        if known is None:
+            self._queue.withdraw(ticket.ticket_id)
+            self._queue.start(ticket)
+            return self._grant(now, ticket)
+        return self._hold(known.ticket, known.granted_at, now)
 
     def withdraw(self, now: float, ticket_id: str) -> tuple[Decision, ...]:
         """Forget a call whose caller is gone; a running one counts as cancelled."""
@@ -262,8 +265,11 @@
         return tuple(decisions)
 
     def _grant(self, now: float, ticket: Ticket) -> Admitted:
+        return self._hold(ticket, now, now)
+
+    def _hold(self, ticket: Ticket, granted_at: float, now: float) -> Admitted:
         expires_at = now + self._cfg.lease_seconds
-        self._grants[ticket.ticket_id] = _Grant(ticket, now, expires_at)
+        self._grants[ticket.ticket_id] = _Grant(ticket, granted_at, expires_at)
         heapq.heappush(self._expiries, (expires_at, ticket.ticket_id))
         if len(self._expiries) > 2 * len(self._grants) + HEAP_SLACK:
             self._expiries = [(g.expires_at, i) for i, g in self._grants.items()]
--- a/packages/swifttide_core/src/swifttide_core/admission/_ticket.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_ticket.py
@@ -23,10 +23,9 @@
     deadline_at : float
         Time by which the program should be finished; infinite for none.
     expected_tokens : float
-        Tokens that the target will compute: prompt without its cached prefix, and
-        output.
+        Cost of the call by :func:`call_cost`, with the output that is expected.
     attained_tokens : float
-        Tokens that the program was served so far; 0 at its first call.
+        Cost that the program was served so far; 0 at its first call.
     offered_at : float
         Time at which the call entered the system, kept when it is offered to
         another target, so that moving loses no place.
--- a/packages/swifttide_core/src/swifttide_core/admission/tests/test_target_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/tests/test_target_queue.py
@@ -147,11 +147,21 @@
 
     def test_renewed_grant_stays(self):
         queue = make_queue()
-        queue.offer(0.0, make_ticket("t0"))
-        queue.renew(100.0, "t0")
+        ticket = make_ticket("t0")
+        queue.offer(0.0, ticket)
+        queue.renew(100.0, ticket)
         queue.tick(CFG.lease_seconds + 1.0)
         assert queue.snapshot(200.0).running == 1
 
+    def test_new_holder_counts_calls_that_run(self):
+        """The host that held the target's queue dies and another takes over. Not
+        knowing of the calls that run, it would admit as many again beside them.
+        """
+        queue = make_queue()
+        for i in range(2):
+            queue.renew(0.0, make_ticket(f"t{i}"))
+        assert isinstance(queue.offer(1.0, make_ticket("t2")), Queued)
+
     def test_waiting_call_is_refused_when_its_deadline_passes(self):
         cfg = AdmissionConfig(initial_limit=1, initial_service_seconds=1.0)
         queue = make_queue(cfg, 1)
