--- a/benchmarks/policies/swifttide.py
+++ b/benchmarks/policies/swifttide.py
@@ -353,9 +353,7 @@
 
     def _start(self, call: Call) -> None:
         name = call.policy_data["route"][1]
-        call.exported_tokens = min(
-            call.prompt_tokens, self.exported.pop(call.agent, 0)
-        )
+        call.exported_tokens = min(call.prompt_tokens, self.exported.pop(call.agent, 0))
         self.by_name[name].submit(call)
 
     def _refused(self, call: Call, decision: Refused) -> None:
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -381,6 +381,4 @@
         self.policy.host_lost(host, lost)
         for call in lost:
             call.state = "cut"
-            self.sim.after(
-                RECONNECT_SECONDS, lambda call=call: self._send(call)
-            )
+            self.sim.after(RECONNECT_SECONDS, lambda call=call: self._send(call))
