--- a/packages/swifttide_core/src/swifttide_core/configuration/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/configuration/__init__.py
@@ -1,10 +1,7 @@
 """Configuration: edits, their order, and what a host knows of them."""
 
-from swifttide_core.configuration._change import Change, DocumentKind
-from swifttide_core.configuration._config_state import (
-    DOCUMENT_TYPES,
-    ConfigState,
-    Document,
-)
+from swifttide_core.configuration._change import Change
+from swifttide_core.configuration._config_state import DOCUMENT_TYPES, ConfigState
+from swifttide_core.documents import Document, DocumentKind
 
 __all__ = ["DOCUMENT_TYPES", "Change", "ConfigState", "Document", "DocumentKind"]
--- a/packages/swifttide_core/src/swifttide_core/configuration/_change.py
+++ b/packages/swifttide_core/src/swifttide_core/configuration/_change.py
@@ -1,17 +1,9 @@
 """One accepted edit of the configuration."""
 
 from dataclasses import dataclass
-from enum import StrEnum
 from typing import Any
 
-
-class DocumentKind(StrEnum):
-    """What a document describes."""
-
-    PROFILE = "profile"
-    CUSTOMER = "customer"
-    KEY = "key"
-    TARGET = "target"
+from swifttide_core.documents import DocumentKind
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_core/src/swifttide_core/configuration/_config_state.py
+++ b/packages/swifttide_core/src/swifttide_core/configuration/_config_state.py
@@ -10,8 +10,15 @@
 
 import msgspec
 
-from swifttide_core.configuration._change import Change, DocumentKind
-from swifttide_core.documents import Customer, KeyGrant, Profile, Target
+from swifttide_core.configuration._change import Change
+from swifttide_core.documents import (
+    Customer,
+    Document,
+    DocumentKind,
+    KeyGrant,
+    Profile,
+    Target,
+)
 
 DOCUMENT_TYPES: dict[DocumentKind, type] = {
     DocumentKind.PROFILE: Profile,
@@ -20,8 +27,6 @@
     DocumentKind.TARGET: Target,
 }
 
-Document = Profile | Customer | KeyGrant | Target
-
 
 class ConfigState:
     """Documents by kind and name, with the version of each.
