ENH Add the swifttide command

Ruled out: cappa's own invoke with dependencies (it hands the leaf command in place of the root's options); reading the key from the command line (it stands in ps).

--- a/packages/swifttide_cli/src/swifttide_cli/__init__.py
+++ b/packages/swifttide_cli/src/swifttide_cli/__init__.py
@@ -1,1 +1,5 @@
-"""The swifttide command, with which operators edit profiles and keys."""
+"""The swifttide command, by which operators edit and look."""
+
+from importlib.metadata import version
+
+__version__ = version("swifttide-cli")
--- /dev/null
+++ b/packages/swifttide_cli/src/swifttide_cli/api/_problem.py
@@ -0,0 +1,82 @@
+"""Answers of a daemon that are errors, turned into failures."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from swifttide_cli.exit_codes import ExitCode
+from swifttide_cli.output import Failure
+
+MAY_HAVE_RUN = "may_have_run"
+
+_CODES = {
+    400: ExitCode.INVALID,
+    401: ExitCode.DENIED,
+    403: ExitCode.DENIED,
+    404: ExitCode.NOT_FOUND,
+    409: ExitCode.CONFLICT,
+    413: ExitCode.INVALID,
+    422: ExitCode.INVALID,
+    421: ExitCode.UNAVAILABLE,
+    429: ExitCode.UNAVAILABLE,
+    503: ExitCode.UNAVAILABLE,
+    504: ExitCode.UNAVAILABLE,
+}
+
+_ADVICE = {
+    ExitCode.INVALID: "mend what the daemon names and send it again.",
+    ExitCode.DENIED: (
+        "check SWIFTTIDE_OPERATOR_KEY or --key-file; another operator sees with "
+        "`swifttide key list` whether the key was withdrawn."
+    ),
+    ExitCode.NOT_FOUND: "check the name; `list` shows those that exist.",
+    ExitCode.CONFLICT: "look at both versions, merge, and send with --base VERSION.",
+    ExitCode.UNAVAILABLE: "nothing was changed; send it again later.",
+    ExitCode.MAY_HAVE_APPLIED: (
+        "look with `show` or `history` whether the edit is there before you send it "
+        "again."
+    ),
+    ExitCode.FAILED: "look for the request id in the daemon's log.",
+}
+
+
+def failure_of(status: int, headers: Mapping[str, str], body: bytes) -> Failure:
+    """Turn an answer that is no success into a failure.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : mapping
+        Headers of the answer.
+    body : bytes
+        problem+json, or anything else.
+    """
+    problem = _decode(body)
+    code = _CODES.get(status, ExitCode.FAILED)
+    if problem.get("verdict") == MAY_HAVE_RUN:
+        code = ExitCode.MAY_HAVE_APPLIED
+    reason = problem.get("reason", f"status {status}")
+    detail = problem.get("detail", "the daemon gave no detail")
+    advice = _ADVICE[code]
+    if code is ExitCode.UNAVAILABLE and headers.get("Retry-After"):
+        advice = f"nothing was changed; again after {headers['Retry-After']} s."
+    return Failure(
+        code=code,
+        message=f"{detail} ({reason})",
+        advice=advice,
+        details=tuple(str(e) for e in _as_list(problem.get("errors"))),
+        data={"problem": problem},
+    )
+
+
+def _decode(body: bytes) -> dict[str, Any]:
+    try:
+        problem = json.loads(body)
+    except (ValueError, RecursionError):
+        return {}
+    return problem if isinstance(problem, dict) else {}
+
+
+def _as_list(value: Any) -> list[Any]:
+    return value if isinstance(value, list) else []
--- /dev/null
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_target.py
@@ -0,0 +1,101 @@
+"""``swifttide target``: where requests are sent."""
+
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+from expression import Result
+
+from swifttide_cli.commands._documents import (
+    change_document,
+    list_documents,
+    put_document,
+    read_document,
+)
+from swifttide_cli.commands._options import Options
+from swifttide_cli.commands._wait import WaitOptions
+from swifttide_cli.output import Failure, Report
+from swifttide_core.documents import DocumentKind
+
+_COLUMNS = ("kind", "zone", "url", "serves", "checks_fencing", "leaving")
+
+
+@cappa.command(name="list", help="List the targets as they are configured.")
+@dataclass(frozen=True)
+class TargetList:
+    """List the targets."""
+
+    def __call__(self, options: Options) -> Result[Report, Failure]:
+        """Run the command."""
+        return options.client().bind(
+            lambda c: list_documents(c, DocumentKind.TARGET, _COLUMNS)
+        )
+
+
+@cappa.command(
+    name="put",
+    help="Store a target from a file.",
+    description="For a target that exists, give the version that you edited.",
+)
+@dataclass(frozen=True)
+class TargetPut(WaitOptions):
+    """Store a target.
+
+    Parameters
+    ----------
+    file : str
+        The target, JSON with comments.
+    base : int or None
+        Version that was edited.
+    """
+
+    file: Annotated[str, cappa.Arg(help="The target, JSON with comments.")]
+    base: Annotated[
+        int | None,
+        cappa.Arg(long="--base", value_name="VERSION", help="Version that you edited."),
+    ] = None
+
+    def __call__(self, options: Options) -> Result[Report, Failure]:
+        """Run the command."""
+        kind = DocumentKind.TARGET
+        return read_document(kind, self.file).bind(
+            lambda document: options.client().bind(
+                lambda c: put_document(c, kind, document, self.base, self)
+            )
+        )
+
+
+@cappa.command(name="leave", help="Give a target no new work.")
+@dataclass(frozen=True)
+class TargetLeave(WaitOptions):
+    """Give a target no new work.
+
+    Parameters
+    ----------
+    name : str
+        Id of the target.
+    """
+
+    name: Annotated[str, cappa.Arg(help="Id of the target.")]
+
+    def __call__(self, options: Options) -> Result[Report, Failure]:
+        """Run the command."""
+        return options.client().bind(
+            lambda c: c.document(str(DocumentKind.TARGET), self.name).bind(
+                lambda _: change_document(
+                    c, DocumentKind.TARGET, self.name, _set_leaving, self
+                )
+            )
+        )
+
+
+@cappa.command(name="target", help="Where requests are sent.")
+@dataclass(frozen=True)
+class TargetCommand:
+    """Commands on targets."""
+
+    command: Annotated[TargetList | TargetPut | TargetLeave, cappa.Subcommand]
+
+
+def _set_leaving(members: dict[str, Any] | None) -> dict[str, Any]:
+    return {**(members or {}), "leaving": True}
--- /dev/null
+++ b/packages/swifttide_cli/src/swifttide_cli/output/__init__.py
@@ -0,0 +1,7 @@
+"""What commands return, and how it is printed."""
+
+from swifttide_cli.output._failure import Failure
+from swifttide_cli.output._printing import print_failure, print_report
+from swifttide_cli.output._report import Report
+
+__all__ = ["Failure", "Report", "print_failure", "print_report"]
--- a/packages/swifttide_core/src/swifttide_core/checks/_decoding.py
+++ b/packages/swifttide_core/src/swifttide_core/checks/_decoding.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import difflib
 import json
 import typing
 from typing import Any
@@ -85,14 +86,18 @@
 
 
 def _unknown_members(raw: dict, fields: dict, path: str) -> list[FieldError]:
-    known = ", ".join(fields)
     return [
-        FieldError(join(path, str(name)), "an unknown member", f"one of {known}")
+        FieldError(join(path, str(name)), "an unknown member", _closest(name, fields))
         for name in raw
         if name not in fields
     ]
 
 
+def _closest(name: str, fields: dict) -> str:
+    close = difflib.get_close_matches(str(name), fields, n=1)
+    return f'a known member, perhaps "{close[0]}"' if close else "a known member"
+
+
 def _missing_member(field: Any, hint: Any, place: str) -> list[FieldError]:
     no_default = field.default is dataclasses.MISSING
     no_factory = field.default_factory is dataclasses.MISSING
