--- a/packages/swifttide_cli/src/swifttide_cli/api/_operator_client.py
+++ b/packages/swifttide_cli/src/swifttide_cli/api/_operator_client.py
@@ -24,6 +24,9 @@
 ANSWER_SECONDS = 15.0
 """An edit waits for the platform's answer and may be settled by reading back."""
 
+NO_VERSION = 0
+"""Base of an edit that makes a document which doesn't exist yet."""
+
 _FIRST_SUCCESS = 200
 _FIRST_NO_SUCCESS = 300
 
@@ -58,7 +61,7 @@
         return answer.bind(lambda a: _convert(a, None, StoredDocument))
 
     def put(
-        self, kind: str, name: str, document: dict[str, Any], base: int | None
+        self, kind: str, name: str, document: dict[str, Any], base: int
     ) -> Result[int, Failure]:
         """Store a document and return its new version.
 
@@ -68,8 +71,9 @@
             What to store.
         document : dict
             With all members, so that reading back can compare.
-        base : int or None
-            Version that was edited; None where there is none yet.
+        base : int
+            Version that was edited, or `NO_VERSION`. Never null, with which a daemon
+            would write over whatever stands there.
         """
         body = {"document": document, "base_version": base}
         answer = self._call("PUT", _document_path(kind, name), body)
@@ -112,7 +116,7 @@
         kind: str,
         name: str,
         document: dict[str, Any],
-        base: int | None,
+        base: int,
         failure: Failure,
     ) -> Result[int, Failure]:
         """Find out by reading back whether an edit without an answer took effect.
@@ -122,7 +126,7 @@
         """
         match self.document(kind, name):
             case Result(tag="ok", ok=stored):
-                newer = base is None or stored.version > base
+                newer = stored.version > base
                 if newer and stored.document == document:
                     return Ok(stored.version)
         return Error(failure)
@@ -142,7 +146,7 @@
                 if method == "GET":
                     continue
                 return Error(_lost_answer(tried))
-            return _decode(answer)
+            return _decode(method, answer)
         return Error(_nobody_answered(tried))
 
     def _send(
@@ -163,9 +167,9 @@
     return f"/v1/operator/programs/{names}"
 
 
-def _decode(answer: urllib3.BaseHTTPResponse) -> Result[Any, Failure]:
+def _decode(method: str, answer: urllib3.BaseHTTPResponse) -> Result[Any, Failure]:
     if not _FIRST_SUCCESS <= answer.status < _FIRST_NO_SUCCESS:
-        return Error(failure_of(answer.status, answer.headers, answer.data))
+        return Error(failure_of(method, answer.status, answer.headers, answer.data))
     try:
         return Ok(json.loads(answer.data) if answer.data else {})
     except ValueError:
--- a/packages/swifttide_cli/src/swifttide_cli/api/_problem.py
+++ b/packages/swifttide_cli/src/swifttide_cli/api/_problem.py
@@ -8,6 +8,7 @@
 from swifttide_cli.output import Failure
 
 MAY_HAVE_RUN = "may_have_run"
+_FIRST_SERVER_ERROR = 500
 
 _CODES = {
     400: ExitCode.INVALID,
@@ -40,11 +41,15 @@
 }
 
 
-def failure_of(status: int, headers: Mapping[str, str], body: bytes) -> Failure:
+def failure_of(
+    method: str, status: int, headers: Mapping[str, str], body: bytes
+) -> Failure:
     """Turn an answer that is no success into a failure.
 
     Parameters
     ----------
+    method : str
+        HTTP method of the call.
     status : int
         HTTP status.
     headers : mapping
@@ -54,7 +59,7 @@
     """
     problem = _decode(body)
     code = _CODES.get(status, ExitCode.FAILED)
-    if problem.get("verdict") == MAY_HAVE_RUN:
+    if _may_have_applied(method, status, problem):
         code = ExitCode.MAY_HAVE_APPLIED
     reason = problem.get("reason", f"status {status}")
     detail = problem.get("detail", "the daemon gave no detail")
@@ -70,6 +75,17 @@
     )
 
 
+def _may_have_applied(method: str, status: int, problem: dict[str, Any]) -> bool:
+    """Say whether an edit may have taken effect.
+
+    A daemon that breaks down, or a balancer in front of it, answers with a bare 500
+    after the platform took the edit. Only a verdict says that it did not.
+    """
+    if "verdict" in problem:
+        return problem["verdict"] == MAY_HAVE_RUN
+    return method != "GET" and status >= _FIRST_SERVER_ERROR
+
+
 def _decode(body: bytes) -> dict[str, Any]:
     try:
         problem = json.loads(body)
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_config.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_config.py
@@ -11,7 +11,11 @@
 from swifttide_cli.output import Failure, Report
 
 
-@cappa.command(name="history", help="List the edits of all documents.")
+@cappa.command(
+    name="history",
+    help="List the edits of all documents.",
+    description="The newest edit comes last.",
+)
 @dataclass(frozen=True)
 class ConfigHistory:
     """List the edits.
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_customer.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_customer.py
@@ -30,7 +30,11 @@
         )
 
 
-@cappa.command(name="show", help="Show a customer and its version.")
+@cappa.command(
+    name="show",
+    help="Show a customer and its version.",
+    description="The version is the --base of your edit.",
+)
 @dataclass(frozen=True)
 class CustomerShow:
     """Show a customer.
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_documents.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_documents.py
@@ -9,7 +9,7 @@
 import msgspec
 from expression import Error, Result
 
-from swifttide_cli.api import OperatorClient, StoredDocument
+from swifttide_cli.api import NO_VERSION, OperatorClient, StoredDocument
 from swifttide_cli.commands._wait import WaitOptions
 from swifttide_cli.exit_codes import ExitCode
 from swifttide_cli.output import Failure, Report
@@ -57,12 +57,13 @@
     client: OperatorClient,
     kind: DocumentKind,
     document: Document,
-    base: int | None,
+    base: int,
     wait: WaitOptions,
 ) -> Result[Report, Failure]:
     """Send an edit and report its version."""
     name = document_name(kind, document)
-    members = msgspec.to_builtins(document)
+    # Through JSON, so that tuples become the arrays that reading back returns.
+    members = msgspec.json.decode(msgspec.json.encode(document))
 
     def report(version: int) -> Result[Report, Failure]:
         accepted = Report(
@@ -125,6 +126,7 @@
             base = stored.version if base is None else base
         case Result(error=failure) if failure.code is ExitCode.NOT_FOUND:
             members = change(None)
+            base = NO_VERSION if base is None else base
         case Result(error=failure):
             return Error(failure)
     checked = check_document(kind, members)
@@ -134,7 +136,7 @@
 
 
 def _show_both(
-    failure: Failure, kind: DocumentKind, mine: dict[str, Any], base: int | None
+    failure: Failure, kind: DocumentKind, mine: dict[str, Any], base: int
 ) -> Failure:
     """Show both versions of an edit that lost a race.
 
@@ -150,7 +152,7 @@
         _pretty(theirs).splitlines(),
         _pretty(mine).splitlines(),
         f"current version {version}",
-        f"yours, based on {'no version' if base is None else f'version {base}'}",
+        f"yours, based on version {base}",
         lineterm="",
         n=100,
     )
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_key.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_key.py
@@ -9,7 +9,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from swifttide_cli.api import OperatorClient, StoredDocument
+from swifttide_cli.api import NO_VERSION, OperatorClient, StoredDocument
 from swifttide_cli.commands._documents import invalid_file, put_document
 from swifttide_cli.commands._options import Options
 from swifttide_cli.commands._wait import WaitOptions
@@ -68,7 +68,9 @@
         key = KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
         key_hash = hashlib.sha256(key.encode()).hexdigest()
         grant = KeyGrant(key_hash, customer=self.customer, operator=self.operator)
-        stored = put_document(client, DocumentKind.KEY, grant, None, WaitOptions())
+        stored = put_document(
+            client, DocumentKind.KEY, grant, NO_VERSION, WaitOptions()
+        )
         match stored:
             case Result(tag="ok", ok=found):
                 return self._report(client, key, key_hash, found)
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_profile.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_profile.py
@@ -6,6 +6,7 @@
 import cappa
 from expression import Result
 
+from swifttide_cli.api import NO_VERSION
 from swifttide_cli.commands._documents import (
     history_report,
     list_documents,
@@ -33,7 +34,11 @@
         )
 
 
-@cappa.command(name="show", help="Show a profile and its version.")
+@cappa.command(
+    name="show",
+    help="Show a profile and its version.",
+    description="The version is the --base of your edit.",
+)
 @dataclass(frozen=True)
 class ProfileShow:
     """Show a profile.
@@ -68,15 +73,15 @@
     ----------
     file : str
         The profile, JSON with comments.
-    base : int or None
+    base : int
         Version that was edited.
     """
 
     file: Annotated[str, cappa.Arg(help="The profile, JSON with comments.")]
     base: Annotated[
-        int | None,
+        int,
         cappa.Arg(long="--base", value_name="VERSION", help="Version that you edited."),
-    ] = None
+    ] = NO_VERSION
 
     def __call__(self, options: Options) -> Result[Report, Failure]:
         """Run the command."""
@@ -88,7 +93,11 @@
         )
 
 
-@cappa.command(name="history", help="List the edits of a profile.")
+@cappa.command(
+    name="history",
+    help="List the edits of a profile.",
+    description="The newest edit comes last.",
+)
 @dataclass(frozen=True)
 class ProfileHistory:
     """List the edits of a profile.
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_program.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_program.py
@@ -11,7 +11,11 @@
 from swifttide_cli.output import Failure, Report
 
 
-@cappa.command(name="show", help="Show the state of a program.")
+@cappa.command(
+    name="show",
+    help="Show the state of a program.",
+    description="Turns, budget, history and the targets that hold its cache.",
+)
 @dataclass(frozen=True)
 class ProgramShow:
     """Show a program.
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_replay.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_replay.py
@@ -15,7 +15,11 @@
 REPLAY_MODULE = "swifttide_core.replay"
 
 
-@cappa.command(name="replay", help="Replay a recorded trace through the decisions.")
+@cappa.command(
+    name="replay",
+    help="Replay a recorded trace through the decisions.",
+    description="Exits with 3 where an outcome differs from the stated one.",
+)
 @dataclass(frozen=True)
 class Replay:
     """Replay a trace.
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_target.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_target.py
@@ -6,6 +6,7 @@
 import cappa
 from expression import Result
 
+from swifttide_cli.api import NO_VERSION
 from swifttide_cli.commands._documents import (
     change_document,
     list_documents,
@@ -45,15 +46,15 @@
     ----------
     file : str
         The target, JSON with comments.
-    base : int or None
+    base : int
         Version that was edited.
     """
 
     file: Annotated[str, cappa.Arg(help="The target, JSON with comments.")]
     base: Annotated[
-        int | None,
+        int,
         cappa.Arg(long="--base", value_name="VERSION", help="Version that you edited."),
-    ] = None
+    ] = NO_VERSION
 
     def __call__(self, options: Options) -> Result[Report, Failure]:
         """Run the command."""
@@ -65,7 +66,11 @@
         )
 
 
-@cappa.command(name="leave", help="Give a target no new work.")
+@cappa.command(
+    name="leave",
+    help="Give a target no new work.",
+    description="Work under way there runs to its end.",
+)
 @dataclass(frozen=True)
 class TargetLeave(WaitOptions):
     """Give a target no new work.
