ENH Make the steps of a turn a state machine; TST fuzz calls and turns

Ruled out: fuzzing the daemon itself, whose threads can't be replayed. Change: start_turn/step_turn (reserve, run, store, commit, answer), ProgramRow.holder so that another holder's reservations count as spent; rule machines over both, a mutation tool that disables a line in a copy.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/swifttide_$(p))
 
-.PHONY: setup lint format test demo
+.PHONY: setup lint format test demo fuzz mutations
 
 setup: $(STAMP)
 
@@ -29,3 +29,13 @@
 
 demo: setup
 	@echo "no demo yet"
+
+# Fuzzing with fresh seeds, FUZZ_SECONDS for each rule machine; prints each seed.
+# SWIFTTIDE_FUZZ_SEED=N runs one seed again.
+FUZZ_SECONDS ?= 60
+fuzz: setup
+	SWIFTTIDE_FUZZ_SECONDS=$(FUZZ_SECONDS) $(BIN)/python -m pytest -s tests/fuzz
+
+# Each promise's mechanism disabled in a copy; the proofs must notice (docs/proofs.md).
+mutations: setup
+	$(BIN)/python tools/try_mutations.py
--- a/packages/swifttide_core/src/swifttide_core/programs/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/__init__.py
@@ -2,6 +2,30 @@
 
 from swifttide_core.programs._budget_rules import keep_unknown, reserve, settle
 from swifttide_core.programs._program_row import ProgramRow, ProgramState
+from swifttide_core.programs._turn import Turn
+from swifttide_core.programs._turn_action import (
+    PutChunk,
+    ReadRows,
+    RefuseRequest,
+    ReplyTurn,
+    RunModel,
+    TurnAction,
+    WriteRows,
+)
+from swifttide_core.programs._turn_event import (
+    ChunkStored,
+    ModelAnswered,
+    ModelFailed,
+    ModelUnreached,
+    RowsConflict,
+    RowsRead,
+    RowsWritten,
+    SlotLost,
+    StoreFailed,
+    TurnEvent,
+    TurnGivenUp,
+)
+from swifttide_core.programs._turn_machine import TurnStep, start_turn, step_turn
 from swifttide_core.programs._turn_order import (
     RefuseTurn,
     ReplayTurn,
@@ -10,17 +34,57 @@
     decide_turn,
 )
 from swifttide_core.programs._turn_request import TurnRequest
+from swifttide_core.programs._turn_state import (
+    Committing,
+    ReadingRows,
+    Releasing,
+    Reserving,
+    Running,
+    Settled,
+    Storing,
+    TurnState,
+)
 
 __all__ = [
+    "ChunkStored",
+    "Committing",
+    "ModelAnswered",
+    "ModelFailed",
+    "ModelUnreached",
     "ProgramRow",
     "ProgramState",
+    "PutChunk",
+    "ReadRows",
+    "ReadingRows",
+    "RefuseRequest",
     "RefuseTurn",
+    "Releasing",
     "ReplayTurn",
+    "ReplyTurn",
+    "Reserving",
+    "RowsConflict",
+    "RowsRead",
+    "RowsWritten",
+    "RunModel",
     "RunTurn",
+    "Running",
+    "Settled",
+    "SlotLost",
+    "StoreFailed",
+    "Storing",
+    "Turn",
+    "TurnAction",
     "TurnDecision",
+    "TurnEvent",
+    "TurnGivenUp",
     "TurnRequest",
+    "TurnState",
+    "TurnStep",
+    "WriteRows",
     "decide_turn",
     "keep_unknown",
     "reserve",
     "settle",
+    "start_turn",
+    "step_turn",
 ]
--- a/packages/swifttide_core/src/swifttide_core/programs/_program_row.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/_program_row.py
@@ -43,6 +43,9 @@
         Of the root: turns of the program and its sub-agents.
     targets : tuple of str
         Engines that may hold its cache.
+    holder : str
+        Of the root: slot, zone and epoch that made the reservations. Another holder
+        counts them as spent, since nobody can tell what became of those turns.
     state : ProgramState
         An ended program takes no more calls.
     version : int
@@ -63,6 +66,7 @@
     budget_reserved: int = 0
     root_turns: int = 0
     targets: tuple[str, ...] = ()
+    holder: str = ""
     state: ProgramState = ProgramState.OPEN
     version: int = 0
 
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/programs/_turn.py
@@ -0,0 +1,51 @@
+"""A turn on its way through the scheduler."""
+
+from dataclasses import dataclass
+
+from swifttide_core.documents import Profile
+from swifttide_core.programs._program_row import ProgramRow
+from swifttide_core.programs._turn_request import TurnRequest
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """One attempt at a turn.
+
+    Parameters
+    ----------
+    attempt : str
+        Unique id of this attempt; part of its chunk's name, so that two attempts
+        never write the same object.
+    holder : str
+        Zone, slot and epoch under which it is served.
+    zone : str
+        Availability zone that serves it.
+    request : TurnRequest
+        What the caller sent.
+    new_program, new_root : ProgramRow
+        Rows to start from when the platform has none yet.
+    profile : Profile
+        Limits of the program.
+    tokens : int
+        Most tokens that the turn can add to the history.
+    """
+
+    attempt: str
+    holder: str
+    zone: str
+    request: TurnRequest
+    new_program: ProgramRow
+    new_root: ProgramRow
+    profile: Profile
+    tokens: int
+
+    @property
+    def keys(self) -> tuple[str, ...]:
+        """Keys of the rows that decide about it, the root's last."""
+        if self.new_program.is_root:
+            return (self.new_root.key,)
+        return (self.new_program.key, self.new_root.key)
+
+    def chunk_name(self, number: int) -> str:
+        """Return the object name of its chunk of the history."""
+        return f"{self.new_program.key}/{number:06d}-{self.attempt}"
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/programs/_turn_machine.py
@@ -0,0 +1,327 @@
+"""The steps of a chat turn: read, reserve, run, store, commit, answer.
+
+What goes wrong without it: the caller gets the final event before the turn is
+committed, and the host dies, so that the next turn goes on from a history without it;
+or a holder that was paused commits after its successor did, and one of two answers
+vanishes. The caller therefore gets the final event only after ONE transaction
+that is conditional on the program's rows and on the slot has taken effect, and the
+chunk it points to was stored before. A chunk's name holds its attempt's id, so that no
+attempt can overwrite another's.
+
+An unknown outcome is settled by sending the same transaction again, which returns its
+first outcome, and otherwise told as ``may_have_run``: sending the same turn again then
+either gets the stored answer or runs it.
+"""
+
+from dataclasses import dataclass, replace
+
+from swifttide_core.programs._budget_rules import keep_unknown, reserve, settle
+from swifttide_core.programs._program_row import ProgramRow, ProgramState
+from swifttide_core.programs._turn import Turn
+from swifttide_core.programs._turn_action import (
+    PutChunk,
+    ReadRows,
+    RefuseRequest,
+    ReplyTurn,
+    RunModel,
+    TurnAction,
+    WriteRows,
+)
+from swifttide_core.programs._turn_event import (
+    ChunkStored,
+    ModelAnswered,
+    ModelFailed,
+    ModelUnreached,
+    RowsConflict,
+    RowsRead,
+    RowsWritten,
+    SlotLost,
+    StoreFailed,
+    TurnEvent,
+    TurnGivenUp,
+)
+from swifttide_core.programs._turn_order import (
+    RefuseTurn,
+    ReplayTurn,
+    RunTurn,
+    decide_turn,
+)
+from swifttide_core.programs._turn_state import (
+    Committing,
+    ReadingRows,
+    Releasing,
+    Reserving,
+    Running,
+    Settled,
+    Storing,
+    TurnState,
+)
+from swifttide_core.verdicts import Reason, Refusal, Verdict
+
+RETRY_PLATFORM_SECONDS = 2.0
+"""A renewal period: by then a host that lost the platform knows whether it is back."""
+
+RETRY_HOLDER_SECONDS = 0.5
+"""A claim takes one transaction; by then the new holder answers."""
+
+
+@dataclass(frozen=True, slots=True)
+class TurnStep:
+    """State after an event, and what is to be done next, in order."""
+
+    state: TurnState
+    actions: tuple[TurnAction, ...] = ()
+
+
+def start_turn(turn: Turn) -> TurnStep:
+    """Begin a turn; no other turn of its program may be under way at this host."""
+    return TurnStep(ReadingRows(turn), (ReadRows(turn.keys),))
+
+
+def step_turn(state: TurnState, event: TurnEvent) -> TurnStep:
+    """Return the next step of a turn.
+
+    Parameters
+    ----------
+    state : TurnState
+        How far the turn has got.
+    event : TurnEvent
+        What happened; an event that the state doesn't wait for changes nothing, so
+        that late and duplicated answers do no harm.
+    """
+    match state:
+        case ReadingRows():
+            return _step_reading(state, event)
+        case Reserving():
+            return _step_reserving(state, event)
+        case Running():
+            return _step_running(state, event)
+        case Storing():
+            return _step_storing(state, event)
+        case Committing():
+            return _step_committing(state, event)
+        case Releasing():
+            return _step_releasing(state, event)
+        case Settled():
+            return TurnStep(state)
+
+
+def _refuse(refusal: Refusal) -> TurnStep:
+    return TurnStep(Settled(), (RefuseRequest(refusal),))
+
+
+def _step_reading(state: ReadingRows, event: TurnEvent) -> TurnStep:
+    match event:
+        case RowsRead(rows):
+            return _decide(state.turn, *_program_and_root(state.turn, rows))
+        case StoreFailed():
+            return _refuse(_no_platform())
+        case SlotLost():
+            return _refuse(_not_holder())
+        case TurnGivenUp(refusal):
+            return _refuse(refusal)
+        case _:
+            return TurnStep(state)
+
+
+def _program_and_root(
+    turn: Turn, rows: tuple[ProgramRow | None, ...]
+) -> tuple[ProgramRow, ProgramRow]:
+    root = rows[-1] or turn.new_root
+    if turn.new_program.is_root:
+        return root, root
+    return rows[0] or turn.new_program, root
+
+
+def _decide(turn: Turn, program: ProgramRow, root: ProgramRow) -> TurnStep:
+    match decide_turn(program, turn.request):
+        case ReplayTurn(number, chunk):
+            return TurnStep(Settled(), (ReplyTurn(number, chunk),))
+        case RefuseTurn(refusal):
+            return _refuse(refusal)
+        case RunTurn(number):
+            return _reserve(turn, number, program, root)
+
+
+def _reserve(
+    turn: Turn, number: int, program: ProgramRow, root: ProgramRow
+) -> TurnStep:
+    if root.state is ProgramState.ENDED:
+        return _refuse(Refusal(Reason.PROGRAM_ENDED, "the root program has ended"))
+    if root.holder != turn.holder:
+        root = replace(keep_unknown(root), holder=turn.holder)
+    result = reserve(root, turn.profile, turn.tokens)
+    if result.is_error():
+        return _refuse(result.error)
+    state = Reserving(turn, number, program, result.ok)
+    return TurnStep(state, (_write_reservation(state),))
+
+
+def _write_reservation(state: Reserving) -> WriteRows:
+    transaction = f"{state.turn.attempt}:{state.root.version}:reserve"
+    return WriteRows((state.root,), transaction)
+
+
+def _step_reserving(state: Reserving, event: TurnEvent) -> TurnStep:
+    turn = state.turn
+    match event:
+        case RowsWritten((version,)):
+            root = replace(state.root, version=version)
+            program = root if state.program.is_root else state.program
+            running = Running(turn, state.number, program, root)
+            return TurnStep(running, (RunModel(state.number, program.chunks),))
+        case RowsConflict():
+            return start_turn(turn)
+        case SlotLost():
+            return _refuse(_not_holder())
+        case StoreFailed():
+            return TurnStep(state, (_write_reservation(state),))
+        case TurnGivenUp(refusal):
+            # The reservation may stand; the next holder counts it as spent.
+            return _refuse(refusal)
+        case _:
+            return TurnStep(state)
+
+
+def _step_running(state: Running, event: TurnEvent) -> TurnStep:
+    turn = state.turn
+    match event:
+        case ModelAnswered(used, target):
+            storing = Storing(
+                turn, state.number, state.program, state.root, used, target
+            )
+            return TurnStep(storing, (PutChunk(turn.chunk_name(state.number)),))
+        case ModelUnreached(refusal):
+            freed = settle(state.root, turn.tokens, used=0, turns=0)
+            return _write_release(Releasing(turn, freed, refusal))
+        case ModelFailed():
+            return _refuse(_unknown(Reason.TARGET_FAILED, "the engine didn't finish"))
+        case TurnGivenUp(refusal):
+            return _refuse(refusal.with_verdict(Verdict.MAY_HAVE_RUN))
+        case _:
+            return TurnStep(state)
+
+
+def _step_storing(state: Storing, event: TurnEvent) -> TurnStep:
+    match event:
+        case ChunkStored():
+            return _commit(state, state.program, state.root)
+        case StoreFailed():
+            return TurnStep(state, (PutChunk(state.turn.chunk_name(state.number)),))
+        case TurnGivenUp(refusal):
+            return _refuse(refusal.with_verdict(Verdict.MAY_HAVE_RUN))
+        case _:
+            return TurnStep(state)
+
+
+def _commit(stored: Storing, program: ProgramRow, root: ProgramRow) -> TurnStep:
+    turn = stored.turn
+    root = settle(root, turn.tokens, stored.used)
+    if program.is_root:
+        program = root
+    program = replace(
+        program,
+        zone=turn.zone,
+        turns=stored.number,
+        last_body_hash=turn.request.body_hash,
+        chunks=(*program.chunks, turn.chunk_name(stored.number)),
+        total_tokens=program.total_tokens + stored.used,
+        targets=_with_target(program.targets, stored.target),
+    )
+    rows = (program,) if program.is_root else (program, root)
+    state = Committing(stored, rows)
+    return TurnStep(state, (_write_commit(state),))
+
+
+def _with_target(targets: tuple[str, ...], target: str) -> tuple[str, ...]:
+    if not target or target in targets:
+        return targets
+    return (*targets, target)
+
+
+def _write_commit(state: Committing) -> WriteRows:
+    versions = "-".join(str(row.version) for row in state.rows)
+    transaction = f"{state.stored.turn.attempt}:{versions}:commit"
+    return WriteRows(state.rows, transaction)
+
+
+def _step_committing(state: Committing, event: TurnEvent) -> TurnStep:
+    stored = state.stored
+    match event:
+        case RowsWritten():
+            return _reply(stored)
+        case RowsConflict():
+            # A sub-agent settled on the same root, or another holder took over.
+            read = ReadRows(stored.turn.keys)
+            return TurnStep(replace(state, reading=True), (read,))
+        case RowsRead(rows) if state.reading:
+            return _commit_again(stored, *_program_and_root(stored.turn, rows))
+        case SlotLost():
+            return _refuse(_unknown(Reason.NOT_HOLDER, "another host took over"))
+        case StoreFailed() if state.reading:
+            return TurnStep(state, (ReadRows(stored.turn.keys),))
+        case StoreFailed():
+            return TurnStep(state, (_write_commit(state),))
+        case TurnGivenUp(refusal):
+            return _refuse(refusal.with_verdict(Verdict.MAY_HAVE_RUN))
+        case _:
+            return TurnStep(state)
+
+
+def _commit_again(stored: Storing, program: ProgramRow, root: ProgramRow) -> TurnStep:
+    if stored.turn.chunk_name(stored.number) in program.chunks:
+        return _reply(stored)
+    if root.holder != stored.turn.holder:
+        # The successor counts this turn's reservation as spent; settling it here
+        # would free it a second time.
+        return _refuse(_unknown(Reason.NOT_HOLDER, "another host took over"))
+    if program.turns + 1 != stored.number or program.state is ProgramState.ENDED:
+        return _refuse(_unknown(Reason.OUT_OF_ORDER, "the program has moved on"))
+    return _commit(stored, program, root)
+
+
+def _reply(stored: Storing) -> TurnStep:
+    reply = ReplyTurn(stored.number, stored.turn.chunk_name(stored.number))
+    return TurnStep(Settled(), (reply,))
+
+
+def _write_release(state: Releasing) -> TurnStep:
+    transaction = f"{state.turn.attempt}:{state.root.version}:release"
+    return TurnStep(state, (WriteRows((state.root,), transaction),))
+
+
+def _step_releasing(state: Releasing, event: TurnEvent) -> TurnStep:
+    match event:
+        case RowsWritten() | RowsConflict() | SlotLost() | TurnGivenUp():
+            # After a conflict the reservation stays: that is wasteful and safe.
+            return _refuse(state.refusal)
+        case StoreFailed():
+            # Sent once more in vain would hold the refusal back; it is true already.
+            return _refuse(state.refusal)
+        case _:
+            return TurnStep(state)
+
+
+def _no_platform() -> Refusal:
+    return Refusal(
+        Reason.PLATFORM_UNAVAILABLE,
+        "the program's row can't be read, so the turn wasn't sent",
+        retry_after_seconds=RETRY_PLATFORM_SECONDS,
+    )
+
+
+def _not_holder() -> Refusal:
+    return Refusal(
+        Reason.NOT_HOLDER,
+        "another host has taken the program over",
+        retry_after_seconds=RETRY_HOLDER_SECONDS,
+    )
+
+
+def _unknown(reason: Reason, detail: str) -> Refusal:
+    return Refusal(
+        reason,
+        f"{detail}; send the same turn again to get its answer or to run it",
+        verdict=Verdict.MAY_HAVE_RUN,
+        retry_after_seconds=RETRY_HOLDER_SECONDS,
+    )
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/programs/_turn_state.py
@@ -0,0 +1,82 @@
+"""How far a turn has got."""
+
+from dataclasses import dataclass
+
+from swifttide_core.programs._program_row import ProgramRow
+from swifttide_core.programs._turn import Turn
+from swifttide_core.verdicts import Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class ReadingRows:
+    """The program's rows are being read; nothing was dispatched."""
+
+    turn: Turn
+
+
+@dataclass(frozen=True, slots=True)
+class Reserving:
+    """The budget is being reserved; nothing was dispatched."""
+
+    turn: Turn
+    number: int
+    program: ProgramRow
+    root: ProgramRow
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """An engine may be generating the turn."""
+
+    turn: Turn
+    number: int
+    program: ProgramRow
+    root: ProgramRow
+
+
+@dataclass(frozen=True, slots=True)
+class Storing:
+    """The turn's chunk is being stored."""
+
+    turn: Turn
+    number: int
+    program: ProgramRow
+    root: ProgramRow
+    used: int
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class Committing:
+    """The rows that point to the chunk are being written.
+
+    Parameters
+    ----------
+    rows : tuple of ProgramRow
+        Rows of the transaction under way.
+    reading : bool
+        Whether the rows are being read again after a conflict.
+    """
+
+    stored: Storing
+    rows: tuple[ProgramRow, ...]
+    reading: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Releasing:
+    """The reservation of a turn that reached no engine is being given back."""
+
+    turn: Turn
+    root: ProgramRow
+    refusal: Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """The caller has its answer."""
+
+
+TurnState = (
+    ReadingRows | Reserving | Running | Storing | Committing | Releasing | Settled
+)
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the pure core against simple oracles."""
--- /dev/null
+++ b/tests/fuzz/test_turns_fuzz.py
@@ -0,0 +1,266 @@
+"""Turns of programs and sub-agents: order, history and budget under every fault."""
+
+from dataclasses import dataclass, field, replace
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from tests.fuzz._platform import (
+    Check,
+    ConflictError,
+    FakePlatform,
+    NoAnswerError,
+    Weather,
+    Write,
+)
+from tests.fuzz._settings import run_fuzz
+
+from swifttide_core.documents import Profile
+from swifttide_core.programs import (
+    ChunkStored,
+    ModelAnswered,
+    ModelFailed,
+    ModelUnreached,
+    ProgramRow,
+    PutChunk,
+    ReadRows,
+    RefuseRequest,
+    ReplyTurn,
+    RowsConflict,
+    RowsRead,
+    RowsWritten,
+    RunModel,
+    SlotLost,
+    StoreFailed,
+    Turn,
+    TurnGivenUp,
+    TurnRequest,
+    WriteRows,
+    start_turn,
+    step_turn,
+)
+from swifttide_core.verdicts import Reason, Refusal, Verdict
+
+BUDGET = 30
+TURN_TOKENS = 10
+PROFILE = Profile("night", budget_tokens=BUDGET, max_turn_tokens=TURN_TOKENS)
+ROOT = "box"
+SUB_AGENT = "box-sub"
+HOSTS = ("a1", "a2", "b1", "b2")
+FATES = st.tuples(
+    st.sampled_from([Weather.FINE] * 6 + list(Weather)),
+    st.sampled_from(["answered", "answered", "failed", "unreached"]),
+    st.integers(1, TURN_TOKENS),
+)
+RARELY = st.sampled_from([True] + [False] * 5)
+
+
+@dataclass
+class Attempt:
+    """One request for a turn, in a thread of some host."""
+
+    name: str
+    program: str
+    host: str
+    slot: Check
+    body: str
+    step: object
+    todo: list = field(default_factory=list)
+    dispatched: bool = False
+    replies: int = 0
+
+
+class TurnMachine(RuleBasedStateMachine):
+    """Two zones of two hosts serve one root program and its sub-agent.
+
+    Each zone has its own slot row, so that hosts of both zones may serve the program
+    at once, as when callers come in through both sides of a cut.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.platform = FakePlatform()
+        self.memory = {}
+        self.attempts = []
+        self.n_attempts = 0
+        self.spent = 0
+        self.acknowledged = {}
+        self.seen_history = {}
+        self.claim("a1")
+        self.claim("b1")
+
+    @rule(host=st.sampled_from(HOSTS), really=RARELY)
+    def claim_slot(self, host, really):
+        if really:
+            self.claim(host)
+
+    def claim(self, host):
+        """Let a host take its zone's slot; the former holder isn't told."""
+        key = f"{host[0]}/7"
+        version, epoch = self.platform.rows.get(("slots", key), (0, 0))
+        write = Write("slots", key, version, epoch + 1)
+        (version,) = self.platform.transact(f"claim-{host}-{version}", [write])
+        self.memory[host] = (f"{key}/{epoch + 1}", Check("slots", key, version))
+
+    @precondition(lambda self: self.memory)
+    @rule(
+        pick=st.integers(0, 9),
+        program=st.sampled_from([ROOT, SUB_AGENT]),
+        number=st.sampled_from([None, None, None, 1, 2]),
+        body=st.sampled_from(["x", "y"]),
+    )
+    def caller_sends(self, pick, program, number, body):
+        host = sorted(self.memory)[pick % len(self.memory)]
+        if any(a.host == host and a.program == program for a in self.attempts):
+            return
+        holder, slot = self.memory[host]
+        self.n_attempts += 1
+        name = f"t{self.n_attempts}"
+        row = ProgramRow("khuslen", program, ROOT)
+        turn = Turn(
+            attempt=name,
+            holder=holder,
+            zone=host[0],
+            request=TurnRequest(number, body),
+            new_program=row,
+            new_root=replace(row, program=ROOT),
+            profile=PROFILE,
+            tokens=TURN_TOKENS,
+        )
+        attempt = Attempt(name, program, host, slot, body, start_turn(turn))
+        attempt.todo = list(attempt.step.actions)
+        self.attempts.append(attempt)
+
+    @precondition(lambda self: self.attempts)
+    @rule(pick=st.integers(0, 99), fates=st.lists(FATES, min_size=1, max_size=6))
+    def step(self, pick, fates):
+        """Let one attempt run on for some steps."""
+        attempt = self.attempts[pick % len(self.attempts)]
+        for fate in fates:
+            if attempt.todo:
+                self.step_once(attempt, *fate)
+        if not attempt.todo:
+            assert attempt.replies == 1
+            self.attempts.remove(attempt)
+
+    def step_once(self, attempt, weather, outcome, used):
+        match attempt.todo.pop(0):
+            case ReadRows(keys):
+                self.tell(attempt, self.read(keys, weather))
+            case WriteRows(rows, transaction):
+                self.tell(attempt, self.write(attempt, rows, transaction, weather))
+            case RunModel(number, chunks):
+                assert len(chunks) == number - 1, "a turn ran out of its order"
+                self.tell(attempt, self.run_model(attempt, outcome, used))
+            case PutChunk(name):
+                self.tell(attempt, self.put_chunk(attempt, name, weather))
+            case ReplyTurn(number, chunk):
+                self.acknowledge(attempt, number, chunk)
+            case RefuseRequest(refusal):
+                if refusal.verdict is Verdict.NOT_RUN:
+                    assert not attempt.dispatched
+                attempt.replies += 1
+
+    @precondition(lambda self: self.attempts)
+    @rule(pick=st.integers(0, 99), really=RARELY)
+    def time_runs_out(self, pick, really):
+        attempt = self.attempts[pick % len(self.attempts)]
+        if really and not isinstance(attempt.todo[0], RefuseRequest | ReplyTurn):
+            attempt.todo.clear()
+            self.tell(attempt, TurnGivenUp(Refusal(Reason.TIMEOUT, "time is up")))
+
+    @rule(host=st.sampled_from(HOSTS), really=RARELY)
+    def kill_host(self, host, really):
+        if not really:
+            return
+        self.attempts = [a for a in self.attempts if a.host != host]
+        self.memory.pop(host, None)
+
+    @precondition(lambda self: self.platform.delayed)
+    @rule(pick=st.integers(0, 99))
+    def delayed_write_arrives(self, pick):
+        self.platform.deliver(pick % len(self.platform.delayed))
+
+    def read(self, keys, weather):
+        try:
+            rows = [self.platform.read("programs", key, weather) for key in keys]
+        except NoAnswerError:
+            return StoreFailed()
+        return RowsRead(tuple(row and replace(row, version=v) for v, row in rows))
+
+    def write(self, attempt, rows, transaction, weather):
+        writes = [Write("programs", row.key, row.version, row) for row in rows]
+        checks = [attempt.slot]
+        try:
+            versions = self.platform.transact(transaction, writes, checks, weather)
+        except NoAnswerError:
+            return StoreFailed()
+        except ConflictError:
+            now, _ = self.platform.read("slots", attempt.slot.key)
+            return SlotLost() if now != attempt.slot.version else RowsConflict()
+        return RowsWritten(tuple(versions))
+
+    def run_model(self, attempt, outcome, used):
+        if outcome == "unreached":
+            return ModelUnreached(Refusal(Reason.NO_TARGET, "no connection"))
+        attempt.dispatched = True
+        if outcome == "failed":
+            self.spent += TURN_TOKENS
+            return ModelFailed()
+        self.spent += used
+        return ModelAnswered(used, "e1")
+
+    def put_chunk(self, attempt, name, weather):
+        try:
+            self.platform.put_object(name, (attempt.program, attempt.body), weather)
+        except NoAnswerError:
+            return StoreFailed()
+        return ChunkStored()
+
+    def acknowledge(self, attempt, number, chunk):
+        content = self.platform.objects[chunk]
+        assert content == (attempt.program, attempt.body), "another turn's answer"
+        place = (attempt.program, number)
+        assert self.acknowledged.setdefault(place, chunk) == chunk
+        attempt.replies += 1
+
+    def tell(self, attempt, event):
+        attempt.step = step_turn(attempt.step.state, event)
+        attempt.todo += attempt.step.actions
+
+    def row(self, program):
+        return self.platform.rows.get(("programs", f"khuslen/{program}"), (0, None))[1]
+
+    @invariant()
+    def history_only_grows(self):
+        for program in (ROOT, SUB_AGENT):
+            row = self.row(program)
+            chunks = () if row is None else row.chunks
+            before = self.seen_history.get(program, ())
+            assert chunks[: len(before)] == before, "history was lost or replaced"
+            self.seen_history[program] = chunks
+            for number, chunk in enumerate(chunks, start=1):
+                assert self.platform.objects[chunk][0] == program, "histories mixed"
+                assert f"/{number:06d}-" in chunk
+
+    @invariant()
+    def what_a_caller_got_is_in_the_history(self):
+        for (program, number), chunk in self.acknowledged.items():
+            assert self.seen_history[program][number - 1] == chunk
+
+    @invariant()
+    def budget_holds(self):
+        """Count at the engines, lost turns at their most."""
+        assert self.spent <= BUDGET
+        root = self.row(ROOT)
+        if root is not None:
+            assert root.budget_reserved >= 0
+            assert root.budget_used + root.budget_reserved <= BUDGET
+
+
+class TestTurns:
+    def test_order_history_and_budget(self):
+        """A host dies between two turns, its slot is taken over while it is paused, a
+        zone is cut and both sides serve the program, the platform loses answers. A
+        household would find its order of last week gone, or another's in its place.
+        """
+        run_fuzz(TurnMachine)
