--- a/packages/swifttide_standins/src/swifttide_standins/demo/_demo_run.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_demo_run.py
@@ -24,7 +24,8 @@
 PROFILE = "catalogue"
 CUSTOMERS = {"za": "print-office", "zb": "butcher-desk"}
 PROGRAMS_PER_ZONE = 6
-TURNS = 9
+TURNS = 16
+PAUSE_SECONDS = 0.3
 WORDS_PER_SECOND = 60.0
 SECONDS_BEFORE_KILL = 2.5
 SECONDS_BEFORE_WITHDRAWAL = 3.0
@@ -32,7 +33,10 @@
 WITHDRAWN_KEY = "butcher-desk-second-key"
 KILLED_HOST = "za-h0"
 STOPPED_HOST = "zb-h1"
-SERVICE_CALLS = dict.fromkeys((2, 4, 6, 8), ("billing", "charge"))
+SERVICE_SECONDS = 0.2
+"""Long enough that the kill falls into the middle of some calls."""
+
+SERVICE_CALLS = dict.fromkeys(range(2, TURNS, 2), ("billing", "charge"))
 
 
 class DemoRun:
@@ -45,8 +49,10 @@
     """
 
     def __init__(self, launcher: Launcher) -> None:
-        options = {"words_per_second": WORDS_PER_SECOND}
-        plan = FleetPlan(engine_options=options)
+        plan = FleetPlan(
+            engine_options={"words_per_second": WORDS_PER_SECOND},
+            service_options={"seconds": SERVICE_SECONDS},
+        )
         self._fleet = Fleet.start(launcher, plan)
         self._put_documents()
         self._endpoints = {
@@ -109,6 +115,7 @@
                 plan = ProgramPlan(
                     program=f"{customer}-{number}",
                     turns=TURNS,
+                    pause_seconds=PAUSE_SECONDS,
                     sub_agent_after=3,
                     services=SERVICE_CALLS,
                 )
--- a/packages/swifttide_standins/src/swifttide_standins/loadgen/_client.py
+++ b/packages/swifttide_standins/src/swifttide_standins/loadgen/_client.py
@@ -23,6 +23,7 @@
 READ_SECONDS = 15.0
 CONNECT_SECONDS = 1.0
 RECONNECT_SECONDS = 0.2
+MAX_IDLE = 64
 
 
 class Client:
@@ -51,7 +52,7 @@
         self._key = key
         self._profile = profile
         self._zone = zone
-        self._pool = urllib3.PoolManager(retries=False, maxsize=4)
+        self._pool = urllib3.PoolManager(retries=False, maxsize=MAX_IDLE)
         self._stopped = threading.Event()
 
     def call(self, spec: CallSpec) -> CallRecord:
