--- a/packages/swifttide_standins/src/swifttide_standins/demo/_report.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_report.py
@@ -34,7 +34,9 @@
 def _order(record: ProgramRecord) -> str:
     if record.wrong:
         return f"NO: {len(record.wrong)} differ"
-    return "yes" if record.finished else f"NO: {record.calls[-1].outcome}"
+    if record.finished:
+        return "yes"
+    return f"NO: {_cause(record.calls[-1].outcome)}"
 
 
 def _effects(record: ProgramRecord, effects: dict[str, int]) -> str:
