ENH Kill the demo's host in the middle of non-repeatable calls

Programs alone hardly ever had a charge under way at the kill, so the demo proved little about it. Twelve calls are now held back by the service while their entry host dies, and their callers send the same again. 64 slots instead of 16: by chance 13 of 16 lay on one host of two.

--- a/packages/swifttide_standins/src/swifttide_standins/demo/_check.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_check.py
@@ -74,6 +74,7 @@
 
 def _check_effects(found: Findings) -> Check:
     calls = [call for p in found.programs for call in p.service_calls]
+    calls += found.calls_at_kill
     counts = [found.effects.get(call.spec.idempotency_key, 0) for call in calls]
     bad = [
         call.spec.idempotency_key
@@ -85,7 +86,8 @@
     n_once = sum(isinstance(call.outcome, Answered) for call in calls)
     n_unknown = sum(_is_unknown(call) for call in calls)
     seen = (
-        f"{len(calls)} calls: {n_once} answered, {n_unknown} may_have_run; "
+        f"{len(calls)} calls ({len(found.calls_at_kill)} under way at the kill): "
+        f"{n_once} answered, {n_unknown} may_have_run; "
         f"{sum(counts)} effects counted, {max(counts, default=0)} at most a call"
     )
     if bad or strange:
--- a/packages/swifttide_standins/src/swifttide_standins/demo/_demo_run.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_demo_run.py
@@ -6,6 +6,7 @@
 
 from swifttide_standins.demo._findings import Findings
 from swifttide_standins.demo._graceful_stop import GracefulStop
+from swifttide_standins.demo._host_kill import HostKill
 from swifttide_standins.demo._withdrawal_probe import WithdrawalProbe
 from swifttide_standins.launcher import Fleet, FleetPlan, Launcher, hash_key
 from swifttide_standins.loadgen import (
@@ -24,7 +25,7 @@
 PROFILE = "catalogue"
 CUSTOMERS = {"za": "print-office", "zb": "butcher-desk"}
 PROGRAMS_PER_ZONE = 6
-TURNS = 16
+TURNS = 18
 PAUSE_SECONDS = 0.3
 WORDS_PER_SECOND = 60.0
 SECONDS_BEFORE_KILL = 2.5
@@ -63,10 +64,12 @@
     def run(self) -> Findings:
         """Run programs through all events and return what was seen."""
         balancer = Balancer(self._endpoints.values())
+        client = Client(balancer, f"{CUSTOMERS['za']}-key", PROFILE, "za")
         with ThreadPoolExecutor(2 * PROGRAMS_PER_ZONE) as pool:
             futs = self._start_programs(pool, balancer)
             time.sleep(SECONDS_BEFORE_KILL)
-            self._kill()
+            killing = HostKill(client, self._endpoints[KILLED_HOST])
+            killing.run(self._fleet)
             time.sleep(SECONDS_BEFORE_WITHDRAWAL)
             probe, withdrawn_at = self._withdraw(balancer)
             stop = self._stop(balancer)
@@ -74,6 +77,7 @@
         balancer.stop()
         return Findings(
             programs=programs,
+            calls_at_kill=killing.records(),
             effects=self._fleet.counters(self._fleet.services["billing"])["effects"],
             withdrawn=probe.seconds_to_refusal(withdrawn_at),
             answered_before=probe.fewest_answered_before(),
@@ -122,11 +126,6 @@
                 futs.append(pool.submit(ProgramRunner(client, plan).run))
         return futs
 
-    def _kill(self) -> None:
-        logger.info("killing %s", KILLED_HOST)
-        self._fleet.hosts[KILLED_HOST].process.kill()
-        self._fleet.report_host(KILLED_HOST, "gone")
-
     def _withdraw(self, balancer: Balancer) -> tuple[WithdrawalProbe, float]:
         live = [e for e in self._endpoints.values() if e.host != KILLED_HOST]
         client = Client(balancer, WITHDRAWN_KEY, PROFILE, "zb")
--- a/packages/swifttide_standins/src/swifttide_standins/demo/_findings.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_findings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from swifttide_standins.loadgen import Attempt, ProgramRecord
+from swifttide_standins.loadgen import Attempt, CallRecord, ProgramRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,6 +13,8 @@
     ----------
     programs : tuple of ProgramRecord
         All programs.
+    calls_at_kill : tuple of CallRecord
+        Non-repeatable calls that were under way when their entry host was killed.
     effects : dict of str to int
         Effects at the service by idempotency key.
     withdrawn : dict of str to float
@@ -34,6 +36,7 @@
     """
 
     programs: tuple[ProgramRecord, ...]
+    calls_at_kill: tuple[CallRecord, ...]
     effects: dict[str, int]
     withdrawn: dict[str, float]
     answered_before: int
--- a/packages/swifttide_standins/src/swifttide_standins/demo/_report.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_report.py
@@ -14,6 +14,7 @@
     """Print what each program's caller got, and the checks."""
     console = Console(width=100)
     console.print(_program_table(found))
+    console.print(_call_table(found))
     console.print(_check_table(checks))
 
 
@@ -31,6 +32,16 @@
     return table
 
 
+def _call_table(found: Findings) -> Table:
+    table = Table("call at the killed host", "got", "effects", "sent again")
+    for call in found.calls_at_kill:
+        key = call.spec.idempotency_key
+        got = getattr(call.outcome, "verdict", type(call.outcome).__name__)
+        causes = Counter(_cause(a.outcome) for a in call.attempts[:-1])
+        table.add_row(key, got, str(found.effects.get(key, 0)), _counted(causes))
+    return table
+
+
 def _order(record: ProgramRecord) -> str:
     if record.wrong:
         return f"NO: {len(record.wrong)} differ"
@@ -54,6 +65,10 @@
         for call in record.calls
         for attempt in call.attempts[:-1]
     )
+    return _counted(causes)
+
+
+def _counted(causes: Counter[str]) -> str:
     return ", ".join(f"{n} {cause}" for cause, n in causes.items())
 
 
--- a/packages/swifttide_standins/src/swifttide_standins/demo/tests/test_check.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/tests/test_check.py
@@ -30,6 +30,7 @@
     whole = Attempt("h", 0.0, 0.0, 1.0, Answered("x", "ran"))
     return Findings(
         programs=(program,),
+        calls_at_kill=(),
         effects=effects,
         withdrawn={"h": 1.0},
         answered_before=1,
--- a/packages/swifttide_standins/src/swifttide_standins/launcher/_fleet_plan.py
+++ b/packages/swifttide_standins/src/swifttide_standins/launcher/_fleet_plan.py
@@ -32,7 +32,7 @@
     hosts_per_zone: int = 2
     engines_per_zone: int = 2
     services: tuple[str, ...] = ("billing",)
-    n_slots: int = 16
+    n_slots: int = 64
     lease_seconds: float = 3.0
     renew_seconds: float = 1.0
     drift_margin_seconds: float = 0.5
--- a/packages/swifttide_standins/src/swifttide_standins/loadgen/_client.py
+++ b/packages/swifttide_standins/src/swifttide_standins/loadgen/_client.py
@@ -55,17 +55,25 @@
         self._pool = urllib3.PoolManager(retries=False, maxsize=MAX_IDLE)
         self._stopped = threading.Event()
 
-    def call(self, spec: CallSpec) -> CallRecord:
-        """Send a call until it is settled or the caller gives up."""
+    def call(self, spec: CallSpec, first: Endpoint | None = None) -> CallRecord:
+        """Send a call until it is settled or the caller gives up.
+
+        Parameters
+        ----------
+        spec : CallSpec
+            What to send.
+        first : Endpoint or None
+            Host of the first attempt; the balancer picks the others.
+        """
         give_up = time.monotonic() + GIVE_UP_SECONDS
-        attempts = []
+        attempts = [self.attempt(spec, first)]
         while True:
-            attempts.append(self.attempt(spec))
             pause = _pause(attempts[-1].outcome)
             if pause is None or time.monotonic() + pause > give_up:
                 return CallRecord(spec, tuple(attempts))
             if self._stopped.wait(pause):
                 return CallRecord(spec, tuple(attempts))
+            attempts.append(self.attempt(spec))
 
     def attempt(self, spec: CallSpec, endpoint: Endpoint | None = None) -> Attempt:
         """Send a call once, to the given host or to one that the balancer picks."""
