ENH Refuse ambiguous requests and bound connections at the ports

Cause: cheroot takes the last of two Content-Length, both framings at once, signs in lengths and chunk sizes, names with a space before the colon; leaves trailers unread; reads a chunk of any claimed size whole; gives each new connection a thread at once; starts its timeout anew with each byte; has no bound on connections. Behind a balancer that shares connections the first four let a caller's bytes run as another caller's request. Ruled out: refusing chunks altogether (balancers that speak HTTP/2 in front send them); checks in the WSGI application (duplicates are gone by then); cheroot's DropUnderscoreHeaderReader (drops in silence). Change: StrictHeaderReader, ChunkedBody, StrictRequest (problem bodies with a verdict, connection closed after a refusal), StrictConnection (one deadline for headers, one for the body), StrictServer (a silent connection takes no thread, bound on connections). A peer's proof that isn't ASCII is refused instead of failing.

--- a/packages/swifttide_daemon/src/swifttide_daemon/peers/_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peers/_client.py
@@ -6,8 +6,8 @@
 import msgspec
 import urllib3
 from expression import Error, Ok, Result
-from swifttide_core.verdicts import Reason, Refusal
 
+from swifttide_core.verdicts import Reason, Refusal
 from swifttide_daemon.peers._proof import PeerProof
 from swifttide_daemon.settings import Settings
 from swifttide_daemon.transport import make_pool, verdict_of
--- a/packages/swifttide_daemon/src/swifttide_daemon/peers/_proof.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peers/_proof.py
@@ -50,7 +50,10 @@
         host = req.header(HOST_HEADER.lower())
         path = f"{req.path}?{req.query}" if req.query else req.path
         wanted = self._sign(req.method, path, host, at, req.body)
-        if not hmac.compare_digest(wanted, req.header(PROOF_HEADER.lower())):
+        # As bytes: compare_digest raises for a str that isn't ASCII, and the call
+        # would be answered as an error that may have run.
+        got = req.header(PROOF_HEADER.lower()).encode("utf-8", "surrogateescape")
+        if not hmac.compare_digest(wanted.encode(), got):
             return Refusal(Reason.UNAUTHENTICATED, "the peer's proof does not fit")
         if abs(time.time() - float(at)) > MAX_SKEW_SECONDS:
             return Refusal(Reason.UNAUTHENTICATED, "the peer's proof is too old")
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/_app.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_app.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from swifttide_core.verdicts import Reason, Refusal, Verdict
-
 from swifttide_daemon.web._input import read_body
 from swifttide_daemon.web._request import Request
 from swifttide_daemon.web._response import Response
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/_input.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_input.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from expression import Error, Ok, Result
+
 from swifttide_core.verdicts import Reason, Refusal
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/_response.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_response.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+
 from swifttide_core.verdicts import Refusal, Verdict
 
 JSON = "application/json"
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_server.py
@@ -2,9 +2,9 @@
 
 import threading
 
-from cheroot import wsgi
 from swifttide_daemon.settings import LimitSettings
 from swifttide_daemon.web._app import App
+from swifttide_daemon.web._strict_server import StrictServer
 
 
 class WebServer:
@@ -12,11 +12,11 @@
 
     Parameters
     ----------
-    server : cheroot.wsgi.Server
+    server : StrictServer
         Prepared server.
     """
 
-    def __init__(self, server: wsgi.Server) -> None:
+    def __init__(self, server: StrictServer) -> None:
         self.server = server
         self._thread = threading.Thread(target=server.serve, daemon=True)
 
@@ -25,7 +25,7 @@
         cls, address: str, port: int, app: App, threads: int, limits: LimitSettings
     ) -> "WebServer":
         """Bind the port; requests are answered after `start`."""
-        server = wsgi.Server(
+        server = StrictServer(
             (address, port),
             app,
             numthreads=threads,
@@ -33,7 +33,10 @@
             request_queue_size=128,
             timeout=limits.idle_seconds,
             shutdown_timeout=2,
+            server_name="swifttide",
+            max_connections=limits.max_connections,
         )
+        server.max_request_body_size = app.max_body_bytes
         server.max_request_header_size = limits.max_header_bytes
         server.keep_alive_conn_limit = limits.max_connections
         server.error_log = _discard
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_strict_request.py
@@ -0,0 +1,113 @@
+"""A request read with the strict readers, for cheroot."""
+
+import json
+import time
+from contextlib import suppress
+from typing import Any
+
+from cheroot.server import HTTPRequest, KnownLengthRFile
+
+from swifttide_core.verdicts import Reason, Verdict
+from swifttide_daemon.web._chunked_body import ChunkedBody
+from swifttide_daemon.web._header_reader import StrictHeaderReader
+
+BODY_FACTOR = 4
+"""A body may take so many times as long as the headers: 8 MiB in 120 s are 70 KB a
+second, which a tablet on a bad line still reaches."""
+
+LAST_CHUNK = b"0\r\n\r\n"
+_FIRST_SERVER_ERROR = 500
+_NOT_STARTED = frozenset({501, 503, 505})
+_REASONS = {
+    408: Reason.TIMEOUT,
+    413: Reason.TOO_LARGE,
+    414: Reason.TOO_LARGE,
+    503: Reason.STOPPING,
+}
+
+
+class StrictRequest(HTTPRequest):
+    """Reads one request; what it refuses is answered as a problem body.
+
+    Notes
+    -----
+    A connection whose request wasn't read to its end is closed: what is left would
+    be taken for the next request.
+    """
+
+    header_reader = StrictHeaderReader()
+
+    def __init__(self, *args: Any, **kwargs: Any):
+        super().__init__(*args, **kwargs)
+        self._app_started = False
+
+    def parse_request(self) -> None:
+        """Read request line and headers within the server's idle time."""
+        self.conn.read_until = time.monotonic() + self.server.timeout
+        super().parse_request()
+
+    def read_request_headers(self) -> bool:
+        """Read the headers; a request in chunks needs HTTP/1.1."""
+        if not super().read_request_headers():
+            return False
+        if b"Transfer-Encoding" in self.inheaders and not self.chunked_read:
+            self.simple_response("400 Bad Request", "chunks need HTTP/1.1")
+            return False
+        return True
+
+    def respond(self) -> None:
+        """Run the application."""
+        body_seconds = BODY_FACTOR * self.server.timeout
+        self.conn.read_until = time.monotonic() + body_seconds
+        self._app_started = True
+        if self.chunked_read:
+            self.rfile = ChunkedBody(self.conn.rfile, self.server.max_request_body_size)
+        else:
+            length = int(self.inheaders.get(b"Content-Length", 0))
+            self.rfile = KnownLengthRFile(self.conn.rfile, length)
+        self.server.gateway(self).respond()
+        self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(LAST_CHUNK)
+
+    def send_headers(self) -> None:
+        """Send status and headers."""
+        if self.chunked_read and not self.rfile.finished:
+            self.close_connection = True
+        super().send_headers()
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer what never reached the application, and close the connection.
+
+        cheroot answers in plain text and keeps some connections open.
+        """
+        self.close_connection = True
+        code = int(str(status)[:3])
+        body = json.dumps(self._problem(code, msg or str(status)[4:])).encode()
+        verdict = self._verdict(code).value
+        head = (
+            f"{self.server.protocol} {code} -\r\n"
+            "Content-Type: application/problem+json\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            f"Swifttide-Verdict: {verdict}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        with suppress(OSError):
+            self.conn.wfile.write(head.encode() + body)
+
+    def _problem(self, code: int, detail: str) -> dict[str, Any]:
+        other = Reason.BAD_REQUEST if code < _FIRST_SERVER_ERROR else Reason.INTERNAL
+        reason = _REASONS.get(code, other)
+        return {
+            "title": reason.value.replace("_", " "),
+            "status": code,
+            "reason": reason.value,
+            "detail": detail,
+            "verdict": self._verdict(code).value,
+            "retry_after_seconds": None,
+        }
+
+    def _verdict(self, code: int) -> Verdict:
+        if not self._app_started or code in _NOT_STARTED:
+            return Verdict.NOT_RUN
+        return Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
@@ -0,0 +1,267 @@
+"""Bad input at a port, as the bytes that an attacker sends."""
+
+import json
+import socket
+from types import SimpleNamespace
+
+import pytest
+
+from swifttide_daemon.settings import LimitSettings
+from swifttide_daemon.web import App, Response, Route, WebServer
+
+MAX_BODY = 4096
+LIMITS = LimitSettings(
+    max_body_bytes=MAX_BODY,
+    max_header_bytes=2048,
+    max_connections=4,
+    idle_seconds=1,
+    caller_threads=2,
+)
+
+
+def start(limits=LIMITS):
+    """Serve an application that tells which bodies reached it."""
+    seen = []
+
+    def echo(req):
+        seen.append((req.path, req.body))
+        return Response.from_json({"path": req.path, "n": len(req.body)})
+
+    routes = [Route("POST", "/echo", echo), Route("GET", "/smuggled", echo)]
+    app = App(routes, limits.max_body_bytes)
+    web = WebServer.from_settings("127.0.0.1", 0, app, limits.caller_threads, limits)
+    web.start()
+    return SimpleNamespace(web=web, seen=seen)
+
+
+@pytest.fixture(scope="module")
+def running():
+    found = start()
+    yield found
+    found.web.stop()
+
+
+@pytest.fixture
+def server(running):
+    running.seen.clear()
+    return running
+
+
+def connect(server):
+    sock = socket.create_connection(("127.0.0.1", server.web.port), timeout=10)
+    sock.settimeout(10)
+    return sock
+
+
+def exchange(server, data):
+    """Send bytes and return all that comes until the server closes."""
+    with connect(server) as sock:
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_WR)
+        received = b""
+        while True:
+            try:
+                chunk = sock.recv(65536)
+            except ConnectionResetError:
+                return received
+            if not chunk:
+                return received
+            received += chunk
+
+
+def request(*headers, body=b"", line="POST /echo HTTP/1.1"):
+    head = "\r\n".join([line, "Host: h", *headers])
+    return head.encode("latin-1") + b"\r\n\r\n" + body
+
+
+SMUGGLED = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+CHUNKED = "Transfer-Encoding: chunked"
+
+
+class TestFraming:
+    """Between caller and host stands a balancer that shares its connections. Where
+    the two disagree on where a request ends, the rest of it runs as a request of
+    its own, after the next caller's headers.
+    """
+
+    @pytest.mark.parametrize(
+        "headers, body",
+        [
+            (["Content-Length: 5", CHUNKED], b"0\r\n\r\n" + SMUGGLED),
+            (["Content-Length: 5", "Content-Length: 0"], b"hello" + SMUGGLED),
+            (["Content-Length: +5"], b"hello" + SMUGGLED),
+            (["Content-Length: 0_5"], b"hello" + SMUGGLED),
+            (["Content-Length: -5"], SMUGGLED),
+            (["Content-Length: 5, 5"], b"hello" + SMUGGLED),
+            (["Content-Length : 5"], b"hello" + SMUGGLED),
+            (["Content_Length: 5"], b"hello" + SMUGGLED),
+            ([" Content-Length: 5"], b"hello" + SMUGGLED),
+            (["X: y", " z"], SMUGGLED),
+            (["X: y\nContent-Length: 5"], b"hello" + SMUGGLED),
+            (["X: y\x00"], SMUGGLED),
+            (["Transfer-Encoding: xchunked"], b"0\r\n\r\n" + SMUGGLED),
+            (["Transfer-Encoding: chunked, chunked"], b"0\r\n\r\n" + SMUGGLED),
+            ([CHUNKED, "Transfer-Encoding: identity"], b"0\r\n\r\n" + SMUGGLED),
+            (["no colon"], SMUGGLED),
+            (["Authorization: Bearer a", "Authorization: Bearer b"], SMUGGLED),
+            (["Swifttide-Program: a", "Swifttide-Program: b"], SMUGGLED),
+            ([f"X-{i}: y" for i in range(101)], SMUGGLED),
+        ],
+    )
+    def test_ambiguous_headers_are_refused(self, server, headers, body):
+        answer = exchange(server, request(*headers, body=body))
+        assert answer.startswith(b"HTTP/1.1 400")
+        assert b"Swifttide-Verdict: not_run" in answer
+        assert answer.count(b"HTTP/1.1") == 1
+        assert server.seen == []
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"+5\r\nhello\r\n0\r\n\r\n",
+            b"0x5\r\nhello\r\n0\r\n\r\n",
+            b"-1\r\nhello\r\n0\r\n\r\n",
+            b"5\nhello\r\n0\r\n\r\n",
+            b"5\r\nhelloXX0\r\n\r\n",
+            b"5\r\nhello\r\n0\r\nX: trailer\r\n\r\n",
+            b"5\r\nhel",
+            b"5" * 1000,
+            b"5;" + b"x" * 1000,
+            b"FFFFFFFF\r\n" + b"x" * 100,
+        ],
+    )
+    def test_malformed_chunks_end_the_connection(self, server, body):
+        answer = exchange(server, request(CHUNKED, body=body + SMUGGLED))
+        assert answer.startswith((b"HTTP/1.1 400", b"HTTP/1.1 413"))
+        assert b"Swifttide-Verdict: not_run" in answer
+        assert answer.count(b"HTTP/1.1") == 1
+        assert server.seen == []
+
+    def test_chunks_of_an_old_protocol(self, server):
+        line = "POST /echo HTTP/1.0"
+        answer = exchange(server, request(CHUNKED, body=SMUGGLED, line=line))
+        assert b" 400 " in answer
+        assert server.seen == []
+
+    def test_plain_requests_share_a_connection(self, server):
+        first = request("Content-Length: 5", body=b"hello")
+        second = request(CHUNKED, body=b"5;x=y\r\nhello\r\n3\r\nyou\r\n0\r\n\r\n")
+        answer = exchange(server, first + second + SMUGGLED)
+        assert answer.count(b"HTTP/1.1 200") == 3
+        assert [b for _, b in server.seen] == [b"hello", b"helloyou", b""]
+
+    def test_repeatable_headers(self, server):
+        headers = ["Accept: a", "Accept: b", "Content-Length: 0"]
+        assert b" 200 " in exchange(server, request(*headers))
+
+
+class TestLimits:
+    def test_long_headers(self, server):
+        answer = exchange(server, request("X: " + "y" * 4096))
+        assert b" 413 " in answer
+        assert b"not_run" in answer
+
+    def test_long_request_line(self, server):
+        line = "POST /" + "y" * 4096 + " HTTP/1.1"
+        assert b" 414 " in exchange(server, request(line=line))
+
+    def test_long_declared_body(self, server):
+        answer = exchange(server, request(f"Content-Length: {MAX_BODY + 1}"))
+        assert b" 413 " in answer
+        assert json.loads(answer.partition(b"\r\n\r\n")[2])["verdict"] == "not_run"
+
+    def test_long_chunked_body(self, server):
+        body = b"%x\r\n%s\r\n" % (2048, b"x" * 2048) * 3
+        answer = exchange(server, request(CHUNKED, body=body))
+        assert b" 400 " in answer or b" 413 " in answer
+        assert server.seen == []
+
+    def test_body_that_breaks_off(self, server):
+        answer = exchange(server, request("Content-Length: 50", body=b"half"))
+        assert b" 400 " in answer
+        assert server.seen == []
+
+    def test_silent_connections_take_no_thread(self, server):
+        """A balancer opens connections ahead of use. Were each given a thread, as
+        many as there are threads would stop the host.
+        """
+        silent = [connect(server) for _ in range(LIMITS.caller_threads)]
+        answer = exchange(server, request("Content-Length: 2", body=b"hi"))
+        assert b" 200 " in answer
+        for sock in silent:
+            sock.close()
+
+    def test_trickled_headers_end(self, server):
+        """A caller sends a byte now and then so that no read ever times out, and
+        holds a thread for as long as it likes.
+        """
+        with connect(server) as sock:
+            sock.sendall(b"POST /echo HTTP/1.1\r\nX: ")
+            sock.settimeout(0.2)
+            received = None
+            for _ in range(100):
+                try:
+                    sock.sendall(b"y")
+                    received = sock.recv(4096)
+                    break
+                except TimeoutError:
+                    continue
+                except (BrokenPipeError, ConnectionResetError):
+                    received = b""
+                    break
+            assert received is not None
+            assert received == b"" or b"not_run" in received
+
+    def test_idle_connection_is_closed(self, server):
+        with connect(server) as sock:
+            assert sock.recv(10) == b""
+
+    def test_too_many_connections(self):
+        """A client leaks connections. The host must go on for those that it has
+        and tell the others that nothing was run.
+        """
+        limits = LimitSettings(max_connections=2, idle_seconds=30, caller_threads=2)
+        server = start(limits)
+        kept = [connect(server) for _ in range(2)]
+        for sock in kept:
+            sock.sendall(request("Content-Length: 2", body=b"hi"))
+            assert b" 200 " in sock.recv(4096)
+        refused = connect(server).recv(4096)
+        assert b" 503 " in refused
+        assert b"Swifttide-Verdict: not_run" in refused
+        assert b"Retry-After: 1" in refused
+        kept[0].sendall(request("Content-Length: 2", body=b"hi"))
+        assert b" 200 " in kept[0].recv(4096)
+        for sock in kept:
+            sock.close()
+        server.web.stop()
+
+
+class TestJunk:
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"",
+            b"\r\n" * 5,
+            b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+            b"GET\r\n\r\n",
+            b"GET / HTTP/9.9\r\n\r\n",
+            b"get /smuggled HTTP/1.1\r\n\r\n",
+            b"GET /smuggled\x00 HTTP/1.1\r\n\r\n",
+            b"GET //[ HTTP/1.1\r\n\r\n",
+            b"CONNECT h:1 HTTP/1.1\r\n\r\n",
+            b"GET http://other/smuggled HTTP/1.1\r\nHost: h\r\n\r\n",
+            bytes(range(256)) * 4,
+        ],
+    )
+    def test_junk_reaches_no_handler(self, server, data):
+        answer = exchange(server, data)
+        assert b" 200 " not in answer
+        assert server.seen == []
+
+    def test_refusals_repeat_no_input(self, server):
+        """A header with a key in it is malformed. The refusal stands in the
+        caller's log, the balancer's and ours.
+        """
+        answer = exchange(server, request("Authorization: Bearer sk-1\x00"))
+        assert b"sk-1" not in answer
