--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
@@ -0,0 +1,137 @@
+"""The programs that this host decides for, in memory."""
+
+import threading
+import time
+
+from expression import Ok, Result
+
+from swifttide_core.programs import ProgramRow
+from swifttide_core.verdicts import Refusal
+from swifttide_daemon.calls import Call
+from swifttide_daemon.programs._chunk import Chunk, Message
+from swifttide_daemon.programs._program_store import ProgramStore
+from swifttide_daemon.programs._program_tree import ProgramEntry, ProgramTree
+
+MAX_HISTORY_BYTES = 64 * 1024 * 1024
+"""Conversations kept in memory; the rest is read again from the platform's objects."""
+
+FORGET_SECONDS = 900.0
+"""Silence after which a tree is dropped from memory; the platform has all of it."""
+
+
+class ProgramBook:
+    """Trees of programs by their root.
+
+    Parameters
+    ----------
+    store : ProgramStore
+    """
+
+    def __init__(self, store: ProgramStore) -> None:
+        self.store = store
+        self._trees: dict[str, ProgramTree] = {}
+        self._lock = threading.Lock()
+
+    def tree(self, call: Call) -> ProgramTree:
+        """Return the tree that a call belongs to."""
+        with self._lock:
+            return self._trees.setdefault(call.placement_key, ProgramTree())
+
+    def entry(self, call: Call) -> ProgramEntry:
+        """Return the program that a call belongs to."""
+        tree = self.tree(call)
+        with tree.lock:
+            entry = tree.programs.setdefault(call.program, ProgramEntry())
+            entry.active_at = time.monotonic()
+            return entry
+
+    def known_rows(
+        self, call: Call, keys: tuple[str, ...]
+    ) -> tuple[ProgramRow, ...] | None:
+        """Return the rows of a turn if all of them are in memory."""
+        tree = self.tree(call)
+        with tree.lock:
+            if any(key not in tree.rows for key in keys):
+                return None
+            return tuple(tree.rows[key] for key in keys)
+
+    def learn(self, call: Call, rows: tuple[ProgramRow | None, ...]) -> None:
+        """Keep rows as read or written."""
+        tree = self.tree(call)
+        with tree.lock:
+            tree.rows.update({row.key: row for row in rows if row is not None})
+
+    def forget_rows(self, call: Call) -> None:
+        """Drop the rows of a tree: another host has written them."""
+        tree = self.tree(call)
+        with tree.lock:
+            tree.rows.clear()
+
+    def take_ahead(self, call: Call) -> int:
+        """Take what an earlier commit left reserved; nobody else gets it."""
+        tree = self.tree(call)
+        with tree.lock:
+            ahead, tree.ahead = tree.ahead, 0
+            return ahead
+
+    def leave_ahead(self, call: Call, tokens: int) -> None:
+        """Leave tokens reserved for the next turn of the tree."""
+        tree = self.tree(call)
+        with tree.lock:
+            tree.ahead += tokens
+
+    def count_unrecorded(self, call: Call, tokens: int) -> None:
+        """Count tokens of a turn that could not be recorded."""
+        tree = self.tree(call)
+        with tree.lock:
+            tree.unrecorded_tokens += tokens
+
+    def take_unrecorded(self, call: Call) -> int:
+        """Take the count of unrecorded tokens, for a commit."""
+        tree = self.tree(call)
+        with tree.lock:
+            tokens, tree.unrecorded_tokens = tree.unrecorded_tokens, 0
+            return tokens
+
+    def history(
+        self, entry: ProgramEntry, chunks: tuple[str, ...]
+    ) -> Result[tuple[Message, ...], Refusal]:
+        """Return the conversation of committed turns, reading what isn't in memory."""
+        if chunks[: len(entry.chunks)] != entry.chunks:
+            entry.chunks, entry.messages = (), ()
+        for name in chunks[len(entry.chunks) :]:
+            chunk = self.store.chunk(name)
+            if chunk.is_error():
+                return chunk
+            self.remember(entry, name, chunk.ok)
+        return Ok(entry.messages)
+
+    def remember(self, entry: ProgramEntry, name: str, chunk: Chunk) -> None:
+        """Add a committed turn to the conversation in memory."""
+        entry.messages += chunk.conversation()
+        entry.chunks += (name,)
+
+    def active_since(self, customer: str, root: str, program: str) -> float | None:
+        """Return when a program last ran here, now for one that runs, or None."""
+        tree = self._trees.get(f"{customer}/{root}")
+        entry = tree.programs.get(program) if tree else None
+        if entry is None:
+            return None
+        return entry.active_at if entry.order.idle else time.monotonic()
+
+    def trim(self) -> None:
+        """Drop trees that are silent, and histories beyond what may be kept."""
+        now = time.monotonic()
+        with self._lock:
+            self._trees = {
+                key: tree
+                for key, tree in self._trees.items()
+                if not tree.idle or now - tree.active_at < FORGET_SECONDS
+            }
+            trees = sorted(self._trees.values(), key=lambda t: -t.active_at)
+        kept = 0
+        for tree in trees:
+            for entry in tree.programs.values():
+                kept += sum(len(m.content) for m in entry.messages)
+                if kept > MAX_HISTORY_BYTES and entry.order.idle:
+                    entry.chunks, entry.messages = (), ()
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
@@ -0,0 +1,65 @@
+"""A root program and its sub-agents, as their holder has them in memory."""
+
+import threading
+from dataclasses import dataclass, field
+
+from swifttide_core.programs import ProgramRow
+from swifttide_daemon.calls import FifoLock
+from swifttide_daemon.programs._chunk import Message
+
+
+@dataclass(slots=True)
+class ProgramEntry:
+    """One program of a tree.
+
+    Parameters
+    ----------
+    order : FifoLock
+        Held by the call that runs.
+    chunks : tuple of str
+        Turns that `messages` holds.
+    messages : tuple of Message
+        Conversation of these turns.
+    active_at : float
+        Monotonic seconds of the last call.
+    """
+
+    order: FifoLock = field(default_factory=FifoLock)
+    chunks: tuple[str, ...] = ()
+    messages: tuple[Message, ...] = ()
+    active_at: float = 0.0
+
+
+@dataclass(slots=True)
+class ProgramTree:
+    """Programs that share a budget.
+
+    Parameters
+    ----------
+    programs : dict of str to ProgramEntry
+        By program id.
+    rows : dict of str to ProgramRow
+        As last read or written here, by the key of the row.
+    ahead : int
+        Tokens that a commit left reserved and no turn has taken yet.
+    unrecorded_tokens : int
+        Used while the platform was away, to be settled with the next commit.
+    lock : Lock
+        Guards the fields; not held during calls to the platform.
+    """
+
+    programs: dict[str, ProgramEntry] = field(default_factory=dict)
+    rows: dict[str, ProgramRow] = field(default_factory=dict)
+    ahead: int = 0
+    unrecorded_tokens: int = 0
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    @property
+    def idle(self) -> bool:
+        """Whether no call of the tree runs or waits."""
+        return all(entry.order.idle for entry in self.programs.values())
+
+    @property
+    def active_at(self) -> float:
+        """Monotonic seconds of the last call of any program of the tree."""
+        return max((e.active_at for e in self.programs.values()), default=0.0)
