ENH Keep shares in the daemon by ShareKeeper, fence their writes by the slot

An edit while a part was being given up put the part back in use, and a write without an answer that took effect late left it in use in two zones.

--- a/packages/swifttide_core/src/swifttide_core/limits/_share_keeper.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_share_keeper.py
@@ -64,6 +64,11 @@
         share = CustomerShare.from_config(customer, fraction, now, unserved_since)
         return cls(zone, zones, customer, row, version, share)
 
+    @property
+    def is_giving(self) -> bool:
+        """Whether a part is out of use here and not yet given up in the row."""
+        return isinstance(self._giving, GiveUp)
+
     def set_customer(self, now: float, customer: Customer) -> None:
         """Put an edit in force."""
         self.customer = customer
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_held_share.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_held_share.py
@@ -2,32 +2,30 @@
 
 from dataclasses import dataclass
 
-from swifttide_core.limits import CustomerShare, ZoneShares
-from swifttide_daemon.limits._share_rows import StoredShares
+from swifttide_core.limits import CustomerShare, ShareKeeper
 
 
 @dataclass(slots=True)
 class HeldShare:
-    """Bucket, the row that it rests on, and a move under way.
+    """Bucket and row, and when to look at them again.
 
     Parameters
     ----------
     epoch : int
         Epoch of the slot under which it was made.
-    share : CustomerShare
-    stored : StoredShares
-        The division among zones as last read.
-    giving : ZoneShares or None
-        Division that is written once the bucket has stopped using what it gives.
-    looked_at : float
-        Monotonic seconds of the last look at the row.
-    short : bool
-        Whether the bucket has asked other zones since: there may be an offer.
+    keeper : ShareKeeper
+    plan_at : float
+        Monotonic seconds of the next thought about moving a part of it.
+    offered : bool
+        Whether another zone's holder has said that the row holds an offer.
     """
 
     epoch: int
-    share: CustomerShare
-    stored: StoredShares
-    giving: ZoneShares | None = None
-    looked_at: float = 0.0
-    short: bool = False
+    keeper: ShareKeeper
+    plan_at: float = 0.0
+    offered: bool = False
+
+    @property
+    def share(self) -> CustomerShare:
+        """The bucket."""
+        return self.keeper.share
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_messages.py
@@ -31,10 +31,19 @@
 
 @dataclass(frozen=True, slots=True)
 class DrawAnswer:
-    """Tokens or a refusal; exactly one of the two is set."""
+    """Tokens or a refusal; exactly one of the two is set.
+
+    Parameters
+    ----------
+    batch : Batch or None
+    refused : RateRefused or None
+    offered : bool
+        Whether the customer's row holds an offer for the zone that asked.
+    """
 
     batch: Batch | None = None
     refused: RateRefused | None = None
+    offered: bool = False
 
     @classmethod
     def from_core(cls, answer: Batch | RateRefused) -> "DrawAnswer":
@@ -56,10 +65,20 @@
 
 @dataclass(frozen=True, slots=True)
 class YieldRequest:
-    """Another zone's holder of the customer asks for a part of the level."""
+    """Another zone's holder of the customer asks for a part of the level.
+
+    Parameters
+    ----------
+    holder : str
+        Host and incarnation that asks.
+    pull : Pull
+    zone : str
+        Its zone.
+    """
 
     holder: str
     pull: Pull
+    zone: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_rows.py
@@ -57,10 +57,27 @@
             return Ok(StoredShares(shares, found.ok.version))
         return self._create(customer)
 
-    def write(self, customer: str, stored: StoredShares, shares: ZoneShares) -> bool:
-        """Write a division if nobody else has since; return whether it took effect."""
+    def write(
+        self,
+        customer: str,
+        version: int,
+        shares: ZoneShares,
+        checks: tuple[Check, ...] = (),
+    ) -> bool:
+        """Write a division if nobody else has since; return whether it took effect.
+
+        Parameters
+        ----------
+        customer : str
+        version : int
+            Of the row that the division was made from.
+        shares : ZoneShares
+        checks : tuple of Check
+            Further conditions. Without that of the slot, a holder that was paused
+            gives away a part that its successor has begun to use.
+        """
         tx = Transaction(
-            (Check(SHARES, customer, stored.version),),
+            (Check(SHARES, customer, version), *checks),
             (Write(SHARES, customer, shares.to_row()),),
         )
         outcome = self.platform.commit(tx)
@@ -71,7 +88,7 @@
         if zones.is_error():
             return zones
         shares = ZoneShares.from_config(customer, zones.ok)
-        if self.write(customer.name, StoredShares(shares, 0), shares):
+        if self.write(customer.name, 0, shares):
             again = self.platform.read(SHARES, customer.name)
             version = again.ok.version if again.is_ok() and again.ok else 0
             return Ok(StoredShares(shares, version, created=True))
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_service.py
@@ -3,13 +3,21 @@
 import logging
 import threading
 import time
+from dataclasses import replace
 
 import msgspec
 from expression import Error, Ok, Result
 
 from swifttide_core.configuration import Change
 from swifttide_core.documents import Customer, DocumentKind
-from swifttide_core.limits import Batch, CustomerShare, Pull, RateRefused
+from swifttide_core.limits import (
+    Batch,
+    CustomerShare,
+    Pull,
+    RateRefused,
+    ShareKeeper,
+    ZoneShares,
+)
 from swifttide_core.slots import SlotKind
 from swifttide_core.verdicts import Reason, Refusal
 from swifttide_daemon.configuration import ConfigService
@@ -21,7 +29,7 @@
     ReturnRequest,
     YieldRequest,
 )
-from swifttide_daemon.limits._share_rows import ShareRows
+from swifttide_daemon.limits._share_rows import ShareRows, StoredShares
 from swifttide_daemon.membership import MembershipService, MovedSlots
 from swifttide_daemon.peers import PeerClient
 from swifttide_daemon.targets import not_holder
@@ -75,22 +83,15 @@
         with self._lock:
             self._held.pop(customer, None)
 
-    def set_fraction(
-        self, customer: Customer, held: HeldShare, fraction: float
-    ) -> None:
-        """Let a bucket use another part of the customer's rate from now on."""
-        with self._lock:
-            held.share.set_limits(time.monotonic(), customer, fraction)
-
-    def within(self, held: HeldShare, burst: float) -> bool:
-        """Return whether a bucket can admit no more than `burst` at once."""
+    def next_write(self, held: HeldShare) -> ZoneShares | None:
+        """Return the row to write for a bucket, or None."""
         with self._lock:
-            return held.share.within(time.monotonic(), burst)
+            return held.keeper.next_write(time.monotonic())
 
-    def drawn_per_second(self, held: HeldShare) -> dict[str, float]:
-        """Return the tokens lent a second, by zone of the entry host."""
+    def learn(self, held: HeldShare, stored: StoredShares) -> None:
+        """Put a row in force that was read."""
         with self._lock:
-            return held.share.drawn_per_second(time.monotonic())
+            held.keeper.learn(time.monotonic(), stored.shares, stored.version)
 
     def draw(self, customer: str, req: DrawRequest) -> Result[DrawAnswer, Refusal]:
         """Lend tokens of a customer to an entry host."""
@@ -109,13 +110,12 @@
                 req.wanted,
                 now + self.membership.lease_remaining(),
                 draw_id=req.draw_id,
-                zone=req.entry_zone,
+                zone=req.entry_zone if req.entry_zone == self._zone else "",
                 partial=req.partial,
                 spend_seconds=req.spend_seconds,
                 returned=req.returned,
             )
             pulls = held.share.next_pulls(now, self.holder_id, others)
-            held.short = held.short or bool(pulls)
         for pull in pulls:
             # The caller's request doesn't wait for another zone's answer.
             args = (customer, held, pull)
@@ -137,8 +137,11 @@
         with self._lock:
             now = time.monotonic()
             lease_ends_at = now + self.membership.lease_remaining()
-            answer = found.ok.share.yield_to(now, req.holder, req.pull, lease_ends_at)
-        return Ok(DrawAnswer.from_core(answer))
+            answer = found.ok.share.yield_to(
+                now, req.holder, req.pull, lease_ends_at, zone=req.zone
+            )
+            offered = req.zone in found.ok.keeper.row.offers
+        return Ok(replace(DrawAnswer.from_core(answer), offered=offered))
 
     def receive(self, handovers: list[HandoverRequest]) -> None:
         """Keep what a former holder passes on until the slot is claimed here."""
@@ -178,15 +181,24 @@
                     retry_after_seconds=1.0,
                 )
             )
-        fraction = read.ok.shares.fraction(self._zone)
         with self._lock:
             held = self._held.get(customer)
             if held is not None and held.epoch == epoch:
                 return Ok(held)
-            share = self._new_share(document, fraction, epoch, read.ok.created)
-            held = self._held[customer] = HeldShare(epoch, share, read.ok)
+            keeper = self._new_keeper(document, read.ok, epoch)
+            held = self._held[customer] = HeldShare(epoch, keeper)
             return Ok(held)
 
+    def _new_keeper(
+        self, customer: Customer, stored: StoredShares, epoch: int
+    ) -> ShareKeeper:
+        fraction = stored.shares.fraction(self._zone)
+        share = self._new_share(customer, fraction, epoch, stored.created)
+        zones = tuple(self.membership.zones())
+        return ShareKeeper(
+            self._zone, zones, customer, stored.shares, stored.version, share
+        )
+
     def _new_share(
         self, customer: Customer, fraction: float, epoch: int, never_served: bool
     ) -> CustomerShare:
@@ -209,12 +221,13 @@
         holder = self.membership.holder(SlotKind.CUSTOMER, customer, pull.zone)
         if holder is None:
             return
-        req = YieldRequest(self.holder_id, pull)
+        req = YieldRequest(self.holder_id, pull, self._zone)
         path = f"/peer/v1/customers/{customer}/yield"
         sent = self.peers.call(holder.peer_url, "POST", path, req)
         if sent.is_error():
             return
         found = msgspec.convert(sent.ok, DrawAnswer)
+        held.offered = held.offered or found.offered
         answer: Batch | RateRefused | None = found.batch or found.refused
         if answer is not None:
             with self._lock:
@@ -244,5 +257,5 @@
             customer = self.config.customer(change.name)
             held = self.held().get(change.name)
             if customer is not None and held is not None:
-                fraction = held.stored.shares.fraction(self._zone)
-                self.set_fraction(customer, held, fraction)
+                with self._lock:
+                    held.keeper.set_customer(time.monotonic(), customer)
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -124,6 +124,17 @@
         with self._lock:
             return self._held.get(self.slot(kind, key))
 
+    def fence(self, kind: SlotKind, key: str, epoch: int) -> Check | None:
+        """Return the condition that a write of a key's holder is fenced by.
+
+        None when the slot isn't known to be held here under `epoch`.
+        """
+        slot = self.slot(kind, key)
+        rows = self.view.slots
+        if slot >= len(rows) or rows[slot].epoch != epoch:
+            return None
+        return Check(SLOTS, slot_key(self.me.zone, slot), rows[slot].version)
+
     def held_since(self, kind: SlotKind, key: str) -> float | None:
         """Return since when this host has held a key's slot without a break."""
         with self._lock:
