FIX Count changes of a program's holder, so that no reservation settles twice

Ruled out: checking the program's version instead, since sub-agents change the root's row rightly. Change: ProgramRow.term.

--- a/packages/swifttide_core/src/swifttide_core/programs/_program_row.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/_program_row.py
@@ -46,6 +46,10 @@
     holder : str
         Of the root: slot, zone and epoch that made the reservations. Another holder
         counts them as spent, since nobody can tell what became of those turns.
+    term : int
+        Of the root: counts changes of the holder. A zone can serve a program, lose
+        it to another zone and get it back while one of its turns is still running;
+        that turn's reservation was counted as spent in between.
     state : ProgramState
         An ended program takes no more calls.
     version : int
@@ -67,6 +71,7 @@
     root_turns: int = 0
     targets: tuple[str, ...] = ()
     holder: str = ""
+    term: int = 0
     state: ProgramState = ProgramState.OPEN
     version: int = 0
 
--- a/packages/swifttide_core/src/swifttide_core/programs/_turn_machine.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/_turn_machine.py
@@ -149,7 +149,8 @@
     if root.state is ProgramState.ENDED:
         return _refuse(Refusal(Reason.PROGRAM_ENDED, "the root program has ended"))
     if root.holder != turn.holder:
-        root = replace(keep_unknown(root), holder=turn.holder)
+        root = keep_unknown(root)
+        root = replace(root, holder=turn.holder, term=root.term + 1)
     result = reserve(root, turn.profile, turn.tokens)
     if result.is_error():
         return _refuse(result.error)
@@ -271,7 +272,7 @@
 def _commit_again(stored: Storing, program: ProgramRow, root: ProgramRow) -> TurnStep:
     if stored.turn.chunk_name(stored.number) in program.chunks:
         return _reply(stored)
-    if root.holder != stored.turn.holder:
+    if root.term != stored.root.term:
         # The successor counts this turn's reservation as spent; settling it here
         # would free it a second time.
         return _refuse(_unknown(Reason.NOT_HOLDER, "another host took over"))
--- a/packages/swifttide_core/src/swifttide_core/programs/tests/test_turn_machine.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/tests/test_turn_machine.py
@@ -59,11 +59,22 @@
         second time and the program would spend more than its budget.
         """
         state, row = committing()
-        row = replace(row, holder="b/7/1", budget_reserved=10, budget_used=10)
+        row = replace(row, holder="b/7/1", term=2, budget_reserved=10, budget_used=10)
         _, (refuse,) = run(state, RowsRead((row,)))
         assert refuse.refusal.reason is Reason.NOT_HOLDER
         assert refuse.refusal.verdict is Verdict.MAY_HAVE_RUN
 
+    def test_program_came_back_from_the_other_zone(self):
+        """As before, but the program has come back to this zone while the turn was
+        still running. The holder's name is the same again and the reservation is
+        spent all the same. Found by `make fuzz`, seed 2678900627: the
+        reservations fell to -10 tokens, which the next turns could spend.
+        """
+        state, row = committing()
+        row = replace(row, term=3, budget_reserved=10, budget_used=20)
+        _, (refuse,) = run(state, RowsRead((row,)))
+        assert refuse.refusal.verdict is Verdict.MAY_HAVE_RUN
+
     def test_program_ended_meanwhile(self):
         """An operator ends a program while its turn runs. A turn that still lands
         would bring cache and history of a program back that was released.
--- a/tests/fuzz/_settings.py
+++ b/tests/fuzz/_settings.py
@@ -34,6 +34,11 @@
         _run(machine, steps, LONG_EXAMPLES, fresh)
 
 
+def run_seed(machine, number, steps=STEPS):
+    """Run a seed that once found a fault; its number is never changed."""
+    _run(machine, steps, LONG_EXAMPLES, number)
+
+
 def _run(machine, steps, examples, number):
     # A subclass for each seed: the seed is kept as an attribute of the class.
     seeded = type(machine.__name__, (machine,), {})
--- a/tests/fuzz/test_turns_fuzz.py
+++ b/tests/fuzz/test_turns_fuzz.py
@@ -12,7 +12,7 @@
     Weather,
     Write,
 )
-from tests.fuzz._settings import run_fuzz
+from tests.fuzz._settings import run_fuzz, run_seed
 
 from swifttide_core.documents import Profile
 from swifttide_core.programs import (
@@ -264,3 +264,9 @@
         household would find its order of last week gone, or another's in its place.
         """
         run_fuzz(TurnMachine)
+
+    def test_seed_of_a_program_that_came_back(self):
+        """Found a reservation settled twice, when a zone lost a program and got it
+        back while a turn was running: a program spends more than its budget.
+        """
+        run_seed(TurnMachine, 2678900627)
