--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/swifttide_$(p))
 
-.PHONY: setup lint format test demo fuzz mutations
+.PHONY: setup lint format test demo capacity fuzz mutations
 
 setup: $(STAMP)
 
@@ -28,7 +28,12 @@
 	$(BIN)/python tools/run_tests.py
 
 demo: setup
-	@echo "no demo yet"
+	$(BIN)/python -m swifttide_standins.demo
+
+# Some four minutes; PARTS="control edits" measures only those.
+capacity: setup
+	mkdir -p out
+	$(BIN)/python -m swifttide_standins.capacity $(PARTS) --json out/capacity.json
 
 # Fuzzing with fresh seeds, FUZZ_SECONDS for each rule machine; prints each seed.
 # SWIFTTIDE_FUZZ_SEED=N runs one seed again.
