--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
@@ -10,7 +10,12 @@
 from swifttide_daemon.calls import Call
 from swifttide_daemon.programs._chunk import Chunk, Message
 from swifttide_daemon.programs._program_store import ProgramStore
-from swifttide_daemon.programs._program_tree import ProgramEntry, ProgramTree
+from swifttide_daemon.programs._program_tree import (
+    NOTHING_AHEAD,
+    Ahead,
+    ProgramEntry,
+    ProgramTree,
+)
 
 MAX_HISTORY_BYTES = 64 * 1024 * 1024
 """Conversations kept in memory; the rest is read again from the platform's objects."""
@@ -67,18 +72,25 @@
         with tree.lock:
             tree.rows.clear()
 
-    def take_ahead(self, call: Call) -> int:
+    def take_ahead(self, call: Call) -> Ahead:
         """Take what an earlier commit left reserved; nobody else gets it."""
         tree = self.tree(call)
         with tree.lock:
-            ahead, tree.ahead = tree.ahead, 0
+            ahead, tree.ahead = tree.ahead, NOTHING_AHEAD
             return ahead
 
-    def leave_ahead(self, call: Call, tokens: int) -> None:
-        """Leave tokens reserved for the next turn of the tree."""
+    def leave_ahead(self, call: Call, ahead: Ahead) -> None:
+        """Leave tokens reserved for the next turn of the tree.
+
+        What was left under an earlier term is spent, so it is dropped.
+        """
         tree = self.tree(call)
         with tree.lock:
-            tree.ahead += tokens
+            if ahead.term > tree.ahead.term:
+                tree.ahead = ahead
+            elif ahead.term == tree.ahead.term:
+                tokens = tree.ahead.tokens + ahead.tokens
+                tree.ahead = Ahead(tokens, ahead.term)
 
     def count_unrecorded(self, call: Call, tokens: int) -> None:
         """Count tokens of a turn that could not be recorded."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_chat_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_chat_runner.py
@@ -145,6 +145,7 @@
         slot = self.membership.slot(SlotKind.PROGRAM, call.placement_key)
         caller_keeps = permit.profile.history is HistoryMode.CALLER
         fresh = body.messages[-1:] if caller_keeps else body.messages
+        ahead = self.book.take_ahead(call)
         return Turn(
             attempt=new_id(),
             holder=f"{zone}/{slot}/{epoch}",
@@ -156,7 +157,8 @@
             new_root=self._new_row(permit, call.root, ""),
             profile=permit.profile,
             tokens=max_tokens + sum(len(m.content.encode()) for m in fresh),
-            ahead=self.book.take_ahead(call),
+            ahead=ahead.tokens,
+            ahead_term=ahead.term,
         )
 
     def _new_row(self, permit: Permit, program: str, parent: str) -> ProgramRow:
