--- a/packages/swifttide_core/src/swifttide_core/programs/_turn.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/_turn.py
@@ -31,6 +31,8 @@
     ahead : int
         Tokens that an earlier commit of this holder left reserved and that nobody
         else uses: a turn that they suffice for needs no write before it runs.
+    ahead_term : int
+        Term of the root's row under which they were left.
     """
 
     attempt: str
@@ -42,6 +44,7 @@
     profile: Profile
     tokens: int
     ahead: int = 0
+    ahead_term: int = 0
 
     @property
     def missing(self) -> int:
--- a/packages/swifttide_core/src/swifttide_core/programs/_turn_machine.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/_turn_machine.py
@@ -164,9 +164,12 @@
     if root.state is ProgramState.ENDED:
         return _refuse(Refusal(Reason.PROGRAM_ENDED, "the root program has ended"))
     if root.holder != turn.holder:
-        # What was left reserved by another holder is counted as spent with the rest.
+        root = keep_unknown(root)
+        root = replace(root, holder=turn.holder, term=root.term + 1)
+    if root.term != turn.ahead_term:
+        # Another holder has served the program since; it counted what was left
+        # reserved as spent with the rest.
         turn = replace(turn, ahead=0)
-        root = replace(keep_unknown(root), holder=turn.holder)
     result = reserve(root, turn.profile, turn.missing)
     if result.is_error():
         return _refuse(result.error)
@@ -281,7 +284,7 @@
     stored = state.stored
     match event:
         case RowsWritten():
-            return _reply(stored, state.ahead)
+            return _reply(stored, state.ahead, state.rows[-1].term)
         case RowsConflict():
             # A sub-agent settled on the same root, or another holder took over.
             read = ReadRows(stored.turn.keys)
@@ -307,7 +310,7 @@
         case ReplayTurn(number, chunk):
             # The caller had sent the turn again and another host committed it.
             return TurnStep(Settled(), (ReplyTurn(number, chunk),))
-    if root.holder != stored.turn.holder:
+    if root.term != stored.root.term:
         # The successor counts this turn's reservation as spent; settling it here
         # would free it a second time.
         return _refuse(_unknown(Reason.NOT_HOLDER, "another host took over"))
@@ -316,9 +319,9 @@
     return _commit(stored, program, root)
 
 
-def _reply(stored: Storing, ahead: int = 0) -> TurnStep:
+def _reply(stored: Storing, ahead: int = 0, term: int = 0) -> TurnStep:
     name = stored.turn.chunk_name(stored.number)
-    reply = ReplyTurn(stored.number, name, ahead)
+    reply = ReplyTurn(stored.number, name, ahead, term)
     return TurnStep(Settled(), (reply,))
 
 
