--- a/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
@@ -110,8 +110,10 @@
             Monotonic seconds, after the claim was committed.
         unserved_since : float or None
             Since when nobody can have served the customer in this zone: the end of
-            the former holder's lease, or ``-inf`` where the row shows that there
-            never was a holder. None when nothing is known: it starts empty.
+            the former holder's lease; ``BATCH_SECONDS`` after a planned stop, since
+            what it has lent may be in use for so long; ``-inf`` where the row shows
+            that there never was a holder. None when nothing is known: it starts
+            empty, and with what comes in from ``BATCH_SECONDS`` after now.
 
         Returns
         -------
@@ -121,8 +123,11 @@
         rate = customer.rate_per_second * fraction
         burst = customer.burst * fraction
         bucket = TokenBucket.empty(rate, burst, now)
-        if unserved_since is not None:
-            bucket.level = min(burst, rate * max(0.0, now - unserved_since))
+        since = now + BATCH_SECONDS if unserved_since is None else unserved_since
+        if since > now:
+            bucket.updated_at = since
+        else:
+            bucket.level = min(burst, rate * (now - since))
         return cls(bucket, fraction)
 
     @classmethod
@@ -144,7 +149,7 @@
         now : float
             Monotonic seconds, after the claim was committed.
         """
-        share = cls.from_config(customer, fraction, now)
+        share = cls.from_config(customer, fraction, now, now)
         for lent in state.lent:
             share._record(lent.entry_host, lent.batch, now + lent.seconds_left)
         share.bucket.level = min(state.level, share._room())
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_service.py
@@ -11,6 +11,7 @@
 from swifttide_core.configuration import Change
 from swifttide_core.documents import Customer, DocumentKind
 from swifttide_core.limits import (
+    BATCH_SECONDS,
     Batch,
     CustomerShare,
     Pull,
@@ -208,9 +209,11 @@
             return CustomerShare.from_handover(
                 customer, fraction, handover.state, received_at
             )
-        # Since the claim nobody else has served the customer, so what came in since
-        # then is there, although the bucket is only made now.
-        since = self.membership.held_since(SlotKind.CUSTOMER, customer.name)
+        # Since the claim nobody else has lent tokens, and what was lent before it is
+        # out of use a batch's life later; what came in from then on is there, although
+        # the bucket is only made now.
+        claimed_at = self.membership.held_since(SlotKind.CUSTOMER, customer.name)
+        since = None if claimed_at is None else claimed_at + BATCH_SECONDS
         if never_served:
             since = float("-inf")
         return CustomerShare.from_config(
