TST Test shares, keeper and entry hosts; FIX Count lent tokens in the time to come back

A refusal during a burst named the time of the next token as if nothing was lent; the caller that came back then was refused again (seen failing: test_refusal_tells...).

--- a/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_customer_share.py
@@ -403,10 +403,22 @@
         return replace(self._own_refusal(now), others=others)
 
     def _own_refusal(self, now):
-        wait = self.bucket.seconds_until(now)
+        # While a whole burst is lent nothing comes in: told only of the rate, the
+        # caller would come back too early and be refused again.
+        wait = self._blocked_seconds(now) + self.bucket.seconds_until(now)
         bucket = self.bucket
         return RateRefused(wait, bucket.level, bucket.rate, self.fraction)
 
+    def _blocked_seconds(self, now):
+        room = self._room()
+        if room >= 1.0:
+            return 0.0
+        for expires_at, key in sorted(self._expiries):
+            room += self._loans[key].batch.tokens if key in self._loans else 0.0
+            if room >= 1.0:
+                return max(0.0, expires_at - now)
+        return 0.0
+
     def _forget_old(self, now):
         self._empty_zones = {
             zone: empty
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/limits/tests/test_customer_share.py
@@ -0,0 +1,160 @@
+"""A customer's share at its holder."""
+
+import pytest
+
+from swifttide_core.documents import Customer
+from swifttide_core.limits import BATCH_SECONDS, Batch, CustomerShare, RateRefused
+
+CUSTOMER = Customer("c", 10.0, 20.0)
+FOREVER = float("inf")
+
+
+def full_share(now=0.0, customer=CUSTOMER):
+    return CustomerShare.from_config(customer, 1.0, now, float("-inf"))
+
+
+def draw(share, now, name, wanted=1.0, lease_ends_at=FOREVER, **options):
+    return share.draw(now, "h", wanted, lease_ends_at, draw_id=name, **options)
+
+
+def drain(share, now, prefix="d"):
+    """Return how many tokens are there."""
+    for n in range(1000):
+        if isinstance(draw(share, now, f"{prefix}{n}"), RateRefused):
+            return n
+    raise AssertionError("the share never ran out")
+
+
+class TestTakeover:
+    def test_new_holder_of_unknown_past_starts_empty(self):
+        """The former holder died after it had lent the whole burst. A successor that
+        starts full lends it again, and the customer gets two bursts at once.
+        """
+        share = CustomerShare.from_config(CUSTOMER, 1.0, 100.0)
+        assert drain(share, 100.0) == 0
+        assert drain(share, 100.0 + BATCH_SECONDS + 0.5) == 5
+
+    def test_counts_what_came_in_since_nobody_served(self):
+        share = CustomerShare.from_config(CUSTOMER, 1.0, 100.0, 99.5)
+        assert drain(share, 100.0) == 5
+
+    def test_batch_ends_with_the_holders_lease(self):
+        """A holder is paused right after it lent tokens, and another host takes its
+        slot over. Tokens that live on would be admitted on top of the new holder's.
+        """
+        batch = draw(full_share(), 0.0, "d", lease_ends_at=0.01, spend_seconds=0.5)
+        assert batch.ttl_seconds == pytest.approx(0.01)
+
+    def test_nothing_is_lent_after_the_lease(self):
+        assert isinstance(draw(full_share(), 5.0, "d", lease_ends_at=5.0), RateRefused)
+
+    def test_planned_stop_costs_no_burst(self):
+        """A host is replaced on an ordinary day. If its customers' buckets started
+        empty elsewhere, they would be refused for two seconds each time.
+        """
+        old = full_share()
+        draw(old, 0.0, "part", wanted=5.0, partial=True)
+        state = old.hand_over(0.0)
+        new = CustomerShare.from_handover(CUSTOMER, 1.0, state, 0.0)
+        assert drain(new, 0.0) == 15
+        assert isinstance(draw(old, 0.0, "late"), RateRefused)
+
+
+class TestLending:
+    def test_lent_tokens_count_against_the_burst(self):
+        """Answers with tokens are under way. Were they forgotten meanwhile, the
+        bucket would fill up behind them and the burst be exceeded by as many.
+        """
+        share = full_share()
+        draw(share, 0.0, "a", wanted=10.0, partial=True)
+        assert drain(share, 0.9) == 10
+
+    def test_same_draw_again_is_the_same_batch(self):
+        share = full_share()
+        assert draw(share, 0.0, "a") == draw(share, 0.0, "a")
+        assert drain(share, 0.0) == 19
+
+    def test_batch_given_back_twice_counts_once(self):
+        """The answer to a return is lost and the return is sent again."""
+        share = full_share()
+        drain(share, 0.0)
+        share = CustomerShare.from_config(CUSTOMER, 1.0, 0.0, -1.0)
+        draw(share, 0.0, "a", wanted=4.0, partial=True)
+        for _ in range(3):
+            share.give_back(0.0, "h", Batch("a", 4.0, 0.0))
+        assert drain(share, 0.0) == 10
+
+    def test_no_more_comes_back_than_was_lent(self):
+        share = CustomerShare.from_config(CUSTOMER, 1.0, 0.0, -1.0)
+        draw(share, 0.0, "a", wanted=4.0, partial=True)
+        share.give_back(0.0, "h", Batch("a", 99.0, 0.0))
+        assert drain(share, 0.0) == 10
+
+    def test_expired_tokens_are_gone(self):
+        """The entry host may have spent them without telling. Put back, they would
+        be admitted a second time.
+        """
+        slow = Customer("c", 0.001, 20.0)
+        share = full_share(customer=slow)
+        draw(share, 0.0, "a", wanted=20.0, partial=True)
+        assert drain(share, 100.0) == 0
+
+    def test_refusal_tells_when_to_come_back(self):
+        """A caller that comes back when it was told to, alone, is served."""
+        share = full_share()
+        drain(share, 0.0)
+        wait = draw(share, 0.0, "x").retry_after_seconds
+        assert isinstance(draw(share, wait - 0.01, "y"), RateRefused)
+        assert isinstance(draw(share, wait, "z"), Batch)
+
+
+class TestEdit:
+    def test_lower_burst_is_in_force_at_once(self):
+        share = full_share()
+        share.set_limits(0.0, Customer("c", 10.0, 3.0), 1.0)
+        assert drain(share, 0.0) == 3
+
+    def test_raised_burst_is_no_gift(self):
+        share = full_share()
+        drain(share, 0.0)
+        share.set_limits(0.0, Customer("c", 10.0, 99.0), 1.0)
+        assert drain(share, 0.0, "e") == 0
+
+
+class TestLevelling:
+    def halves(self):
+        empty = CustomerShare.from_config(CUSTOMER, 0.5, 0.0, 0.0)
+        full = CustomerShare.from_config(CUSTOMER, 0.5, 0.0, float("-inf"))
+        (pull,) = empty.next_pulls(0.0, "a", ("b",))
+        return empty, full, pull
+
+    def test_tokens_move_to_the_zone_that_is_short(self):
+        """All requests of a customer arrive in one zone. Its tokens in the other run
+        over while it is refused, though it is inside its rate.
+        """
+        empty, full, pull = self.halves()
+        answer = full.yield_to(0.0, "a", pull, FOREVER)
+        empty.settle_pull(0.001, pull.draw_id, answer)
+        assert drain(empty, 0.001) == 5
+        assert drain(full, 0.001) == 5
+
+    def test_late_answer_adds_nothing(self):
+        """The answer was held up until the giving zone had filled up again."""
+        empty, full, pull = self.halves()
+        answer = full.yield_to(0.0, "a", pull, FOREVER)
+        empty.settle_pull(0.2, pull.draw_id, answer)
+        assert drain(empty, 0.2) == 1
+
+    def test_answer_twice_adds_once(self):
+        empty, full, pull = self.halves()
+        answer = full.yield_to(0.0, "a", pull, FOREVER)
+        empty.settle_pull(0.001, pull.draw_id, answer)
+        empty.settle_pull(0.001, pull.draw_id, answer)
+        assert drain(empty, 0.001) == 5
+
+    def test_empty_zone_is_passed_on_with_refusals(self):
+        empty, other, pull = self.halves()
+        drain(other, 0.0)
+        answer = other.yield_to(0.0, "a", pull, FOREVER)
+        empty.settle_pull(0.001, pull.draw_id, answer)
+        assert set(draw(empty, 0.002, "x").others) == {"b"}
--- a/tests/fuzz/test_limits_fuzz.py
+++ b/tests/fuzz/test_limits_fuzz.py
@@ -34,6 +34,8 @@
     ["draw", "answer", "answer", "return", "pull", "pulled", "write", "row"]
 )
 SOME_ZONES = st.sampled_from([ZONES, ZONES, ("a",), ("b", "c")])
+FATE = st.sampled_from(["answered", "answered", "late", "unanswered"])
+REST = st.sampled_from([0.0, 0.03, 0.4, 1.2, 8.0])
 PICK = st.integers(0, 10_000)
 RARELY = st.sampled_from([False] * 4 + [True])
 
@@ -127,19 +129,24 @@
             if not holder.paused:
                 holder.lease_ends_at = self.now + LEASE_SECONDS
 
-    @rule(rest=st.sampled_from([0.0, 0.0, 1.2, 8.0]), levels_out=st.booleans())
-    def drain(self, rest, levels_out):
-        """Send requests, answered at once, until one is refused at each host."""
+    @rule(rest=REST, levels_out=st.booleans(), late=KIND, again=RARELY)
+    def drain(self, rest, levels_out, late, again):
+        """Send requests until all are refused; let late messages in, and go on."""
         self.wait(rest)
         for entry in self.entries:
             self._drain(entry, levels_out)
+        self.deliver(late, again, False, False)
+        for entry in self.entries:
+            self._drain(entry, levels_out)
 
-    @rule(who=PICK)
-    def lean(self, who):
-        """Send so much in one zone that it takes from the others for a while."""
+    @rule(who=PICK, fate=FATE)
+    def lean(self, who, fate):
+        """Send so much in one zone that it takes from the others, and shares move."""
         for _ in range(6):
             self._drain(self.entries[who % len(self.entries)], True)
             self.wait(0.3)
+        self.move_shares(fate)
+        self.move_shares(fate)
 
     @rule(who=PICK, n_calls=st.integers(1, 12), reach=st.booleans())
     def arrive(self, who, n_calls, reach):
@@ -150,7 +157,7 @@
         if reach:
             self.deliver("draw", False, False, False)
 
-    @rule(fate=st.sampled_from(["answered", "answered", "late", "unanswered"]))
+    @rule(fate=FATE)
     def move_shares(self, fate):
         for holder in self.holders:
             row, version = holder.keeper.next_write(self.now), holder.keeper.version
