--- a/packages/swifttide_core/src/swifttide_core/retries/_breaker_states.py
+++ b/packages/swifttide_core/src/swifttide_core/retries/_breaker_states.py
@@ -13,11 +13,14 @@
         Results of late, older ones counting less.
     updated_at : float
         Monotonic seconds up to which they were aged.
+    n_in_row : int
+        Failures since the last success.
     """
 
     n_ok: float
     n_failed: float
     updated_at: float
+    n_in_row: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_core/src/swifttide_core/retries/_circuit_breaker.py
+++ b/packages/swifttide_core/src/swifttide_core/retries/_circuit_breaker.py
@@ -6,8 +6,11 @@
 Without it: each request to it costs a try of its retry budget and up to a timeout
 of its program's deadline, until the platform's lagging list takes it out.
 
-Grounds: half of at least five late results is far above the failures of a healthy
-target, and is reached within five requests of a dead one. One probe at a time, so
+Grounds: five failures in a row are a dead target: one that fails one request in ten
+shows them once in 100,000. Half of the late results is a sick one. By the share
+alone a busy target that died was left alone only after 7 s, since its successes of
+the last seconds weighed against it (9.23% of the requests of the outage failed,
+docs/measurements-limits.md). One probe at a time, so
 that a target that is coming back meets one request and not all that waited. The
 pause doubles with each failed probe and has jitter, so that hosts don't probe in
 step.
@@ -18,8 +21,11 @@
 from swifttide_core.retries._breaker_pass import Blocked, Pass
 from swifttide_core.retries._breaker_states import Closed, HalfOpen, Open
 
+FAILED_IN_ROW = 5
+"""Failures without a success between them at which it opens."""
+
 MIN_RESULTS = 5.0
-"""Results below which nothing is concluded."""
+"""Results below which their shares say nothing."""
 
 FAILED_SHARE = 0.5
 """Share of failures at which it opens."""
@@ -99,10 +105,12 @@
         fade = math.exp(-max(0.0, now - closed.updated_at) / MEMORY_SECONDS)
         n_ok = closed.n_ok * fade + (1.0 if ok else 0.0)
         n_failed = closed.n_failed * fade + (0.0 if ok else 1.0)
-        self.state = Closed(n_ok, n_failed, now)
+        n_in_row = 0 if ok else closed.n_in_row + 1
+        self.state = Closed(n_ok, n_failed, now, n_in_row)
         # Five results within a second fade to just below five.
         n_results = round(n_ok + n_failed)
-        if n_results >= MIN_RESULTS and n_failed >= FAILED_SHARE * n_results:
+        is_sick = n_results >= MIN_RESULTS and n_failed >= FAILED_SHARE * n_results
+        if is_sick or n_in_row >= FAILED_IN_ROW:
             self._open(now, 1)
 
     def _open(self, now, n_trips):
