--- a/tests/fuzz/test_limits_fuzz.py
+++ b/tests/fuzz/test_limits_fuzz.py
@@ -30,11 +30,12 @@
 MARGIN_SECONDS = 0.05
 SLOW_CLOCK = 0.995
 ZONE = st.sampled_from(ZONES)
-KIND = st.sampled_from(
-    ["draw", "answer", "answer", "return", "pull", "pulled", "write", "row"]
-)
+KINDS = ("draw", "answer", "return", "pull", "pulled", "write", "row")
+KIND = st.sampled_from(KINDS)
 SOME_ZONES = st.sampled_from([ZONES, ZONES, ("a",), ("b", "c")])
 FATE = st.sampled_from(["answered", "answered", "late", "unanswered"])
+EARLY = st.sampled_from([(), ("draw",), ("pull",)])
+LATE = st.sampled_from([(), ("answer",), KINDS, KINDS])
 REST = st.sampled_from([0.0, 0.03, 0.4, 1.2, 8.0])
 PICK = st.integers(0, 10_000)
 RARELY = st.sampled_from([False] * 4 + [True])
@@ -129,28 +130,43 @@
             if not holder.paused:
                 holder.lease_ends_at = self.now + LEASE_SECONDS
 
-    @rule(rest=REST, levels_out=st.booleans(), late=KIND, again=RARELY)
-    def drain(self, rest, levels_out, late, again):
+    @rule(
+        rest=REST,
+        early=EARLY,
+        levels_out=st.booleans(),
+        late=LATE,
+        again=st.booleans(),
+    )
+    def drain(self, rest, early, levels_out, late, again):
         """Send requests until all are refused; let late messages in, and go on."""
         self.wait(rest)
+        for kind in early:
+            self.deliver(kind, False, False, False)
         for entry in self.entries:
             self._drain(entry, levels_out)
-        self.deliver(late, again, False, False)
+        for kind in late:
+            self.deliver(kind, again, False, False)
         for entry in self.entries:
             self._drain(entry, levels_out)
 
     @rule(who=PICK, fate=FATE)
     def lean(self, who, fate):
         """Send so much in one zone that it takes from the others, and shares move."""
-        for _ in range(6):
+        for _ in range(15):
             self._drain(self.entries[who % len(self.entries)], True)
             self.wait(0.3)
         self.move_shares(fate)
         self.move_shares(fate)
 
-    @rule(who=PICK, n_calls=st.integers(1, 12), reach=st.booleans())
-    def arrive(self, who, n_calls, reach):
+    @rule(
+        who=PICK,
+        rest=st.sampled_from([0.0, 0.4, 1.2]),
+        n_calls=st.integers(1, 12),
+        reach=st.booleans(),
+    )
+    def arrive(self, who, rest, n_calls, reach):
         """Send requests whose draws, or whose answers, stay under way."""
+        self.wait(rest)
         entry = self.entries[who % len(self.entries)]
         for _ in range(n_calls):
             self._go_on(entry, entry.take(self._clock(), self.customer))
@@ -204,6 +220,18 @@
             if self.now >= holder.lease_ends_at + MARGIN_SECONDS:
                 self._claim(zone, holder.lease_ends_at)
 
+    @rule(zone=ZONE, levels_out=st.booleans())
+    def replace(self, zone, levels_out):
+        """Pause a holder until another takes its slot over; it wakes up later."""
+        self.current[zone].paused = True
+        self.wait(LEASE_SECONDS - 0.1)
+        for entry in self.entries:
+            self._drain(entry, levels_out)
+        self.wait(0.2)
+        self.take_over()
+        for entry in self.entries:
+            self._drain(entry, levels_out)
+
     @rule(zone=ZONE, state_lost=RARELY)
     def stop_planned(self, zone, state_lost):
         holder = self.current[zone]
