ENH Refuse paths and keys that a target would read otherwise

Cause: what may never repeat is told by prefix of a service call's path. urllib3 resolves dot segments, so billing/x/../charge matched no prefix and went out as /charge, unjournaled: a charge that is sent again runs twice. A key that a client puts into a prompt or an id went on to targets, rows and logs. A target's folded Content-Type could add headers to our answer. A stopping host's Connection: close was written but not done by cheroot. Records of the standard library's loggers lost their extra fields and were not bounded. Ruled out: resolving the path ourselves (targets differ in what they resolve). Change: check_service_path, check_key_stays at the entry; content type passed on only where plain; the connection is closed where the answer says so; one filter bounds all records of the log.

--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_handlers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_handlers.py
@@ -19,6 +19,7 @@
 )
 from swifttide_daemon.entry._dispatcher import Dispatcher
 from swifttide_daemon.entry._gate import Gate
+from swifttide_daemon.entry._input_checks import check_key_stays, check_service_path
 from swifttide_daemon.entry._program_roots import ProgramRoots
 from swifttide_daemon.limits import RateLimiter
 from swifttide_daemon.platform import new_id
@@ -121,7 +122,8 @@
             path=path,
             content_type=req.header("content-type"),
         )
-        refusal = _check_service(profile, call)
+        refusal = check_service_path(req, service, path)
+        refusal = refusal or _check_service(profile, call)
         refusal = refusal or self.limiter.admit(admitted.ok.customer)
         if refusal is not None:
             return self._refuse(call.customer, refusal)
@@ -143,6 +145,9 @@
         identity = self.authenticator.customer(req)
         if identity.is_error():
             return identity
+        leak = check_key_stays(req)
+        if leak is not None:
+            return Error(leak)
         headers = CallHeaders.from_request(req)
         if headers.is_error():
             return headers
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_service_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_service_client.py
@@ -1,5 +1,7 @@
 """Calls of plain services."""
 
+import re
+
 import urllib3
 
 from swifttide_core.documents import Target
@@ -10,6 +12,8 @@
 from swifttide_daemon.transport import make_pool, verdict_of
 
 REQUEST_ID = "X-Request-Id"
+OTHER_CONTENT = "application/octet-stream"
+_PLAIN = re.compile(r"[\x20-\x7e]{1,200}")
 
 
 class ServiceClient:
@@ -90,5 +94,14 @@
                 "got an answer to another request",
                 Verdict.MAY_HAVE_RUN,
             )
-        content_type = answer.headers.get("Content-Type", "application/octet-stream")
-        return ServiceAnswer(answer.status, answer.data, content_type)
+        return ServiceAnswer(answer.status, answer.data, _content_type(answer))
+
+
+def _content_type(answer: urllib3.BaseHTTPResponse) -> str:
+    """Return the answer's content type where it is a plain one.
+
+    It is passed on to the caller as a header. A folded one carries a line break, by
+    which a target would add headers of its own to our answer.
+    """
+    value = answer.headers.get("Content-Type", "")
+    return value if _PLAIN.fullmatch(value) else OTHER_CONTENT
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_event_limiter.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_event_limiter.py
@@ -1,9 +1,12 @@
 """A bound on the lines that one kind of event writes."""
 
+import logging
 import threading
 import time
 from dataclasses import dataclass, field
 
+from swifttide_daemon.telemetry._json_formatter import FIELDS_ATTRIBUTE
+
 LINES_A_SECOND = 20
 """Enough to see what goes wrong; a line takes some 12 us of processor time."""
 
@@ -55,3 +58,28 @@
             suppressed = window.suppressed
             window.suppressed = 0
             return suppressed
+
+
+class LimitFilter(logging.Filter):
+    """Applies the bound to every record of a handler, those of libraries too.
+
+    Parameters
+    ----------
+    limiter : EventLimiter
+        Counts by the record's text before its arguments are put in.
+    """
+
+    def __init__(self, limiter: EventLimiter):
+        super().__init__()
+        self.limiter = limiter
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether a record is written."""
+        suppressed = self.limiter.allow(str(record.msg))
+        if suppressed is None:
+            return False
+        if suppressed:
+            fields = getattr(record, FIELDS_ATTRIBUTE, {})
+            more = {**fields, "suppressed": suppressed}
+            setattr(record, FIELDS_ATTRIBUTE, more)
+        return True
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_event_log.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_event_log.py
@@ -2,11 +2,11 @@
 
 import logging
 import sys
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TextIO
 
 from swifttide_daemon.settings import Settings
-from swifttide_daemon.telemetry._event_limiter import EventLimiter
+from swifttide_daemon.telemetry._event_limiter import EventLimiter, LimitFilter
 from swifttide_daemon.telemetry._json_formatter import FIELDS_ATTRIBUTE, JsonFormatter
 
 _LEVELS = {
@@ -26,8 +26,6 @@
     ----------
     logger : logging.Logger
         Where records go.
-    limiter : EventLimiter
-        Bound on the lines of one event.
 
     Notes
     -----
@@ -41,7 +39,6 @@
     """
 
     logger: logging.Logger
-    limiter: EventLimiter = field(default_factory=EventLimiter)
 
     @classmethod
     def from_settings(cls, cfg: Settings, stream: TextIO | None = None) -> "EventLog":
@@ -57,6 +54,7 @@
         level = _LEVELS[cfg.log.level]
         handler = logging.StreamHandler(stream or sys.stderr)
         handler.setFormatter(JsonFormatter(cfg.host, cfg.zone))
+        handler.addFilter(LimitFilter(EventLimiter()))
         root = logging.getLogger()
         root.handlers[:] = [handler]
         root.setLevel(level)
@@ -108,11 +106,6 @@
     ) -> None:
         if not self.logger.isEnabledFor(level):
             return
-        suppressed = self.limiter.allow(event)
-        if suppressed is None:
-            return
-        if suppressed:
-            fields = {**fields, "suppressed": suppressed}
         exc_info = (type(exc), exc, exc.__traceback__) if exc else None
         extra = {FIELDS_ATTRIBUTE: fields}
-        self.logger.log(level, "%s", event, extra=extra, exc_info=exc_info)
+        self.logger.log(level, event, extra=extra, exc_info=exc_info)
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_json_formatter.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_json_formatter.py
@@ -10,6 +10,11 @@
 FIELDS_ATTRIBUTE = "swifttide_fields"
 """Attribute of a record that holds the fields of an event."""
 
+_STANDARD = frozenset(
+    {*logging.makeLogRecord({}).__dict__, "message", "taskName", FIELDS_ATTRIBUTE}
+)
+"""Attributes that every record has; what else one has came as ``extra``."""
+
 
 class JsonFormatter(logging.Formatter):
     """Formats records of the daemon and of its libraries alike.
@@ -40,13 +45,18 @@
         }
         if record.name != "swifttide":
             line["logger"] = record.name
-        fields = getattr(record, FIELDS_ATTRIBUTE, {})
+        fields = _extra(record) | getattr(record, FIELDS_ATTRIBUTE, {})
         line |= {name: mask_field(name, value) for name, value in fields.items()}
         if record.exc_info and record.exc_info[0]:
             line |= _describe_exception(record.exc_info)
         return msgspec.json.encode(line).decode()
 
 
+def _extra(record: logging.LogRecord) -> dict[str, object]:
+    own = record.__dict__
+    return {name: own[name] for name in own if name not in _STANDARD}
+
+
 def _describe_exception(exc_info: tuple) -> dict[str, object]:
     """Return type, message and place of an exception.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/tests/test_event_log.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/tests/test_event_log.py
@@ -89,6 +89,20 @@
         assert "sk-" not in stream.getvalue()
         assert lines(stream)[1]["places"]
 
+    def test_records_of_other_loggers(self, stream):
+        """A part of the daemon logs with the standard library alone, at a rate that
+        follows the load.
+        """
+        make_log(stream)
+        logger = logging.getLogger("swifttide_daemon.part")
+        with freeze_time("2026-01-01"):
+            for i in range(100):
+                logger.info("target %s failed", i, extra={"request_id": f"r{i}"})
+        found = lines(stream)
+        assert len(found) == 20
+        assert found[3]["event"] == "target 3 failed"
+        assert found[3]["request_id"] == "r3"
+
     def test_line_break_in_a_value_starts_no_line(self, stream):
         """A caller sends a program id with a line break and a forged event."""
         make_log(stream).info("odd", program='p\n{"event":"forged"}')
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/_strict_request.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_strict_request.py
@@ -72,6 +72,9 @@
 
     def send_headers(self) -> None:
         """Send status and headers."""
+        if (b"Connection", b"close") in self.outheaders:
+            # cheroot writes the header and keeps the connection open all the same.
+            self.close_connection = True
         if self.chunked_read and not self.rfile.finished:
             self.close_connection = True
         super().send_headers()
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
@@ -27,7 +27,11 @@
         seen.append((req.path, req.body))
         return Response.from_json({"path": req.path, "n": len(req.body)})
 
+    def leave(req):
+        return Response(503, b"", (("Connection", "close"),))
+
     routes = [Route("POST", "/echo", echo), Route("GET", "/smuggled", echo)]
+    routes.append(Route("GET", "/leave", leave))
     app = App(routes, limits.max_body_bytes)
     web = WebServer.from_settings("127.0.0.1", 0, app, limits.caller_threads, limits)
     web.start()
@@ -150,6 +154,13 @@
         assert answer.count(b"HTTP/1.1 200") == 3
         assert [b for _, b in server.seen] == [b"hello", b"helloyou", b""]
 
+    def test_answer_that_closes(self, server):
+        """A host that stops says so, and the balancer sends more all the same."""
+        line = "GET /leave HTTP/1.1"
+        answer = exchange(server, request(line=line) + SMUGGLED)
+        assert answer.count(b"HTTP/1.1") == 1
+        assert server.seen == []
+
     def test_repeatable_headers(self, server):
         headers = ["Accept: a", "Accept: b", "Content-Length: 0"]
         assert b" 200 " in exchange(server, request(*headers))
