--- a/packages/swifttide_core/src/swifttide_core/programs/_turn_action.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/_turn_action.py
@@ -64,11 +64,14 @@
         Object name of the turn.
     ahead : int
         Tokens that the commit left reserved for the next turn.
+    term : int
+        Term of the root's row under which it did.
     """
 
     number: int
     chunk: str
     ahead: int = 0
+    term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/__init__.py
@@ -3,9 +3,10 @@
 from swifttide_daemon.programs._chunk import Chunk, Message
 from swifttide_daemon.programs._program_book import ProgramBook
 from swifttide_daemon.programs._program_store import ProgramStore, platform_refusal
-from swifttide_daemon.programs._program_tree import ProgramEntry, ProgramTree
+from swifttide_daemon.programs._program_tree import Ahead, ProgramEntry, ProgramTree
 
 __all__ = [
+    "Ahead",
     "Chunk",
     "Message",
     "ProgramBook",
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
@@ -8,6 +8,24 @@
 from swifttide_daemon.programs._chunk import Message
 
 
+@dataclass(frozen=True, slots=True)
+class Ahead:
+    """Tokens that are reserved for a later turn.
+
+    Parameters
+    ----------
+    tokens : int
+    term : int
+        Term of the root's row; under another one they are spent.
+    """
+
+    tokens: int
+    term: int
+
+
+NOTHING_AHEAD = Ahead(0, 0)
+
+
 @dataclass(slots=True)
 class ProgramEntry:
     """One program of a tree.
@@ -40,8 +58,8 @@
         By program id.
     rows : dict of str to ProgramRow
         As last read or written here, by the key of the row.
-    ahead : int
-        Tokens that a commit left reserved and no turn has taken yet.
+    ahead : Ahead
+        What a commit left reserved and no turn has taken yet.
     unrecorded_tokens : int
         Used while the platform was away, to be settled with the next commit.
     lock : Lock
@@ -50,7 +68,7 @@
 
     programs: dict[str, ProgramEntry] = field(default_factory=dict)
     rows: dict[str, ProgramRow] = field(default_factory=dict)
-    ahead: int = 0
+    ahead: Ahead = NOTHING_AHEAD
     unrecorded_tokens: int = 0
     lock: threading.Lock = field(default_factory=threading.Lock)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
@@ -31,6 +31,7 @@
 from swifttide_daemon.calls import Failed, Finished, RunningCall
 from swifttide_daemon.platform import Committed
 from swifttide_daemon.programs import (
+    Ahead,
     Chunk,
     Message,
     ProgramBook,
@@ -212,12 +213,14 @@
     def _reply(self, action: ReplyTurn) -> Finished | Failed:
         if action.chunk != self.turn.chunk_name(action.number):
             return self._replay(action)
-        self.book.leave_ahead(self.permit.call, action.ahead)
+        ahead = Ahead(action.ahead, action.term)
+        self.book.leave_ahead(self.permit.call, ahead)
         self.book.remember(self.entry, action.chunk, self.chunk)
         return finished(action.number, self.made)
 
     def _replay(self, action: ReplyTurn) -> Finished | Failed:
-        self.book.leave_ahead(self.permit.call, self.turn.ahead)
+        ahead = Ahead(self.turn.ahead, self.turn.ahead_term)
+        self.book.leave_ahead(self.permit.call, ahead)
         chunk = self.book.store.chunk(action.chunk)
         if chunk.is_error():
             return Failed(chunk.error.with_verdict(Verdict.RAN))
@@ -233,7 +236,8 @@
     def _refuse(self, refusal: Refusal) -> Failed:
         if refusal.verdict is Verdict.NOT_RUN:
             # Nothing used the reservation of an earlier commit.
-            self.book.leave_ahead(self.permit.call, self.turn.ahead)
+            ahead = Ahead(self.turn.ahead, self.turn.ahead_term)
+            self.book.leave_ahead(self.permit.call, ahead)
         if self.refusal is not None and self.refusal.verdict is refusal.verdict:
             return Failed(self.refusal)
         return Failed(refusal)
