--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_memory.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_memory.py
@@ -1,12 +1,8 @@
 """Resident memory of a host against programs, history and customers."""
 
-from concurrent.futures import ThreadPoolExecutor
-from itertools import cycle
-
 from swifttide_standins.capacity._fit import fit_line
 from swifttide_standins.capacity._site import DURABLE, Site, turn
 from swifttide_standins.capacity._slope import Slope
-from swifttide_standins.loadgen import Answered
 
 N_WORKERS = 8
 PROGRAM_COUNTS = (0, 250, 500, 1000)
@@ -51,13 +47,8 @@
 
 
 def _open_programs(site: Site, name: str, numbers: range, content: str) -> None:
-    client = site.client(DURABLE)
     specs = [turn(f"{name}-{n}", 1, content) for n in numbers]
-    with ThreadPoolExecutor(N_WORKERS) as pool:
-        attempts = list(pool.map(client.attempt, specs, cycle(site.endpoints)))
-    bad = [a.outcome for a in attempts if not isinstance(a.outcome, Answered)]
-    if bad:
-        raise RuntimeError(f"{len(bad)} programs weren't opened: {bad[0]}")
+    site.send(DURABLE, specs, N_WORKERS)
 
 
 def _customers() -> Slope:
--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_requests.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_requests.py
@@ -1,13 +1,11 @@
 """Processor time and platform calls of requests and tokens."""
 
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
-from itertools import cycle
 
 from swifttide_standins.capacity._site import CALLER, DURABLE, Site, turn
 from swifttide_standins.capacity._slope import Slope
 from swifttide_standins.capacity._usage import Usage, idle_usage
-from swifttide_standins.loadgen import Answered, CallSpec
+from swifttide_standins.loadgen import CallSpec
 
 IDLE_SECONDS = 5.0
 N_REQUESTS = 240
@@ -57,23 +55,10 @@
 def _run(
     site: Site, profile: str, make: Callable[[int], CallSpec], n_calls: int
 ) -> Usage:
-    """Send calls, a few at a time, and return what the site spent.
-
-    Raises
-    ------
-    RuntimeError
-        When a call isn't answered: its cost would pass for a request's.
-    """
-    client = site.client(profile)
+    """Send calls, a few at a time, and return what the site spent."""
     start = Usage.now(site)
-    with ThreadPoolExecutor(N_WORKERS) as pool:
-        specs = map(make, range(n_calls))
-        attempts = list(pool.map(client.attempt, specs, cycle(site.endpoints)))
-    used = Usage.now(site).since(start)
-    bad = [a.outcome for a in attempts if not isinstance(a.outcome, Answered)]
-    if bad:
-        raise RuntimeError(f"{len(bad)} of {n_calls} weren't answered: {bad[0]}")
-    return used
+    site.send(profile, map(make, range(n_calls)), N_WORKERS)
+    return Usage.now(site).since(start)
 
 
 def _service(path: str) -> Callable[[int], CallSpec]:
--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_site.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_site.py
@@ -1,11 +1,19 @@
 """A fleet of one zone with the documents that a measurement needs."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
+from itertools import cycle
 
 from swifttide_standins.launcher import Fleet, FleetPlan, Launcher, hash_key
-from swifttide_standins.loadgen import Balancer, CallSpec, Client, Endpoint
+from swifttide_standins.loadgen import (
+    Answered,
+    CallRecord,
+    CallSpec,
+    Client,
+    Endpoint,
+)
 
 ZONE = "za"
 CUSTOMER = "customer"
@@ -51,11 +59,33 @@
             site = cls(Fleet.start(launcher, whole))
             site._put_documents()
             time.sleep(SETTLE_SECONDS)
+            site._warm_up()
+            site._balancer.stop()
             yield site
 
-    def client(self, profile: str) -> Client:
-        """Return a client for calls to given hosts."""
-        return Client(Balancer([]), KEY, profile, ZONE)
+    def send(
+        self, profile: str, specs: Iterable[CallSpec], n_workers: int
+    ) -> list[CallRecord]:
+        """Send calls to the hosts in turn, a few at a time.
+
+        Raises
+        ------
+        RuntimeError
+            When a call isn't answered in the end: its cost would pass for a
+            request's.
+        """
+        client = Client(self._balancer, KEY, profile, ZONE)
+        with ThreadPoolExecutor(n_workers) as pool:
+            records = list(pool.map(client.call, specs, cycle(self.endpoints)))
+        bad = [r.outcome for r in records if not isinstance(r.outcome, Answered)]
+        if bad:
+            raise RuntimeError(f"{len(bad)} calls weren't answered: {bad[0]}")
+        return records
+
+    def _warm_up(self) -> None:
+        """Let every host open its connections and draw the customer's tokens."""
+        specs = [turn(f"warm-up-{n}", 1) for n in range(4 * len(self.endpoints))]
+        self.send(CALLER, specs, n_workers=2)
 
     def cpu_seconds(self) -> float:
         """Return the processor time that all daemons used so far."""
