--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_site.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_site.py
@@ -9,6 +9,7 @@
 from swifttide_standins.launcher import Fleet, FleetPlan, Launcher, hash_key
 from swifttide_standins.loadgen import (
     Answered,
+    Balancer,
     CallRecord,
     CallSpec,
     Client,
@@ -36,6 +37,7 @@
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.endpoints = [Endpoint(h.name, h.zone, h.url) for h in fleet.hosts.values()]
+        self._balancer = Balancer(self.endpoints)
 
     @classmethod
     @contextmanager
