--- a/packages/swifttide_standins/src/swifttide_standins/capacity/__main__.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/__main__.py
@@ -14,12 +14,14 @@
 from swifttide_standins.capacity._report import print_slopes, write_slopes
 from swifttide_standins.capacity._requests import measure_requests
 from swifttide_standins.capacity._slope import Slope
+from swifttide_standins.capacity._targets import measure_targets
 
 PARTS = {
     "control": measure_control,
     "requests": measure_requests,
     "memory": measure_memory,
     "edits": measure_edits,
+    "targets": measure_targets,
 }
 
 
--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_requests.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_requests.py
@@ -26,8 +26,10 @@
         for name, profile, make in (
             ("a repeatable service call", CALLER, _service("look")),
             ("a non-repeatable service call", CALLER, _service("charge")),
-            ("a chat turn, caller's history", CALLER, _turn("c", 1)),
-            ("a chat turn, durable history", DURABLE, _turn("d", 1)),
+            ("a first chat turn, caller's history", CALLER, _turns("c", 1)),
+            ("a further chat turn, caller's history", CALLER, _turns("c", 2)),
+            ("a first chat turn, durable history", DURABLE, _turns("d", 1)),
+            ("a further chat turn, durable history", DURABLE, _turns("d", 2)),
         ):
             used = _run(site, profile, make, N_REQUESTS).without(idle)
             slopes += _per_request(f"{name}, {where}", used)
@@ -69,5 +71,15 @@
     return make
 
 
+def _turns(name: str, number_of_turn: int) -> Callable[[int], CallSpec]:
+    """Return the maker of one turn of `N_REQUESTS` programs."""
+
+    def make(number: int) -> CallSpec:
+        program = f"{name}-{number}"
+        return CallSpec.from_turn(program, "", number_of_turn, "go on", 1)
+
+    return make
+
+
 def _turn(name: str, words: int) -> Callable[[int], CallSpec]:
     return lambda number: turn(f"{name}-{number}", words)
--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_site.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_site.py
@@ -6,6 +6,7 @@
 from contextlib import contextmanager
 from itertools import cycle
 
+from swifttide_standins.capacity._traffic import connection_bytes
 from swifttide_standins.launcher import Fleet, FleetPlan, Launcher, hash_key
 from swifttide_standins.loadgen import (
     Answered,
@@ -23,6 +24,7 @@
 CALLER = "caller"
 SETTLE_SECONDS = 3.0
 WORDS_PER_SECOND = 2000.0
+MAX_RUNNING = 64
 
 
 class Site:
@@ -41,20 +43,26 @@
 
     @classmethod
     @contextmanager
-    def started(cls, n_hosts: int, **plan: object) -> Iterator["Site"]:
+    def started(
+        cls, n_hosts: int, words_per_second: float = WORDS_PER_SECOND, **plan: object
+    ) -> Iterator["Site"]:
         """Start a site, with the daemons' own default timing unless `plan` says so."""
         options = {
             "lease_seconds": 6.0,
             "renew_seconds": 2.0,
             "drift_margin_seconds": 1.0,
             "poll_seconds": 1.0,
+            "target_options": {"max_concurrency": MAX_RUNNING},
             **plan,
         }
         whole = FleetPlan(
             zones=(ZONE,),
             hosts_per_zone=n_hosts,
             engines_per_zone=1,
-            engine_options={"words_per_second": WORDS_PER_SECOND, "max_running": 64},
+            engine_options={
+                "words_per_second": words_per_second,
+                "max_running": MAX_RUNNING,
+            },
             **options,
         )
         with Launcher() as launcher:
@@ -93,6 +101,10 @@
         """Return the processor time that all daemons used so far."""
         return sum(h.process.cpu_seconds() for h in self.fleet.hosts.values())
 
+    def connection_bytes(self) -> int:
+        """Return the bytes on all connections of all daemons."""
+        return connection_bytes({h.process.pid for h in self.fleet.hosts.values()})
+
     def resident_bytes(self) -> float:
         """Return the resident memory of a daemon, on average."""
         sizes = [h.process.resident_bytes() for h in self.fleet.hosts.values()]
@@ -117,6 +129,20 @@
             }
             put("profile", profile, document)
 
+    def put_targets(self, numbers: range) -> None:
+        """Put documents of further targets, all of them at the one engine."""
+        (engine,) = self.fleet.engines.values()
+        for number in numbers:
+            name = f"{engine.name}-{number}"
+            document = {
+                "name": name,
+                "kind": "engine",
+                "zone": engine.zone,
+                "url": engine.url,
+                "serves": "another-model",
+            }
+            self.fleet.operator.put("target", name, document)
+
     def grant(self, key: str, customer: str, withdrawn: bool = False) -> None:
         """Grant or withdraw a key."""
         document = {"key_hash": hash_key(key), "customer": customer}
--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_usage.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_usage.py
@@ -18,6 +18,8 @@
         Of all daemons.
     reads, writes, n_bytes : int
         At the platform, from daemons.
+    all_bytes : int
+        On all connections of the daemons that are open, sent and received.
     """
 
     at: float
@@ -25,6 +27,7 @@
     reads: int
     writes: int
     n_bytes: int
+    all_bytes: int
 
     @classmethod
     def now(cls, site: Site) -> "Usage":
@@ -37,6 +40,7 @@
             reads=counters["reads"],
             writes=counters["writes"],
             n_bytes=n_bytes,
+            all_bytes=site.connection_bytes(),
         )
 
     def since(self, start: "Usage") -> "Usage":
@@ -47,6 +51,7 @@
             reads=self.reads - start.reads,
             writes=self.writes - start.writes,
             n_bytes=self.n_bytes - start.n_bytes,
+            all_bytes=self.all_bytes - start.all_bytes,
         )
 
     def without(self, idle: "Usage") -> "Usage":
@@ -58,6 +63,7 @@
             reads=round(self.reads - idle.reads * share),
             writes=round(self.writes - idle.writes * share),
             n_bytes=round(self.n_bytes - idle.n_bytes * share),
+            all_bytes=round(self.all_bytes - idle.all_bytes * share),
         )
 
 
--- a/packages/swifttide_standins/src/swifttide_standins/launcher/_fleet.py
+++ b/packages/swifttide_standins/src/swifttide_standins/launcher/_fleet.py
@@ -166,6 +166,7 @@
             "url": member.url,
             "serves": serves,
             "checks_fencing": checks,
+            **self.plan.target_options,
         }
         self.operator.put("target", name, document)
 
--- a/packages/swifttide_standins/src/swifttide_standins/launcher/_fleet_plan.py
+++ b/packages/swifttide_standins/src/swifttide_standins/launcher/_fleet_plan.py
@@ -26,6 +26,8 @@
         Further options of the stand-ins' command lines.
     daemon_settings : dict
         Further settings of the daemons.
+    target_options : dict
+        Further members of the targets' documents.
     """
 
     zones: tuple[str, ...] = ("za", "zb")
@@ -41,6 +43,7 @@
     service_options: dict = field(default_factory=dict)
     platform_options: dict = field(default_factory=dict)
     daemon_settings: dict = field(default_factory=dict)
+    target_options: dict = field(default_factory=dict)
 
     def settings(self, zone: str, platform_url: str, operator_hash: str) -> dict:
         """Return the settings that a zone's daemons share."""
