--- a/packages/swifttide_standins/src/swifttide_standins/capacity/__main__.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/__main__.py
@@ -9,10 +9,16 @@
 import cappa
 
 from swifttide_standins.capacity._control import measure_control
+from swifttide_standins.capacity._derive import derive
 from swifttide_standins.capacity._edits import measure_edits
 from swifttide_standins.capacity._memory import measure_memory
-from swifttide_standins.capacity._report import print_slopes, write_slopes
+from swifttide_standins.capacity._report import (
+    print_derived,
+    print_slopes,
+    write_slopes,
+)
 from swifttide_standins.capacity._requests import measure_requests
+from swifttide_standins.capacity._size import Size
 from swifttide_standins.capacity._slope import Slope
 from swifttide_standins.capacity._targets import measure_targets
 
@@ -44,6 +50,9 @@
             print_slopes(found)
             print(f"{part}: {time.monotonic() - started:.0f} s", flush=True)
             slopes += found
+        if not self.parts:
+            values = {slope.name: slope.value for slope in slopes}
+            print_derived(derive(values, Size()))
         if self.json:
             write_slopes(slopes, self.json)
 
