--- a/benchmarks/policies/ideal.py
+++ b/benchmarks/policies/ideal.py
@@ -12,6 +12,7 @@
 
 import os
 W = float(os.environ.get("W","4.0"))
+SPARE = float(os.environ.get("SPARE","0.5"))
 FILL = float(os.environ.get("FILL","1.0"))
 
 
@@ -95,11 +96,12 @@
             (FILL * e.spec.cache_tokens - self.held[e.name] for e in engines),
             default=0.0,
         )
+        spare = any(self._is_spare(e) for e in engines)
         for call in sorted(self.waiting.values(), key=self._order):
             if call.call_id not in self.waiting:
                 continue
             if self._is_new(call):
-                if call.final_tokens > room:
+                if call.final_tokens > room and not spare:
                     continue
                 if not self._can_finish(call):
                     self._take(call)
@@ -129,12 +131,17 @@
         """Return whether the history may grow to its end here without evictions."""
         if self.home.get(call.agent) == engine.name:
             return True
-        if not self._is_new(call):
+        if not self._is_new(call) or self._is_spare(engine):
             return True
         held = self.held[engine.name]
         return held + call.final_tokens <= FILL * engine.spec.cache_tokens
 
+    def _is_spare(self, engine) -> bool:
+        return engine.n_running < SPARE * self.world.max_concurrency[engine.name]
+
     def _is_new(self, call: Call) -> bool:
+        if call.program.plan.urgency > 0:
+            return False
         return call.program.work_tokens == 0 and call.agent not in self.home
 
     def _can_finish(self, call: Call) -> bool:
--- a/benchmarks/policies/swifttide.py
+++ b/benchmarks/policies/swifttide.py
@@ -97,6 +97,7 @@
     deadlines: bool = True
     urgency: bool = True
     working_set: bool = True
+    remaining: bool = True
     mode: str = ""
 
 
@@ -124,6 +125,10 @@
         self.keep_events: dict[str, object] = {}
         self.paused_at: dict[str, tuple[float, str]] = {}
         self.pauses = PauseEstimator()
+        self.started_at: dict[str, float] = {}
+        self.duration: dict[str, float] = {}
+        self.length: dict[str, float] = {}
+        self.tokens: dict[str, tuple[str, float]] = {}
         self.output: dict[str, float] = {}
         self.snapshots: deque[dict] = deque(maxlen=VIEW_LAG)
         self.seconds = 0
@@ -221,6 +226,15 @@
             self._drop(agent)
         else:
             self.prefixes.pop(agent, None)
+        if agent == program.name and program.state == "running":
+            lasted = self.sim.now - self.started_at.pop(program.name, self.sim.now)
+            profile = program.plan.profile
+            seen = self.duration.get(profile, lasted)
+            self.duration[profile] = seen + 0.05 * (lasted - seen)
+        kind, tokens = self.tokens.pop(agent, ("", 0.0))
+        if program.state != "given_up" and kind:
+            seen = self.length.get(kind, tokens)
+            self.length[kind] = seen + 0.05 * (tokens - seen)
         for name in sorted(self.resident.pop(agent, ())):
             self._apply(self.queues[name].end_program(self.sim.now, agent))
 
@@ -370,6 +384,10 @@
             context_tokens=call.prompt_tokens + self.output.get(plan.profile, 150.0)
             if features.working_set and not call.is_service
             else 0.0,
+            expected_remaining_seconds=self.duration.get(plan.profile, 0.0)
+            if program.attained == 0 and not call.is_service and features.remaining
+            else 0.0,
+            expected_context_tokens=self.length.get(self._kind(call), 0.0),
         )
 
     def _apply(self, decisions) -> None:
@@ -391,6 +409,7 @@
             call.prompt_tokens, self.exported.pop(call.agent, 0)
         )
         if not call.is_service:
+            self.started_at.setdefault(call.program.name, self.sim.now)
             self.resident.setdefault(call.agent, set()).add(name)
         self.by_name[name].submit(call)
 
@@ -488,6 +507,7 @@
         seen = self.output.get(profile, float(call.output_tokens))
         self.output[profile] = seen + 0.05 * (call.output_tokens - seen)
         tokens = call.prompt_tokens + call.output_tokens
+        self.tokens[call.agent] = (self._kind(call), float(tokens))
         held = self.prefixes.setdefault(call.agent, {})
         for name in list(held):
             if name != call.target.name:
@@ -509,6 +529,9 @@
         )
         return tuple(held)
 
+    def _kind(self, call: Call) -> str:
+        return f"{call.program.plan.profile}/{call.parent != ''}"
+
     def _prefix_target(self, agent: str) -> str | None:
         held = self.prefixes.get(agent, {})
         return next(iter(held), None)
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -33,15 +33,25 @@
     burst: float
     level: float
     at: float = 0.0
+    over: bool = False
 
     def take(self, now: float) -> bool:
-        """Take one program start; return whether it was inside the rate."""
+        """Take one program start; return whether the customer is inside its rate.
+
+        Notes
+        -----
+        Once over, a customer stays so until half of its burst is back: which of
+        its programs are the surplus can't be said.
+        """
         self.level = min(self.burst, self.level + (now - self.at) * self.rate)
         self.at = now
         if self.level < 1.0:
+            self.over = True
             return False
         self.level -= 1.0
-        return True
+        if self.level >= self.burst / 2:
+            self.over = False
+        return not self.over
 
 
 def engine_seconds(step: Step, engine: EngineSpec) -> float:
--- a/packages/swifttide_core/src/swifttide_core/admission/_config.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_config.py
@@ -43,6 +43,9 @@
     working_set_fill : float
         Part of a target's memory that the expected histories of its programs may
         fill before new programs wait.
+    spare_fraction : float
+        Part of the limit below which a target counts as idle enough to compute
+        histories again, so that new programs enter whatever its memory holds.
     idle_program_seconds : float
         Silence after which a program counts as gone from a target.
     initial_stay_seconds : float
@@ -66,6 +69,7 @@
     drain_window_seconds: float = 15.0
     initial_service_seconds: float = 2.0
     working_set_fill: float = 1.0
+    spare_fraction: float = 0.5
     idle_program_seconds: float = 120.0
     initial_stay_seconds: float = 60.0
     min_retry_seconds: float = 0.5
--- a/packages/swifttide_core/src/swifttide_core/admission/_fair_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_fair_queue.py
@@ -8,8 +8,8 @@
 Each customer has a counter of tokens served over its weight, and the smallest
 counter goes next. A customer that comes back from a pause starts at the present
 counter, so that silence saves up no claim. Expected tokens are charged at the start
-and corrected at the end. Calls of programs under way and first calls wait in two
-lanes with the same counters, since first calls may be held back.
+and corrected at the end. First calls of programs wait in a lane of their own, with
+the same counters, since they may be held back.
 
 References
 ----------
@@ -34,8 +34,11 @@
 class Lane(IntEnum):
     """Where a call waits."""
 
-    UNDER_WAY = 0
-    FIRST = 1
+    READY = 0
+    """Calls of programs under way, and urgent ones: never held back."""
+
+    ENTRY = 1
+    """First calls of programs, which may have to wait for room."""
 
 
 @dataclass(slots=True)
@@ -80,7 +83,7 @@
         self._tickets: dict[str, tuple[Ticket, int]] = {}
         self._sequence = itertools.count()
         self._virtual_now = 0.0
-        self._n_first = 0
+        self._n_entering = 0
         self.active_weight = 0.0
 
     def __len__(self) -> int:
@@ -92,9 +95,9 @@
         return ticket_id in self._tickets
 
     @property
-    def n_first(self) -> int:
-        """First calls of programs that wait."""
-        return self._n_first
+    def n_entering(self) -> int:
+        """First calls that wait to enter."""
+        return self._n_entering
 
     @property
     def n_customers(self) -> int:
@@ -119,30 +122,30 @@
         tokens = lane.tokens.get(ticket.urgency, 0.0)
         lane.tokens[ticket.urgency] = tokens + ticket.expected_tokens
         lane.n_queued += 1
-        self._n_first += lane_of(ticket)
+        self._n_entering += lane_of(ticket)
         if lane.n_queued == 1:
             self._place(ticket.customer, state, lane_of(ticket))
 
-    def peek_first(self) -> Ticket | None:
-        """Return the first call of a program that would go next."""
-        name = self._top(Lane.FIRST)
+    def peek_entry(self) -> Ticket | None:
+        """Return the first call that would enter next."""
+        name = self._top(Lane.ENTRY)
         if name is None:
             return None
-        lane = self._customers[name].lanes[Lane.FIRST]
+        lane = self._customers[name].lanes[Lane.ENTRY]
         self._skip_stale(lane)
         return self._tickets[lane.calls[0][2]][0]
 
-    def pop(self, first_allowed: bool = True) -> Ticket | None:
+    def pop(self, entry_allowed: bool = True) -> Ticket | None:
         """Take the call that goes next and charge its customer.
 
         Parameters
         ----------
-        first_allowed : bool
+        entry_allowed : bool
             Whether a first call may be taken.
         """
         chosen, counter = None, float("inf")
         for lane in Lane:
-            if lane is Lane.FIRST and not first_allowed:
+            if lane is Lane.ENTRY and not entry_allowed:
                 continue
             name = self._top(lane)
             if name is not None and self._customers[name].counter < counter:
@@ -198,10 +201,10 @@
             if urgency >= ticket.urgency
         )
 
-    def first_ahead(self, ticket: Ticket) -> int:
+    def entries_ahead(self, ticket: Ticket) -> int:
         """Return the customer's waiting first calls."""
         state = self._customers.get(ticket.customer)
-        return 0 if state is None else state.lanes[Lane.FIRST].n_queued
+        return 0 if state is None else state.lanes[Lane.ENTRY].n_queued
 
     def share(self, ticket: Ticket) -> float:
         """Return the part of the target that the customer gets, in (0, 1]."""
@@ -284,7 +287,7 @@
         lane = state.lanes[lane_of(ticket)]
         lane.n_queued -= 1
         lane.tokens[ticket.urgency] -= ticket.expected_tokens
-        self._n_first -= lane_of(ticket)
+        self._n_entering -= lane_of(ticket)
         if lane.n_queued == 0:
             lane.tokens.clear()
             lane.calls.clear()
@@ -299,4 +302,4 @@
 
 def lane_of(ticket: Ticket) -> Lane:
     """Return the lane in which a call waits."""
-    return Lane.UNDER_WAY if ticket.under_way else Lane.FIRST
+    return Lane.ENTRY if ticket.enters else Lane.READY
--- a/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
@@ -265,13 +265,13 @@
             limit=self._limit.value,
             drain_per_second=self.drain_rate(now),
             service_seconds=self._drain.service_seconds,
-            entry_wait_seconds=self._entry_wait(self._queue.n_first),
+            entry_wait_seconds=self._entry_wait(self._queue.n_entering),
             leaving=self._leaving,
         )
 
     def _observe(self, now: float) -> None:
         self._drain.observe(now, len(self._queue) > 0)
-        self._entries.observe(now, self._queue.n_first > 0)
+        self._entries.observe(now, self._queue.n_entering > 0)
 
     def _known(self, ticket: Ticket) -> Admitted | Queued | None:
         grant = self._grants.get(ticket.ticket_id)
@@ -285,7 +285,7 @@
         self._expire_grants(now)
         decisions: list[Decision] = self._refuse_late(now)
         while len(self._grants) < self._limit.value:
-            ticket = self._queue.pop(first_allowed=self._first_allowed())
+            ticket = self._queue.pop(entry_allowed=self._entry_allowed())
             if ticket is None:
                 break
             decisions.append(self._grant(now, ticket))
@@ -294,21 +294,30 @@
     def _may_start(self, ticket: Ticket) -> bool:
         if len(self._grants) >= self._limit.value:
             return False
-        if ticket.under_way:
-            return len(self._queue) == self._queue.n_first
-        return len(self._queue) == 0 and self._working_set.has_room(
-            ticket.context_tokens
-        )
+        if not ticket.enters:
+            return len(self._queue) == self._queue.n_entering
+        return len(self._queue) == 0 and self._may_enter(ticket)
+
+    def _entry_allowed(self) -> bool:
+        ticket = self._queue.peek_entry()
+        return ticket is not None and self._may_enter(ticket)
+
+    def _may_enter(self, ticket: Ticket) -> bool:
+        return self._is_spare() or self._working_set.has_room(ticket.final_tokens)
 
-    def _first_allowed(self) -> bool:
-        ticket = self._queue.peek_first()
-        return ticket is not None and self._working_set.has_room(ticket.context_tokens)
+    def _is_spare(self) -> bool:
+        return len(self._grants) < self._cfg.spare_fraction * self._limit.value
 
     def _grant(self, now: float, ticket: Ticket) -> Admitted:
         if not ticket.under_way:
-            self._entries.entered(self._queue.n_first > 0)
+            self._entries.entered(self._queue.n_entering > 0)
         if ticket.context_tokens > 0:
-            self._working_set.hold(now, ticket.program, ticket.context_tokens)
+            self._working_set.hold(
+                now,
+                ticket.program,
+                ticket.context_tokens,
+                ticket.expected_context_tokens,
+            )
         return self._hold(ticket, now, now)
 
     def _hold(self, ticket: Ticket, granted_at: float, now: float) -> Admitted:
@@ -361,7 +370,10 @@
         return ticket.offered_at + attained - bonus
 
     def _latest_start(self, ticket: Ticket) -> float:
-        return ticket.deadline_at - self._drain.service_seconds
+        # A program that starts too late to finish would use its target and be given
+        # up all the same; callers in time would be refused for it.
+        needed = max(self._drain.service_seconds, ticket.expected_remaining_seconds)
+        return ticket.deadline_at - needed
 
     def _longest_wait(self, now: float, ticket: Ticket) -> float:
         longest = self._cfg.max_wait_seconds
@@ -373,19 +385,25 @@
         ahead = self._queue.tokens_ahead(ticket)
         first = self._drain.service_seconds / self._limit.value
         wait = ahead / self._own_rate(ticket) + first
-        if ticket.under_way:
+        if not ticket.enters:
             return wait
-        n_ahead = self._queue.first_ahead(ticket)
+        n_ahead = self._queue.entries_ahead(ticket)
         return max(wait, self._entry_wait(n_ahead / self._queue.share(ticket)))
 
     def _entry_wait(self, n_ahead: float) -> float:
         if not self._working_set.bounded:
             return 0.0
-        if n_ahead == 0 and self._working_set.has_room(0.0):
+        if n_ahead == 0 and (self._is_spare() or self._working_set.has_room(0.0)):
             return 0.0
         self._entries.set_service_seconds(self._working_set.stay_seconds)
         return (n_ahead + 1) / self._entries.per_second(self._working_set.n_places)
 
+    def _entry_spacing(self, ticket: Ticket) -> float:
+        if not self._working_set.bounded:
+            return 0.0
+        rate = self._entries.per_second(self._working_set.n_places)
+        return 1.0 / (rate * self._queue.share(ticket))
+
     def _own_rate(self, ticket: Ticket) -> float:
         rate = self._drain.tokens_per_second(self._limit.value, ticket.expected_tokens)
         return rate * self._queue.share(ticket)
@@ -400,6 +418,8 @@
 
     def _retry_after(self, now: float, ticket: Ticket, wait: float) -> float:
         spacing = ticket.expected_tokens / self._own_rate(ticket)
+        if ticket.enters:
+            spacing = max(spacing, self._entry_spacing(ticket))
         return self._returns.promise(now, ticket.customer, wait, spacing)
 
     def _refuse_full(self, now: float, ticket: Ticket, wait: float) -> Refused:
--- a/packages/swifttide_core/src/swifttide_core/admission/_ticket.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_ticket.py
@@ -28,6 +28,11 @@
         Cost that the program was served so far; 0 at its first call.
     context_tokens : float
         Length of the history after the call, which the target then holds.
+    expected_context_tokens : float
+        Length that the history is expected to reach, learned for the profile.
+    expected_remaining_seconds : float
+        Time that the program is expected to need from this call to its end, tool
+        pauses included, learned for the profile; 0 when unknown.
     offered_at : float
         Time at which the call entered the system, kept when it is offered to
         another target, so that moving loses no place.
@@ -43,6 +48,18 @@
     attained_tokens: float = 0.0
     offered_at: float = 0.0
     context_tokens: float = 0.0
+    expected_context_tokens: float = 0.0
+    expected_remaining_seconds: float = 0.0
+
+    @property
+    def final_tokens(self) -> float:
+        """Memory that the program will need in the end, as far as known."""
+        return max(self.context_tokens, self.expected_context_tokens)
+
+    @property
+    def enters(self) -> bool:
+        """Whether it may be held back until the target has room for its program."""
+        return not self.under_way and self.urgency <= 0
 
     @property
     def under_way(self) -> bool:
--- a/packages/swifttide_core/src/swifttide_core/admission/_working_set.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_working_set.py
@@ -6,9 +6,9 @@
 In the bench seven of ten tokens were then computed again and the engines finished a
 third of what they could.
 
-New programs therefore enter a target only while the histories held there, each counted
-at the length that it is expected to reach, fit into its memory. Calls of programs that
-are under way always pass.
+New programs therefore enter a busy target only while the histories held there, each
+counted at the length that it is expected to reach, fit into its memory. Calls of
+programs that are under way always pass.
 
 References
 ----------
@@ -19,7 +19,7 @@
 from dataclasses import dataclass
 
 SMOOTHING = 0.05
-"""Share of the newest program in the expected length and stay."""
+"""Share of the newest program in the mean length and stay."""
 
 
 @dataclass(slots=True)
@@ -52,7 +52,7 @@
         self._held: OrderedDict[str, _Held] = OrderedDict()
         self._counted = 0.0
         self._capacity = 0.0
-        self._expected = 0.0
+        self._mean_tokens = 0.0
         self._stay = initial_stay_seconds
 
     @property
@@ -68,21 +68,32 @@
     @property
     def n_places(self) -> float:
         """Programs that fit when all have the expected length."""
-        return max(1.0, self._fill * self._capacity / max(self._expected, 1.0))
+        return max(1.0, self._fill * self._capacity / max(self._mean_tokens, 1.0))
 
     def set_capacity(self, tokens: float) -> None:
         """Take over the memory that the target reports."""
         self._capacity = tokens
 
     def has_room(self, tokens: float) -> bool:
-        """Return whether a new program with such a first call may enter."""
+        """Return whether a program of that expected length fits."""
         if not self.bounded or not self._held:
             return True
-        more = max(tokens, self._expected)
-        return self._counted + more <= self._fill * self._capacity
+        return self._counted + tokens <= self._fill * self._capacity
 
-    def hold(self, now: float, program: str, tokens: float) -> None:
-        """Count a program's history, at least at its expected length."""
+    def hold(
+        self, now: float, program: str, tokens: float, expected_tokens: float
+    ) -> None:
+        """Count a program's history, at least at its expected length.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        program : str
+            Its id.
+        tokens, expected_tokens : float
+            Present and expected final length.
+        """
         held = self._held.get(program)
         if held is None:
             held = _Held(0.0, 0.0, now, now)
@@ -90,7 +101,7 @@
         held.tokens = tokens
         held.touched_at = now
         self._counted -= held.counted
-        held.counted = max(tokens, held.counted, self._expected)
+        held.counted = max(tokens, expected_tokens)
         self._counted += held.counted
         self._held.move_to_end(program)
 
@@ -101,9 +112,9 @@
             return False
         self._counted -= held.counted
         self._stay += SMOOTHING * (now - held.since - self._stay)
-        if self._expected == 0.0:
-            self._expected = held.tokens
-        self._expected += SMOOTHING * (held.tokens - self._expected)
+        if self._mean_tokens == 0.0:
+            self._mean_tokens = held.tokens
+        self._mean_tokens += SMOOTHING * (held.tokens - self._mean_tokens)
         return True
 
     def forget_idle(self, now: float) -> None:
