--- a/benchmarks/fake_engine.py
+++ b/benchmarks/fake_engine.py
@@ -77,6 +77,7 @@
         self._prefill_event = None
         self._decoding: list[tuple[float, int, Call]] = []
         self._decoding_calls: dict[str, Call] = {}
+        self._numbers: dict[str, int] = {}
         self._decode_event = None
         self._virtual = 0.0
         self._virtual_at = 0.0
@@ -238,9 +239,10 @@
         call.first_token_at = self._sim.now
         call.state = "decode"
         call.finish_at = self._virtual + call.output_tokens
-        entry = (call.finish_at, next(self._sequence), call)
-        heapq.heappush(self._decoding, entry)
+        number = next(self._sequence)
+        heapq.heappush(self._decoding, (call.finish_at, number, call))
         self._decoding_calls[call.call_id] = call
+        self._numbers[call.call_id] = number
         self._start_prefill()
         self._schedule_decode()
 
@@ -272,7 +274,7 @@
         if self._decode_event is not None:
             self._decode_event.cancel()
             self._decode_event = None
-        while self._decoding and self._decoding[0][2].state != "decode":
+        while self._decoding and not self._is_current(self._decoding[0]):
             heapq.heappop(self._decoding)
         if not self._decoding:
             return
@@ -286,9 +288,9 @@
         self._decode_event = None
         ended = []
         while self._decoding and self._decoding[0][0] <= self._virtual + 1e-6:
-            call = heapq.heappop(self._decoding)[2]
-            if call.state == "decode":
-                ended.append(call)
+            entry = heapq.heappop(self._decoding)
+            if self._is_current(entry):
+                ended.append(entry[2])
         for call in ended:
             self._end_call(call)
         self._admit()
@@ -296,8 +298,16 @@
         for call in ended:
             self._on_done(call)
 
+    def _is_current(self, entry: tuple[float, int, Call]) -> bool:
+        # A call that was cut and sent again may run here or elsewhere; its old entry
+        # must not end it.
+        call_id = entry[2].call_id
+        running = call_id in self._decoding_calls
+        return running and self._numbers.get(call_id) == entry[1]
+
     def _end_call(self, call: Call) -> None:
         del self._decoding_calls[call.call_id]
+        del self._numbers[call.call_id]
         call.state = "done"
         tokens = _context(call)
         self.running_tokens -= tokens
