--- a/benchmarks/policies/ideal.py
+++ b/benchmarks/policies/ideal.py
@@ -11,9 +11,10 @@
 
 
 import os
-W = float(os.environ.get("W","4.0"))
-SPARE = float(os.environ.get("SPARE","0.5"))
-FILL = float(os.environ.get("FILL","1.0"))
+
+W = float(os.environ.get("W", "4.0"))
+SPARE = float(os.environ.get("SPARE", "0.5"))
+FILL = float(os.environ.get("FILL", "1.0"))
 
 
 class Ideal(Policy):
--- a/benchmarks/runner.py
+++ b/benchmarks/runner.py
@@ -1,5 +1,6 @@
 """Runs of the bench, side by side in a few processes."""
 
+import os
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
 from functools import partial
@@ -16,8 +17,8 @@
 
 SEED = 1
 
-N_PROCESSES = 4
-"""Half of a small CI machine; the runs don't depend on it."""
+N_PROCESSES = max(1, min(6, (os.cpu_count() or 2) // 2))
+"""Half of the machine at most; the figures don't depend on it."""
 
 
 @dataclass(frozen=True, slots=True)
