--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -196,7 +196,7 @@
         secret = Path(cfg.deployment_secret_file).read_bytes().strip()
         self.proof = PeerProof(secret, cfg.host)
         self.peer_client = PeerClient.from_settings(cfg, self.proof)
-        self.platform = PlatformClient.from_settings(cfg)
+        self.platform = PlatformClient.from_settings(cfg, self.telemetry)
         self.config = ConfigService.from_settings(cfg, self.platform)
         self.editor = ConfigEditor(self.platform)
         times = LeaseTimes(
@@ -241,7 +241,12 @@
             self.membership, self.book, generator, lambda: self.platform.available
         )
         services = ServiceRunner(
-            self.book, placer, self.service_client, retries, self.platform
+            self.book,
+            placer,
+            self.service_client,
+            retries,
+            self.platform,
+            self.telemetry,
         )
         runner = CallRunner(self.config, chats, services, self.telemetry)
         self.table = CallTable(runner.run)
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_client.py
@@ -17,6 +17,7 @@
     Transaction,
 )
 from swifttide_daemon.settings import Settings
+from swifttide_daemon.telemetry import Telemetry
 from swifttide_daemon.transport import make_pool, verdict_of
 
 COMMIT_TRIES = 3
@@ -38,6 +39,8 @@
         Sent with each call.
     timeout : urllib3.Timeout
         For one exchange.
+    telemetry : Telemetry
+        Gets a span for each exchange of a traced request, and its time.
     """
 
     def __init__(
@@ -46,7 +49,9 @@
         base_url: str,
         headers: dict[str, str],
         timeout: urllib3.Timeout,
+        telemetry: Telemetry,
     ) -> None:
+        self.telemetry = telemetry
         self.pool = pool
         self.base_url = base_url.rstrip("/")
         self.headers = headers
@@ -55,7 +60,9 @@
         self.available = True
 
     @classmethod
-    def from_settings(cls, settings: Settings) -> "PlatformClient":
+    def from_settings(
+        cls, settings: Settings, telemetry: Telemetry
+    ) -> "PlatformClient":
         """Return a client for the platform that the settings name."""
         timeouts = settings.timeouts
         return cls(
@@ -65,6 +72,7 @@
             timeout=urllib3.Timeout(
                 connect=timeouts.connect_seconds, read=timeouts.platform_seconds
             ),
+            telemetry=telemetry,
         )
 
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
@@ -150,12 +158,27 @@
     def _exchange(
         self, method: str, path: str, body: bytes | None = None
     ) -> Result[tuple[int, bytes], PlatformError]:
+        operation = _operation(method, path)
+        started_at = time.monotonic()
+        with self.telemetry.child_span("platform", operation=operation) as span:
+            answer = self._send(method, path, body, span.traceparent)
+        seconds = time.monotonic() - started_at
+        ok = answer.is_ok() and answer.ok[0] < 500
+        self.telemetry.metrics.observe_platform(operation, seconds, ok)
+        return answer
+
+    def _send(
+        self, method: str, path: str, body: bytes | None, traceparent: str
+    ) -> Result[tuple[int, bytes], PlatformError]:
+        headers = self.headers
+        if traceparent:
+            headers = {**headers, "traceparent": traceparent}
         try:
             answer = self.pool.request(
                 method,
                 self.base_url + path,
                 body=body,
-                headers=self.headers,
+                headers=headers,
                 timeout=self.timeout,
             )
         except (urllib3.exceptions.HTTPError, OSError) as exc:
@@ -170,6 +193,12 @@
         return Ok((answer.status, answer.data))
 
 
+def _operation(method: str, path: str) -> str:
+    """Return a name with few values, such as ``rows.get``, for series and spans."""
+    resource = path.split("/")[2].partition("?")[0]
+    return f"{resource}.{method.lower()}"
+
+
 def _outcome(payload: bytes) -> Committed | Conflict:
     answer: dict[str, Any] = msgspec.json.decode(payload)
     if answer["committed"]:
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_service_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_service_runner.py
@@ -48,6 +48,7 @@
 from swifttide_daemon.runners._placement import Demand, Placement, Placer
 from swifttide_daemon.runners._retry_account import RetryAccount
 from swifttide_daemon.targets import ServiceAnswer, ServiceClient, TargetFailure
+from swifttide_daemon.telemetry import Telemetry
 
 INTENTS = "intents"
 MAX_JOURNAL_SECONDS = 10.0
@@ -81,6 +82,7 @@
     retries : RetryAccount
     platform : PlatformClient
         Keeps the journal.
+    telemetry : Telemetry
     """
 
     def __init__(
@@ -90,7 +92,9 @@
         services: ServiceClient,
         retries: RetryAccount,
         platform: PlatformClient,
+        telemetry: Telemetry,
     ) -> None:
+        self.telemetry = telemetry
         self.book = book
         self.placer = placer
         self.services = services
@@ -147,17 +151,9 @@
     def _exchange(
         self, permit: Permit, placement: Placement, traceparent: str, reuse: bool
     ) -> Result[ServiceAnswer, tuple[Refusal, str]]:
-        call = permit.call
         name = placement.target.name
         try:
-            answer = self.services.send(
-                placement.target,
-                call.path,
-                call.body,
-                _headers(call, traceparent),
-                permit.remaining,
-                reuse,
-            )
+            answer = self._send_traced(permit, placement, traceparent, reuse)
         except TargetFailure as failure:
             sent = failure.verdict is not Verdict.NOT_RUN
             status = OutcomeStatus.FAILED if sent else OutcomeStatus.NOT_SENT
@@ -173,6 +169,27 @@
         self.placer.finish(placement, outcome, ok=answer.status < 500)
         return Ok(answer)
 
+    def _send_traced(
+        self, permit: Permit, placement: Placement, traceparent: str, reuse: bool
+    ) -> ServiceAnswer:
+        call = permit.call
+        with self.telemetry.span(
+            "target",
+            traceparent,
+            request_id=call.request_id,
+            target=placement.target.name,
+        ) as span:
+            answer = self.services.send(
+                placement.target,
+                call.path,
+                call.body,
+                _headers(call, span.traceparent),
+                permit.remaining,
+                reuse,
+            )
+            span.set(status=answer.status, verdict=Verdict.RAN.value)
+            return answer
+
     def _run_repeatable(
         self, permit: Permit, running: RunningCall, traceparent: str
     ) -> None:
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_telemetry.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_telemetry.py
@@ -47,6 +47,12 @@
         """Open the span of one hop; see `Tracer.span`."""
         return self.tracer.span(name, parent_traceparent, **attributes)
 
+    def child_span(
+        self, name: str, **attributes: object
+    ) -> AbstractContextManager[Span]:
+        """Open a span below the one that this thread is in; see `Tracer.child`."""
+        return self.tracer.child(name, **attributes)
+
     def close(self) -> None:
         """Write what is still held back."""
         self.tracer.close()
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_tracer.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_tracer.py
@@ -1,5 +1,6 @@
 """Traces with a span for each hop."""
 
+import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
@@ -33,6 +34,7 @@
     def __init__(self, provider: "TracerProvider | None" = None):
         self._provider = provider
         self._tracer = provider.get_tracer("swifttide") if provider else None
+        self._current = threading.local()
 
     @classmethod
     def from_settings(cls, cfg: Settings) -> "Tracer":
@@ -93,14 +95,41 @@
         sdk_span = self._tracer.start_span(name, context=_context_of(parent))
         span = Span(_header_of(sdk_span.get_span_context()), sdk_span)
         span.set(**attributes)
+        outer = self._enter(span)
         try:
             yield span
         except BaseException as exc:
             span.fail(type(exc).__name__)
             raise
         finally:
+            self._leave(span, outer)
             sdk_span.end()
 
+    @contextmanager
+    def child(self, name: str, **attributes: object) -> Iterator[Span]:
+        """Open a span below the one that this thread is in.
+
+        For the platform, whose calls are made far below the request that needs
+        them. Outside a traced request nothing is opened: a heartbeat isn't a trace.
+        """
+        outer = getattr(self._current, "span", None)
+        if outer is None or not outer.sdk_span.is_recording():
+            yield Span("")
+            return
+        with self.span(name, outer.traceparent, **attributes) as span:
+            yield span
+
+    def _enter(self, span: Span) -> Span | None:
+        outer = getattr(self._current, "span", None)
+        self._current.span = span
+        return outer
+
+    def _leave(self, span: Span, outer: Span | None) -> None:
+        # A generator that is dropped may be closed on another thread, whose own
+        # span must stay.
+        if getattr(self._current, "span", None) is span:
+            self._current.span = outer
+
     def close(self) -> None:
         """Write what is still held back."""
         if self._provider is not None:
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/tests/test_tracer.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/tests/test_tracer.py
@@ -65,6 +65,18 @@
             assert span.traceparent == PARENT
             span.set(verdict="ran")
 
+    def test_platform_calls_belong_to_the_request_of_their_thread(self, tmp_path):
+        cfg = settings(tmp_path, exporter="file", sample_ratio=0)
+        tracer = Tracer.from_settings(cfg)
+        with tracer.child("platform") as span:
+            assert span.traceparent == ""
+        with tracer.span("entry", PARENT), tracer.child("platform", operation="x"):
+            pass
+        with tracer.child("platform"):
+            pass
+        inner, outer = lines(tmp_path)
+        assert inner["parent_id"] == outer["span_id"]
+
     def test_failed_hop_names_the_error_but_not_its_message(self, tmp_path):
         """A library's message repeats a header with the caller's key in it."""
         cfg = settings(tmp_path, exporter="file", sample_ratio=1)
