ENH Log a thread that dies as a JSON line

Cause: a call of 41 s showed the thread that renews grants dying of AttributeError (QueueKeeper.renew passes a ticket's id, TargetQueue.renew wants the Ticket); the traceback stood on stderr outside the log's lines. The fault itself is the lead's to mend: reported.

--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_event_log.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_event_log.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import threading
 from dataclasses import dataclass
 from typing import TextIO
 
@@ -63,7 +64,9 @@
         logging.raiseExceptions = False
         logger = logging.getLogger("swifttide")
         logger.setLevel(level)
-        return cls(logger)
+        found = cls(logger)
+        threading.excepthook = found._log_dead_thread
+        return found
 
     def debug(self, event: str, **fields: object) -> None:
         """Log what goes well, such as a request that was served."""
@@ -97,6 +100,16 @@
         exc = sys.exc_info()[1] if traceback else None
         self._write(max(level, logging.WARNING), "server", {"detail": msg}, exc)
 
+    def _log_dead_thread(self, args: threading.ExceptHookArgs) -> None:
+        """Log a thread that died.
+
+        A service's thread that dies, such as the one that renews the lease, is seen
+        much later and elsewhere. The usual traceback on stderr isn't JSON: whoever
+        reads the log by its lines misses it.
+        """
+        name = args.thread.name if args.thread else ""
+        self.error("thread_died", args.exc_value, thread=name)
+
     def _write(
         self,
         level: int,
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/tests/test_event_log.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/tests/test_event_log.py
@@ -3,6 +3,7 @@
 import io
 import json
 import logging
+import threading
 
 import pytest
 from freezegun import freeze_time
@@ -23,7 +24,9 @@
     """Restore the process's logging after a test."""
     root = logging.getLogger()
     before = (root.handlers[:], root.level, logging.raiseExceptions)
+    excepthook = threading.excepthook
     yield io.StringIO()
+    threading.excepthook = excepthook
     root.handlers[:], level, logging.raiseExceptions = before
     root.setLevel(level)
 
@@ -103,6 +106,18 @@
         assert found[3]["event"] == "target 3 failed"
         assert found[3]["request_id"] == "r3"
 
+    def test_thread_that_dies(self, stream):
+        """A thread of a service dies of a fault. Its traceback on stderr would be
+        lost on whoever reads the log as JSON lines.
+        """
+        make_log(stream)
+        thread = threading.Thread(target=lambda: 1 / 0, name="renewer")
+        thread.start()
+        thread.join()
+        (line,) = lines(stream)
+        assert (line["event"], line["thread"]) == ("thread_died", "renewer")
+        assert line["error"].startswith("ZeroDivisionError")
+
     def test_line_break_in_a_value_starts_no_line(self, stream):
         """A caller sends a program id with a line break and a forged event."""
         make_log(stream).info("odd", program='p\n{"event":"forged"}')
