FIX Renew grants of calls that run longer than 20 s

Cause: TargetQueue.renew takes the whole Ticket, so that a holder that has just taken a queue over counts the calls that run; QueueKeeper.renew passed the id alone, the renewing thread died of AttributeError at the first call that ran for 20 s, and later grants expired: the queue would admit more calls than the target takes. Ruled out: remembering tickets at the keeper (a new holder has none). Change: RenewRequest carries the calls, WithdrawRequest is a message of its own.

--- a/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
@@ -31,6 +31,7 @@
     GrantBook,
     ReleaseRequest,
     RenewRequest,
+    WithdrawRequest,
     not_holder,
 )
 from swifttide_daemon.web import Request, Response, Route
@@ -39,7 +40,7 @@
     "acquire": AcquireRequest,
     "release": ReleaseRequest,
     "renew": RenewRequest,
-    "withdraw": RenewRequest,
+    "withdraw": WithdrawRequest,
 }
 
 
@@ -150,7 +151,7 @@
         if verb not in TARGET_MESSAGES:
             return _bad(f"got verb {verb!r}")
         message = _decode(req, TARGET_MESSAGES[verb])
-        return _answer(message.bind(lambda m: self.grants.answer(target, verb, m)))
+        return _answer(message.bind(lambda m: self.grants.answer(target, m)))
 
     def standing(self, req: Request, fingerprint: str) -> Response:
         """Say whether a request is put aside."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/__init__.py
@@ -12,6 +12,7 @@
     AcquireRequest,
     ReleaseRequest,
     RenewRequest,
+    WithdrawRequest,
 )
 from swifttide_daemon.targets._queue_service import QueueService, not_holder
 from swifttide_daemon.targets._service_answer import ServiceAnswer
@@ -29,6 +30,7 @@
     "QueueService",
     "ReleaseRequest",
     "RenewRequest",
+    "WithdrawRequest",
     "ServiceAnswer",
     "ServiceClient",
     "TargetBoard",
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_grant_book.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_grant_book.py
@@ -17,6 +17,7 @@
     AcquireRequest,
     ReleaseRequest,
     RenewRequest,
+    WithdrawRequest,
 )
 from swifttide_daemon.targets._queue_service import QueueService
 
@@ -50,7 +51,7 @@
         self.membership = membership
         self.queues = queues
         self.peers = peers
-        self._grants: dict[str, Target] = {}
+        self._grants: dict[str, tuple[Target, AcquireRequest]] = {}
         self._lock = threading.Lock()
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -73,7 +74,7 @@
         found = answer.ok
         if found.admitted:
             with self._lock:
-                self._grants[req.ticket_id] = target
+                self._grants[req.ticket_id] = (target, req)
         return Ok(found)
 
     def wait(
@@ -124,13 +125,13 @@
 
     def withdraw(self, target: Target, ticket_id: str) -> None:
         """Give up a place in a queue."""
-        self._ask(target, "withdraw", RenewRequest((ticket_id,)))
+        self._ask(target, "withdraw", WithdrawRequest(ticket_id))
 
     def _ask(
         self,
         target: Target,
         verb: str,
-        message: AcquireRequest | ReleaseRequest | RenewRequest,
+        message: AcquireRequest | ReleaseRequest | RenewRequest | WithdrawRequest,
     ) -> Result[AcquireAnswer, Refusal]:
         holder = self.membership.holder(SlotKind.TARGET, target.name, target.zone)
         if holder is None:
@@ -138,7 +139,7 @@
                 Refusal(Reason.NOT_HOLDER, "nobody holds the target's queue yet")
             )
         if holder.host == self.membership.me.host:
-            return self.answer(target.name, verb, message)
+            return self.answer(target.name, message)
         wait = message.wait_seconds if isinstance(message, AcquireRequest) else 0.0
         answer = self.peers.call(
             holder.peer_url,
@@ -152,8 +153,7 @@
     def answer(
         self,
         name: str,
-        verb: str,
-        message: AcquireRequest | ReleaseRequest | RenewRequest,
+        message: AcquireRequest | ReleaseRequest | RenewRequest | WithdrawRequest,
     ) -> Result[AcquireAnswer, Refusal]:
         """Answer a host, or oneself, for a target whose queue is kept here."""
         keeper = self.queues.keeper(name)
@@ -164,19 +164,18 @@
                 return Ok(keeper.ok.acquire(message))
             case ReleaseRequest():
                 return Ok(keeper.ok.release(message))
-            case RenewRequest(ticket_ids) if verb == "renew":
-                keeper.ok.renew(ticket_ids)
-            case RenewRequest(ticket_ids):
-                for ticket_id in ticket_ids:
-                    keeper.ok.withdraw(ticket_id)
+            case RenewRequest(calls):
+                keeper.ok.renew(calls)
+            case WithdrawRequest(ticket_id):
+                keeper.ok.withdraw(ticket_id)
         return Ok(AcquireAnswer(False))
 
     def _run(self) -> None:
         while not self._stop.wait(RENEW_SECONDS):
             with self._lock:
-                grants = dict(self._grants)
-            by_target: dict[Target, list[str]] = {}
-            for ticket_id, target in grants.items():
-                by_target.setdefault(target, []).append(ticket_id)
-            for target, ticket_ids in by_target.items():
-                self._ask(target, "renew", RenewRequest(tuple(ticket_ids)))
+                grants = list(self._grants.values())
+            by_target: dict[Target, list[AcquireRequest]] = {}
+            for target, call in grants:
+                by_target.setdefault(target, []).append(call)
+            for target, calls in by_target.items():
+                self._ask(target, "renew", RenewRequest(tuple(calls)))
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_messages.py
@@ -69,6 +69,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewRequest:
-    """Admitted calls that still run."""
+    """Admitted calls that still run.
 
-    ticket_ids: tuple[str, ...]
+    Whole, since a holder that has just taken the queue over knows none of them and
+    would admit a full limit beside them.
+    """
+
+    calls: tuple[AcquireRequest, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawRequest:
+    """A call that nobody waits for any more."""
+
+    ticket_id: str
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_queue_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_queue_keeper.py
@@ -77,12 +77,12 @@
             self._decided.pop(ticket_id, None)
             self._tell(self.queue.withdraw(time.monotonic(), ticket_id))
 
-    def renew(self, ticket_ids: tuple[str, ...]) -> None:
+    def renew(self, calls: tuple[AcquireRequest, ...]) -> None:
         """Prolong the grants of calls that still run."""
         with self._changed:
             now = time.monotonic()
-            for ticket_id in ticket_ids:
-                self.queue.renew(now, ticket_id)
+            for call in calls:
+                self.queue.renew(now, _ticket(call, now))
 
     def tick(self) -> None:
         """Let time pass: expire grants and refuse what comes too late."""
