--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/swifttide_$(p))
 
-.PHONY: setup lint format test demo capacity fuzz mutations
+.PHONY: setup lint format test demo site docs-check capacity fuzz mutations
 
 setup: $(STAMP)
 
@@ -30,6 +30,14 @@
 demo: setup
 	$(BIN)/python -m swifttide_standins.demo
 
+# A small fleet to try the command on; runs until Ctrl-C.
+site: setup
+	$(BIN)/python -m swifttide_standins.site out/site.env
+
+# Links of all pages, and every command of the documentation.
+docs-check: setup
+	$(BIN)/python tools/check_docs.py
+
 # Some four minutes; PARTS="control edits" measures only those.
 capacity: setup
 	mkdir -p out
