ENH Count whole programs' latency, spans' verdicts and turns

Ruled out: telling a remote holder of each end by a message (a protocol more for a figure that comes 15 minutes later anyway).

--- a/packages/swifttide_cli/src/swifttide_cli/commands/_trace.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_trace.py
@@ -14,7 +14,7 @@
 from swifttide_cli.output import Failure, Report
 
 MILLISECONDS = 1000.0
-_COLUMNS = ("host", "zone", "target", "verdict", "error")
+_COLUMNS = ("host", "zone", "target", "operation", "verdict", "error")
 
 
 @cappa.command(
--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -220,7 +220,9 @@
         self.grants = GrantBook(self.membership, self.queues, self.peer_client)
         self.board = TargetBoard.from_config(self.config)
         self.strikes = StrikeService(self.membership, self.peer_client)
-        self.book = ProgramBook(ProgramStore(self.platform))
+        self.book = ProgramBook(
+            ProgramStore(self.platform), self.telemetry.metrics.end_program
+        )
         self.caches = CacheKeeper(
             self.membership,
             self.config,
--- a/packages/swifttide_daemon/src/swifttide_daemon/calls/_running_call.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/calls/_running_call.py
@@ -34,6 +34,11 @@
                 self.ended_at = time.monotonic()
             self._changed.notify_all()
 
+    def last_event(self) -> CallEvent | None:
+        """Return the newest event; final once the call has ended."""
+        with self._changed:
+            return self._events[-1] if self._events else None
+
     def follow(self, start: int) -> Iterator[CallEvent]:
         """Yield events from number `start` on, up to the last one of the call."""
         with self._changed:
--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_handlers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_handlers.py
@@ -203,6 +203,7 @@
             request_id=call.request_id,
             customer=call.customer,
             program=call.program,
+            turn=call.turn,
         ) as span:
             for event in self.dispatcher.follow(call, span.traceparent):
                 grant = self.config.key(call.key_hash)
@@ -221,6 +222,7 @@
                         request_id=call.request_id,
                         customer=call.customer,
                         program=call.program,
+                        turn=call.turn,
                         seconds=round(time.monotonic() - req.arrived_at, 4),
                     )
                 yield event
@@ -245,6 +247,7 @@
             request_id=call.request_id,
             customer=call.customer,
             program=call.program,
+            turn=call.turn,
             reason=refusal.reason.value,
             verdict=refusal.verdict.value,
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_program_handlers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_program_handlers.py
@@ -76,6 +76,9 @@
             row = self._end(row.ok)
             if row.is_error():
                 return Response.from_refusal(row.error)
+        # Known here if this host holds the program; another holder counts it once the
+        # program has been silent for long.
+        self.book.note_ended(customer, row.ok.root)
         self._release(row.ok)
         return Response.from_json(_summary(row.ok))
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 
 from expression import Ok, Result
 
@@ -31,10 +32,16 @@
     Parameters
     ----------
     store : ProgramStore
+    on_end : callable
+        Called with customer, profile and latency in seconds, from the first call
+        to the last, when a root program has ended or was silent for long.
     """
 
-    def __init__(self, store: ProgramStore) -> None:
+    def __init__(
+        self, store: ProgramStore, on_end: Callable[[str, str, float], None]
+    ) -> None:
         self.store = store
+        self.on_end = on_end
         self.pauses = PauseEstimator()
         self._trees: dict[str, ProgramTree] = {}
         self._lock = threading.Lock()
@@ -53,6 +60,9 @@
             if entry.active_at and entry.order.idle:
                 self.pauses.observe(call.profile, now - entry.active_at)
             entry.active_at = now
+            if not tree.started_at:
+                tree.customer, tree.profile = call.customer, call.profile
+                tree.started_at = now
             return entry
 
     def known_rows(
@@ -136,6 +146,12 @@
             return None
         return entry.active_at if entry.order.idle else time.monotonic()
 
+    def note_ended(self, customer: str, root: str) -> None:
+        """Report the latency of a root program that its caller has ended."""
+        tree = self._trees.get(f"{customer}/{root}")
+        if tree is not None:
+            self._tell_latency(tree)
+
     def note_exported(
         self, customer: str, root: str, program: str, cache: tuple[str, int]
     ) -> None:
@@ -147,17 +163,28 @@
 
     def trim(self) -> None:
         """Drop trees that are silent, and histories beyond what may be kept."""
-        now = time.monotonic()
+        limit = time.monotonic() - FORGET_SECONDS
         with self._lock:
+            before = self._trees
             self._trees = {
                 key: tree
-                for key, tree in self._trees.items()
-                if not tree.idle or now - tree.active_at < FORGET_SECONDS
+                for key, tree in before.items()
+                if not tree.idle or tree.active_at > limit
             }
+            silent = [before[key] for key in before.keys() - self._trees.keys()]
             trees = sorted(self._trees.values(), key=lambda t: -t.active_at)
+        for tree in silent:
+            self._tell_latency(tree)
         kept = 0
         for tree in trees:
             for entry in tree.programs.values():
                 kept += sum(len(m.content) for m in entry.messages)
                 if kept > MAX_HISTORY_BYTES and entry.order.idle:
                     entry.chunks, entry.messages = (), ()
+
+    def _tell_latency(self, tree: ProgramTree) -> None:
+        with tree.lock:
+            told, tree.latency_told = tree.latency_told, True
+        if tree.started_at and not told:
+            seconds = tree.active_at - tree.started_at
+            self.on_end(tree.customer, tree.profile, seconds)
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
@@ -65,6 +65,12 @@
         What a commit left reserved and no turn has taken yet.
     unrecorded_tokens : int
         Used while the platform was away, to be settled with the next commit.
+    customer, profile : str
+        Of the root's first call here.
+    started_at : float
+        Monotonic seconds of the first call here; 0 before it.
+    latency_told : bool
+        Whether the program's latency was reported.
     lock : Lock
         Guards the fields; not held during calls to the platform.
     """
@@ -73,6 +79,10 @@
     rows: dict[str, ProgramRow] = field(default_factory=dict)
     ahead: Ahead = NOTHING_AHEAD
     unrecorded_tokens: int = 0
+    customer: str = ""
+    profile: str = ""
+    started_at: float = 0.0
+    latency_told: bool = False
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     @property
--- a/packages/swifttide_daemon/src/swifttide_daemon/retention/_program_judge.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/retention/_program_judge.py
@@ -67,6 +67,8 @@
         last = max(seen.since, active or 0.0)
         version = row.version if row else 0
         if row is not None and row.state is ProgramState.ENDED:
+            if program == root:
+                self.book.note_ended(customer, root)
             return Judgement(name, version, gone=True)
         profile = self._profile(row)
         if now - last >= profile.idle_seconds:
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_call_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_call_runner.py
@@ -2,8 +2,8 @@
 
 import time
 
-from swifttide_core.verdicts import Reason, Refusal
-from swifttide_daemon.calls import Call, CallKind, Failed, RunningCall
+from swifttide_core.verdicts import Reason, Refusal, Verdict
+from swifttide_daemon.calls import Call, CallKind, Failed, Finished, RunningCall
 from swifttide_daemon.configuration import ConfigService
 from swifttide_daemon.runners._chat_runner import ChatRunner
 from swifttide_daemon.runners._permit import Permit
@@ -57,6 +57,17 @@
                     self.chats.run(permit, running, span.traceparent)
                 case CallKind.SERVICE:
                     self.services.run(permit, running, span.traceparent)
+            span.set(verdict=_verdict(running))
+
+
+def _verdict(running: RunningCall) -> str | None:
+    match running.last_event():
+        case Finished():
+            return Verdict.RAN.value
+        case Failed(refusal):
+            return refusal.verdict.value
+        case _:
+            return None
 
 
 def _no_profile(name: str) -> Refusal:
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_generator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_generator.py
@@ -122,8 +122,11 @@
             target=target.name,
         ) as span:
             try:
-                return self._read(permit, prompt, placement, running, span.traceparent)
+                made = self._read(permit, prompt, placement, running, span.traceparent)
+                span.set(verdict=Verdict.RAN.value)
+                return made
             except TargetFailure as failure:
+                span.set(verdict=failure.verdict.value)
                 died = failure.broke and self.crashes.broke(
                     target, prompt.fingerprint, incarnation
                 )
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_metrics.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_metrics.py
@@ -21,6 +21,22 @@
 GAP_BUCKETS = (0.02, 0.04, 0.072, 0.15, 0.5, 2.0, INF)
 """Seconds; 0.072 is the aim between tokens."""
 
+OURS = frozenset(
+    {
+        Reason.QUEUE_FULL,
+        Reason.DEADLINE,
+        Reason.NO_TARGET,
+        Reason.TARGET_FAILED,
+        Reason.PLATFORM_UNAVAILABLE,
+        Reason.NOT_HOLDER,
+        Reason.STOPPING,
+        Reason.TIMEOUT,
+        Reason.INTERNAL,
+    }
+)
+"""Reasons that lie with the fleet. A wrong body, a used-up budget or a key that was
+withdrawn is a right refusal, whatever the customer's rate."""
+
 LEASE_STATES = ("held", "lapsed", "released")
 
 CONTENT_TYPE = text.TEXT_CONTENT_TYPE
@@ -77,10 +93,11 @@
         reason, verdict
             As the caller got them.
         within_rate : bool
-            Whether the customer was inside its rate: a wrongful refusal.
+            Whether the customer was inside its rate. If so, and if the reason is
+            one of `OURS`, it is a wrongful refusal.
         """
         self._refused.add(reason=str(reason), verdict=str(verdict))
-        if not within_rate:
+        if not within_rate or reason not in OURS:
             return
         self._wrongful.add(reason=str(reason))
         if customer:
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_tracer.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/_tracer.py
@@ -98,6 +98,9 @@
         outer = self._enter(span)
         try:
             yield span
+        except GeneratorExit:
+            # Whoever reads a call's events closes them once it has the last one.
+            raise
         except BaseException as exc:
             span.fail(type(exc).__name__)
             raise
--- a/packages/swifttide_daemon/src/swifttide_daemon/telemetry/tests/test_metrics.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/tests/test_metrics.py
@@ -56,6 +56,17 @@
         wrongful = 'swifttide_wrongful_refusals_total{reason="queue_full"}'
         assert found[wrongful] == 1
 
+    def test_wrong_requests_are_refused_rightly(self):
+        """A client sends broken bodies. Counted as badly served, its customer would
+        hide one that is.
+        """
+        metrics = make_metrics()
+        for _ in range(10):
+            metrics.refuse("c", Reason.BAD_REQUEST, Verdict.NOT_RUN, True)
+        found = values(metrics)
+        assert not [name for name in found if "wrongful" in name]
+        assert found["swifttide_worst_customer_served_ratio"] == 1
+
     def test_worst_served_customer(self):
         """One customer of many is starved while the others are served well. An
         average over all requests would hide it.
--- a/tests/product/test_newcomer.py
+++ b/tests/product/test_newcomer.py
@@ -45,6 +45,23 @@
         assert refused.headers["Swifttide-Verdict"] == "not_run"
 
 
+class TestProgramLatency:
+    def test_ended_program_is_counted(self, site):
+        """The users weigh the latency of whole programs most; one that nobody
+        reports looks as if no program ever ran.
+        """
+        key = site.customer("latency")
+        for turn in ("1", "2"):
+            headers = {"Swifttide-Program": "p-latency", "Swifttide-Turn": turn}
+            assert site.chat(key, **headers).status == 200
+        pages = b""
+        for host in site.fleet.hosts.values():
+            site.command("program", "end", "latency", "p-latency", "--url", host.url)
+            pages += site.pool.request("GET", f"{host.url}/metrics").data
+        assert pages.count(b"swifttide_program_latency_seconds_count{") >= 1
+        assert b'profile="assistant"' in pages
+
+
 class TestPathOfOneRequest:
     def test_every_hop_from_the_request_id(self, site):
         """A caller complains of one answer and has only its request id."""
