--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -278,7 +278,7 @@
             self.telemetry,
         )
         self.programs = ProgramHandlers(
-            self.authenticator, self.book.store, self.config, self.engines
+            self.authenticator, self.book, self.config, self.engines
         )
         self.operators = OperatorHandlers(
             self.authenticator, self.config, self.editor, self.platform, self.programs
--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_program_handlers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_program_handlers.py
@@ -11,7 +11,7 @@
 from swifttide_daemon.entry._authenticator import Authenticator
 from swifttide_daemon.entry._call_headers import NAME
 from swifttide_daemon.platform import Committed, Conflict, new_id
-from swifttide_daemon.programs import ProgramStore, platform_refusal
+from swifttide_daemon.programs import ProgramBook, platform_refusal
 from swifttide_daemon.targets import EngineClient
 from swifttide_daemon.web import Request, Response
 
@@ -22,7 +22,8 @@
     Parameters
     ----------
     authenticator : Authenticator
-    store : ProgramStore
+    book : ProgramBook
+        Reads rows, and counts programs that end where they are held.
     config : ConfigService
     engines : EngineClient
         Told to drop the cache of a program that ended.
@@ -31,12 +32,13 @@
     def __init__(
         self,
         authenticator: Authenticator,
-        store: ProgramStore,
+        book: ProgramBook,
         config: ConfigService,
         engines: EngineClient,
     ) -> None:
         self.authenticator = authenticator
-        self.store = store
+        self.book = book
+        self.store = book.store
         self.config = config
         self.engines = engines
 
