--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_call_headers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_call_headers.py
@@ -9,7 +9,8 @@
 from swifttide_daemon.web import Request
 
 NAME = re.compile(r"[A-Za-z0-9._:-]{1,128}\Z")
-MAX_TURN = 1_000_000
+TURN = re.compile(r"[1-9][0-9]{0,5}\Z")
+"""A longer one is refused, not cut: it would run as another turn than was asked for."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +51,9 @@
         if values["parent"] and not values["program"]:
             return Error(_bad("swifttide-program", "an id beside swifttide-parent"))
         turn = req.header("swifttide-turn")
-        if turn and not (turn.isascii() and turn.isdigit() and _int(turn) >= 1):
-            return Error(_bad("swifttide-turn", "a whole number from 1"))
-        return Ok(cls(turn=_int(turn) if turn else None, **values))
-
-
-def _int(text: str) -> int:
-    return min(int(text[:12]), MAX_TURN)
+        if turn and not TURN.match(turn):
+            return Error(_bad("swifttide-turn", "a whole number from 1 to 999999"))
+        return Ok(cls(turn=int(turn) if turn else None, **values))
 
 
 def _bad(header: str, expected: str) -> Refusal:
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peers/tests/test_proof.py
@@ -0,0 +1,61 @@
+"""Proof that a call comes from this deployment."""
+
+from dataclasses import replace
+
+import pytest
+from freezegun import freeze_time
+
+from swifttide_daemon.peers import PeerProof
+from swifttide_daemon.web import Request
+
+PATH = "/peer/v1/heartbeat"
+
+
+def signed(secret=b"secret", body=b"{}", path=PATH):
+    headers = PeerProof(secret, "h1").headers("POST", path, body)
+    path, _, query = path.partition("?")
+    names = {name.lower(): value for name, value in headers.items()}
+    return Request("POST", path, query, names, body)
+
+
+def check(req):
+    return PeerProof(b"secret", "h2").check(req)
+
+
+class TestPeerProof:
+    def test_call_of_a_peer(self):
+        assert check(signed()) is None
+        assert check(signed(path=PATH + "?after=3")) is None
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"body": b"[]"},
+            {"path": "/peer/v1/calls"},
+            {"query": "after=0"},
+            {"method": "GET"},
+            {"headers": {}},
+        ],
+    )
+    def test_call_that_was_changed_on_its_way(self, changes):
+        """Somebody who reaches the peers' port draws a customer's rate or reads a
+        program with a call that was recorded and changed.
+        """
+        assert check(replace(signed(), **changes)).status == 401
+
+    @pytest.mark.parametrize("name", ["x-peer-host", "x-peer-time", "x-peer-proof"])
+    @pytest.mark.parametrize("value", ["", "other", "\xff\udcff", "nan", "1e999"])
+    def test_headers_that_were_changed(self, name, value):
+        req = signed()
+        headers = {**req.headers, name: value}
+        assert check(replace(req, headers=headers)).status == 401
+
+    def test_other_secret(self):
+        assert check(signed(secret=b"other")).status == 401
+
+    def test_recorded_call(self):
+        with freeze_time("2026-01-01") as clock:
+            req = signed()
+            assert check(req) is None
+            clock.tick(61)
+            assert check(req).status == 401
