--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -196,7 +196,7 @@
         secret = Path(cfg.deployment_secret_file).read_bytes().strip()
         self.proof = PeerProof(secret, cfg.host)
         self.peer_client = PeerClient.from_settings(cfg, self.proof)
-        self.platform = PlatformClient.from_settings(cfg)
+        self.platform = PlatformClient.from_settings(cfg, self.telemetry)
         self.config = ConfigService.from_settings(cfg, self.platform)
         self.editor = ConfigEditor(self.platform)
         times = LeaseTimes(
@@ -220,7 +220,9 @@
         self.grants = GrantBook(self.membership, self.queues, self.peer_client)
         self.board = TargetBoard.from_config(self.config)
         self.strikes = StrikeService(self.membership, self.peer_client)
-        self.book = ProgramBook(ProgramStore(self.platform))
+        self.book = ProgramBook(
+            ProgramStore(self.platform), self.telemetry.metrics.end_program
+        )
         self.caches = CacheKeeper(
             self.membership,
             self.config,
@@ -246,7 +248,12 @@
             self.membership, self.book, generator, lambda: self.platform.available
         )
         services = ServiceRunner(
-            self.book, placer, self.service_client, retries, self.platform
+            self.book,
+            placer,
+            self.service_client,
+            retries,
+            self.platform,
+            self.telemetry,
         )
         runner = CallRunner(self.config, chats, services, self.telemetry)
         self.table = CallTable(runner.run)
@@ -271,7 +278,7 @@
             self.telemetry,
         )
         self.programs = ProgramHandlers(
-            self.authenticator, self.book.store, self.config, self.engines
+            self.authenticator, self.book, self.config, self.engines
         )
         self.operators = OperatorHandlers(
             self.authenticator, self.config, self.editor, self.platform, self.programs
