ENH Carry leases over an outage of the platform by promises of all hosts

Cause: when the platform is down all leases lapse within six seconds and every zone stops, though its hosts are well. Ruled out: a majority of promises, since deposing takes one host only; reviving a lapsed lease. Not yet wired into the daemon.

--- a/packages/swifttide_core/src/swifttide_core/membership/_host_lease.py
+++ b/packages/swifttide_core/src/swifttide_core/membership/_host_lease.py
@@ -25,11 +25,14 @@
         Version of the lease row as last confirmed; 0 before registration.
     good_until : float
         Monotonic seconds until which the host may act as a holder.
+    confirmed_at : float
+        When the last confirmed renewal was sent.
     """
 
     times: LeaseTimes
     row_version: int = 0
     good_until: float = NEVER
+    confirmed_at: float = NEVER
 
     @classmethod
     def from_times(cls, times: LeaseTimes) -> "HostLease":
@@ -58,6 +61,7 @@
             self,
             row_version=max(row_version, self.row_version),
             good_until=max(good_until, self.good_until),
+            confirmed_at=max(sent_at, self.confirmed_at),
         )
 
     def extended(self, until: float) -> "HostLease":
--- a/packages/swifttide_core/src/swifttide_core/membership/_host_row.py
+++ b/packages/swifttide_core/src/swifttide_core/membership/_host_row.py
@@ -27,6 +27,9 @@
         Where callers and peers reach it.
     renewal : int
         Counts renewals; a change shows watchers that the host lives.
+    knows_head : int
+        Head version of the zone that the host knew when it last renewed: it asks all
+        hosts up to there before it prolongs its lease without the platform.
     state : HostState
         A dead incarnation never comes back; its slots are free to claim.
     """
@@ -38,6 +41,7 @@
     peer_url: str
     renewal: int = 0
     state: HostState = HostState.LIVE
+    knows_head: int = 0
 
     @property
     def key(self) -> str:
--- a/packages/swifttide_core/src/swifttide_core/membership/_lease_watch.py
+++ b/packages/swifttide_core/src/swifttide_core/membership/_lease_watch.py
@@ -7,7 +7,7 @@
 watch period later.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from swifttide_core.membership._lease_times import LeaseTimes
@@ -55,13 +55,25 @@
         wanted = set(hosts)
         self._sightings = {h: s for h, s in self._sightings.items() if h in wanted}
 
-    def lapsed(self, now: float) -> dict[str, int]:
-        """Return the hosts whose lease has lapsed, with the version to depose."""
-        wait = self.times.lease_seconds + self.times.drift_margin_seconds
+    def lapsed(
+        self, now: float, waits: Mapping[str, float] | None = None
+    ) -> dict[str, int]:
+        """Return the hosts whose lease has lapsed, with the version to depose.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        waits : mapping of str to float, optional
+            Seconds to wait by host (see `depose_wait`); a lease and the margin
+            where it has none.
+        """
+        usual = self.times.lease_seconds + self.times.drift_margin_seconds
+        waits = waits or {}
         return {
             host: seen.version
             for host, seen in self._sightings.items()
-            if now - seen.since >= wait
+            if now - seen.since >= waits.get(host, usual)
         }
 
 
