--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_held_share.py
@@ -0,0 +1,31 @@
+"""A customer's share as its holder keeps it."""
+
+from dataclasses import dataclass
+
+from swifttide_core.limits import CustomerShare, ShareKeeper
+
+
+@dataclass(slots=True)
+class HeldShare:
+    """Bucket and row, and when to look at them again.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the slot under which it was made.
+    keeper : ShareKeeper
+    plan_at : float
+        Monotonic seconds of the next thought about moving a part of it.
+    offered : bool
+        Whether another zone's holder has said that the row holds an offer.
+    """
+
+    epoch: int
+    keeper: ShareKeeper
+    plan_at: float = 0.0
+    offered: bool = False
+
+    @property
+    def share(self) -> CustomerShare:
+        """The bucket."""
+        return self.keeper.share
--- a/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
@@ -10,10 +10,21 @@
 from swifttide_core.verdicts import Reason, Refusal
 from swifttide_daemon.calls import Call, CallTable, encode_event
 from swifttide_daemon.configuration import ConfigService
-from swifttide_daemon.limits import DrawRequest, ReturnRequest, ShareService
+from swifttide_daemon.limits import (
+    DrawRequest,
+    HandoverRequest,
+    ReturnRequest,
+    ShareService,
+    YieldRequest,
+)
 from swifttide_daemon.membership import MembershipService
 from swifttide_daemon.peering._heartbeat import Heartbeat
-from swifttide_daemon.retention import CacheKeeper
+from swifttide_daemon.retention import (
+    CacheKeeper,
+    ExportedCache,
+    Judgements,
+    ListedPrograms,
+)
 from swifttide_daemon.strikes import StrikeService, strike_of
 from swifttide_daemon.targets import (
     AcquireRequest,
@@ -75,10 +86,13 @@
             Route("POST", "/peer/v1/calls", self.call),
             Route("POST", "/peer/v1/customers/{customer}/draw", self.draw),
             Route("POST", "/peer/v1/customers/{customer}/return", self.give_back),
+            Route("POST", "/peer/v1/customers/{customer}/yield", self.yield_to),
+            Route("POST", "/peer/v1/handovers", self.receive),
             Route("POST", "/peer/v1/targets/{target}/{verb}", self.target),
             Route("GET", "/peer/v1/fingerprints/{fingerprint}", self.standing),
             Route("POST", "/peer/v1/fingerprints/{fingerprint}/{verb}", self.strike),
-            Route("POST", "/peer/v1/programs/gone", self.gone),
+            Route("POST", "/peer/v1/programs/judge", self.judge_programs),
+            Route("POST", "/peer/v1/programs/exported", self.exported),
         ]
 
     def beat(self, req: Request) -> Response:
@@ -118,6 +132,19 @@
         self.shares.give_back(customer, message.ok)
         return Response.from_json({})
 
+    def yield_to(self, req: Request, customer: str) -> Response:
+        """Give another zone's holder a part of a customer's tokens."""
+        message = _decode(req, YieldRequest)
+        return _answer(message.bind(lambda m: self.shares.yield_to(customer, m)))
+
+    def receive(self, req: Request) -> Response:
+        """Take over buckets from the former holder of their slots."""
+        message = _decode(req, list[HandoverRequest])
+        if message.is_error():
+            return Response.from_refusal(message.error)
+        self.shares.receive(message.ok)
+        return Response.from_json({})
+
     def target(self, req: Request, target: str, verb: str) -> Response:
         """Queue, release, renew or withdraw calls at a target."""
         if verb not in TARGET_MESSAGES:
@@ -149,13 +176,21 @@
                 return _bad(f"got verb {verb!r}")
         return Response.from_json({})
 
-    def gone(self, req: Request) -> Response:
-        """Say which of the programs that a target lists are gone."""
-        listed = _decode(req, dict[str, list[str]])
+    def judge_programs(self, req: Request) -> Response:
+        """Say which of the programs that a target lists are gone or pause."""
+        listed = _decode(req, ListedPrograms)
         if listed.is_error():
             return Response.from_refusal(listed.error)
-        gone = self.caches.gone(listed.ok.get("programs", []))
-        return Response.from_json({"gone": gone})
+        judgements = self.caches.judge.judge(listed.ok.programs)
+        return Response.from_json(Judgements(judgements))
+
+    def exported(self, req: Request) -> Response:
+        """Note that a target's holder has moved a program's cache."""
+        exported = _decode(req, ExportedCache)
+        if exported.is_error():
+            return Response.from_refusal(exported.error)
+        self.caches.note_exported(exported.ok)
+        return Response.from_json({})
 
 
 def _lines(events: Iterator[Any]) -> Iterator[bytes]:
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/__init__.py
@@ -1,20 +1,17 @@
-"""Programs at their holder: rows, history, order and budget."""
+"""Programs at their holder: rows, history and order."""
 
-from swifttide_daemon.programs._chunk import Chunk, Message, chunk_name
-from swifttide_daemon.programs._program_book import (
-    ProgramBook,
-    TurnResult,
-    platform_refusal,
-)
-from swifttide_daemon.programs._program_tree import ProgramEntry, ProgramTree
+from swifttide_daemon.programs._chunk import Chunk, Message
+from swifttide_daemon.programs._program_book import ProgramBook
+from swifttide_daemon.programs._program_store import ProgramStore, platform_refusal
+from swifttide_daemon.programs._program_tree import Ahead, ProgramEntry, ProgramTree
 
 __all__ = [
+    "Ahead",
     "Chunk",
     "Message",
     "ProgramBook",
     "ProgramEntry",
+    "ProgramStore",
     "ProgramTree",
-    "TurnResult",
-    "chunk_name",
     "platform_refusal",
 ]
