ENH Carry a zone's leases over an outage of the platform by promises of its hosts

Cause: with the platform down every lease lapsed after 6 s and each zone stopped. Change: the core's ExtensionRound and PromiseBook wired into the membership service: a host that can't renew asks all hosts of its zone; one that sees the platform relays the renewal, else the lease stands when all promise. Renewals are tried once (three tries of 1.5 s outlive a lease of 6 s). Other zones' views are read on the thread, not on a request's path.

--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from swifttide_core.membership import HostRow, LeaseTimes
+from swifttide_core.membership import HostRow, LeaseTimes, OutageTimes
 from swifttide_core.slots import SlotKind
 from swifttide_daemon.calls import CallTable
 from swifttide_daemon.configuration import ConfigEditor, ConfigService
@@ -23,7 +23,7 @@
     ProgramRoots,
 )
 from swifttide_daemon.limits import RateLimiter, ShareMover, ShareRows, ShareService
-from swifttide_daemon.membership import LeaseKeeper, MembershipService
+from swifttide_daemon.membership import LeaseKeeper, MembershipService, OutageService
 from swifttide_daemon.operators import OperatorHandlers
 from swifttide_daemon.peering import Heartbeat, PeerHandlers
 from swifttide_daemon.peers import PeerClient, PeerProof
@@ -208,8 +208,14 @@
         self.keeper = LeaseKeeper(
             self.platform, row, times, lambda: self.config.version
         )
+        self.outages = OutageService(
+            self.keeper,
+            self.platform,
+            self.peer_client,
+            OutageTimes(promise_seconds=times.lease_seconds),
+        )
         self.membership = MembershipService.from_settings(
-            cfg, self.platform, self.keeper
+            cfg, self.platform, self.keeper, self.outages
         )
 
     def _build_target_side(self) -> None:
@@ -297,6 +303,7 @@
             self.grants,
             self.strikes,
             self.caches,
+            self.outages,
         )
         # A caller's body grows by a third as base64 on its way between hosts.
         peer_app = App(handlers.routes(), 2 * limits.max_body_bytes, self.proof.check)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_outage_service.py
@@ -0,0 +1,141 @@
+"""Keeps a zone's leases while the platform is away, by promises of all its hosts."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+import msgspec
+
+from swifttide_core.membership import (
+    ExtensionRound,
+    HostRow,
+    OutageTimes,
+    PlatformSeen,
+    Promise,
+    PromiseBook,
+)
+from swifttide_daemon.membership._lease_keeper import LeaseKeeper
+from swifttide_daemon.membership._rows import HOSTS
+from swifttide_daemon.peers import PeerClient
+from swifttide_daemon.platform import Committed, PlatformClient, Transaction
+
+ASK_SECONDS = 0.8
+"""A host that doesn't answer within this doesn't promise in this round."""
+
+MAX_ASKERS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseRequest:
+    """A host that can't renew asks the others to let its lease stand."""
+
+    host: str
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseAnswer:
+    """Exactly one of the two is set."""
+
+    promise: Promise | None = None
+    seen: PlatformSeen | None = None
+
+
+class OutageService:
+    """Asks for promises and gives them.
+
+    Parameters
+    ----------
+    keeper : LeaseKeeper
+        Lease of this host.
+    platform : PlatformClient
+    peers : PeerClient
+    times : OutageTimes
+    """
+
+    def __init__(
+        self,
+        keeper: LeaseKeeper,
+        platform: PlatformClient,
+        peers: PeerClient,
+        times: OutageTimes,
+    ) -> None:
+        self.keeper = keeper
+        self.platform = platform
+        self.peers = peers
+        self.times = times
+        self._book = PromiseBook(keeper.row.host)
+        self._lock = threading.Lock()
+
+    def may_depose(self) -> bool:
+        """Return whether this host may depose hosts and claim slots now."""
+        with self._lock:
+            return self._book.may_depose(time.monotonic())
+
+    def answer(self, req: PromiseRequest) -> PromiseAnswer:
+        """Promise to depose and claim nothing, or say that the platform is there."""
+        seconds = min(req.seconds, self.times.promise_seconds)
+        with self._lock:
+            self._book, answer = self._book.answer(
+                time.monotonic(), seconds, not self.platform.failing
+            )
+        match answer:
+            case Promise():
+                return PromiseAnswer(promise=answer)
+            case PlatformSeen():
+                return PromiseAnswer(seen=answer)
+
+    def relay(self, tx: Transaction) -> tuple[int, ...]:
+        """Commit a renewal for a host that doesn't see the platform.
+
+        Returns
+        -------
+        tuple of int
+            Versions of the rows; empty when it isn't known to have taken effect.
+        """
+        if any(write.table != HOSTS for write in tx.writes):
+            return ()
+        outcome = self.platform.commit(tx, tries=1)
+        if outcome.is_ok() and isinstance(outcome.ok, Committed):
+            return outcome.ok.versions
+        return ()
+
+    def extend(self, others: list[HostRow]) -> None:
+        """Ask all other hosts of the zone to let this host's lease stand."""
+        now = time.monotonic()
+        asked = ExtensionRound.from_hosts(now, (r.host for r in others), self.times)
+        urls = {row.host: row.peer_url for row in others}
+        for answer in self._ask_all(list(urls.values())):
+            found = answer.promise or answer.seen
+            if found is not None:
+                asked = asked.noted(found)
+        for host in sorted(asked.relays):
+            if self._renew_through(urls[host]):
+                return
+        self.keeper.extend(asked, self.times)
+
+    def _ask_all(self, urls: list[str]) -> list[PromiseAnswer]:
+        if not urls:
+            return []
+        with ThreadPoolExecutor(min(MAX_ASKERS, len(urls))) as pool:
+            answers = list(pool.map(self._ask, urls))
+        return [answer for answer in answers if answer is not None]
+
+    def _ask(self, url: str) -> PromiseAnswer | None:
+        message = PromiseRequest(self.keeper.row.host, self.times.promise_seconds)
+        answer = self.peers.call(
+            url, "POST", "/peer/v1/promises", message, read_seconds=ASK_SECONDS
+        )
+        if answer.is_error():
+            return None
+        return msgspec.convert(answer.ok, PromiseAnswer)
+
+    def _renew_through(self, url: str) -> bool:
+        sent_at = time.monotonic()
+        tx = self.keeper.renewal()
+        answer = self.peers.call(url, "POST", "/peer/v1/relays", tx)
+        relayed = answer.is_ok() and answer.ok["versions"]
+        if relayed:
+            self.keeper.confirm(sent_at, answer.ok["versions"][0])
+        return bool(relayed)
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -12,6 +12,7 @@
     LeaseTimes,
     LeaseWatch,
     SlotRow,
+    depose_wait,
     plan_claims,
     plan_handovers,
     ring_neighbours,
@@ -19,6 +20,7 @@
 from swifttide_core.slots import SlotKind, slot_of
 from swifttide_daemon.membership._lease_keeper import LeaseKeeper
 from swifttide_daemon.membership._moved_slots import MovedSlots
+from swifttide_daemon.membership._outage_service import OutageService
 from swifttide_daemon.membership._rows import (
     HOSTS,
     SLOTS,
@@ -57,6 +59,7 @@
     platform : PlatformClient
     times : LeaseTimes
     n_slots : int
+    outages : OutageService
     """
 
     def __init__(
@@ -66,7 +69,9 @@
         platform: PlatformClient,
         times: LeaseTimes,
         n_slots: int,
+        outages: OutageService,
     ) -> None:
+        self.outages = outages
         self.keeper = keeper
         self.reader = reader
         self.platform = platform
@@ -81,13 +86,19 @@
         self._given_up: set[int] = set()
         self._moved_listeners: list[Callable[[MovedSlots], None]] = []
         self._lock = threading.Lock()
+        self._wanted_zones: set[str] = set()
+        self._leaving = False
         self._stop = threading.Event()
         self._wake = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     @classmethod
     def from_settings(
-        cls, settings: Settings, platform: PlatformClient, keeper: LeaseKeeper
+        cls,
+        settings: Settings,
+        platform: PlatformClient,
+        keeper: LeaseKeeper,
+        outages: OutageService,
     ) -> "MembershipService":
         """Return a service that isn't started yet."""
         return cls(
@@ -96,6 +107,7 @@
             platform=platform,
             times=keeper.lease.times,
             n_slots=settings.n_slots,
+            outages=outages,
         )
 
     @property
@@ -181,11 +193,9 @@
         self._wake.set()
 
     def hand_over(self) -> bool:
-        """Announce that this host leaves and give up its slots."""
-        if not self.keeper.announce(HostState.LEAVING):
-            return False
-        self._read_zone()
-        self._hand_over_slots()
+        """Ask for this host's slots to be given up; return whether they are."""
+        self._leaving = True
+        self._wake.set()
         with self._lock:
             return not self._held
 
@@ -195,20 +205,33 @@
             return dict(self._held)
 
     def _view_of(self, zone: str) -> ZoneView:
+        """Return the view of a zone; other zones' are kept current on the thread.
+
+        Read on a request's path, a platform that hangs would hold up each request
+        for its timeout.
+        """
         if zone == self.me.zone:
             return self.view
+        self._wanted_zones.add(zone)
         known = self._others.get(zone)
+        if known is None:
+            known = self._others[zone] = self.reader.read(zone).default_value(
+                ZoneView()
+            )
+        return known
+
+    def _refresh_others(self) -> None:
         now = time.monotonic()
-        if known and now - known.read_at < OTHER_ZONE_SECONDS:
-            return known
-        if known and self._is_unchanged(zone, known):
-            self._others[zone] = replace(known, read_at=now)
-            return known
-        read = self.reader.read(zone)
-        if read.is_ok():
-            self._others[zone] = read.ok
-            return read.ok
-        return known or ZoneView()
+        for zone in list(self._wanted_zones):
+            known = self._others.get(zone) or ZoneView()
+            if now - known.read_at < OTHER_ZONE_SECONDS:
+                continue
+            if self._is_unchanged(zone, known):
+                self._others[zone] = replace(known, read_at=now)
+                continue
+            read = self.reader.read(zone)
+            if read.is_ok():
+                self._others[zone] = read.ok
 
     def _is_unchanged(self, zone: str, known: ZoneView) -> bool:
         """Return whether a zone's head stands still, or can't be read now."""
@@ -231,13 +254,20 @@
 
     def _keep_lease(self) -> None:
         incarnation = self.me.incarnation
-        self.keeper.keep()
+        confirmed = self.keeper.keep(self.view.head_version)
+        if not confirmed and self.platform.failing:
+            others = [r for r in self.zone_hosts() if r.host != self.me.host]
+            self.outages.extend(others)
         if self.me.incarnation != incarnation:
             with self._lock:
                 self._held.clear()
                 self._held_since.clear()
 
     def _look(self) -> None:
+        if not self.platform.available:
+            return
+        if self._leaving and self.me.state is HostState.LIVE:
+            self.keeper.announce(HostState.LEAVING)
         head = self.reader.head_version(self.me.zone)
         if head.is_error():
             return
@@ -246,8 +276,10 @@
             self._read_zone()
         self._watch_neighbours()
         if self.keeper.holds():
-            self._claim_slots()
+            if self.outages.may_depose():
+                self._claim_slots()
             self._hand_over_slots()
+        self._refresh_others()
 
     def _read_zone(self) -> None:
         read = self.reader.read(self.me.zone)
@@ -272,9 +304,20 @@
             found = self.platform.read(HOSTS, row.key)
             if found.is_ok() and found.ok is not None:
                 self.watch.observe(time.monotonic(), row.host, found.ok.version)
-        for host, version in self.watch.lapsed(time.monotonic()).items():
+        if not self.outages.may_depose():
+            return
+        waits = {row.host: self._depose_wait(row) for row in neighbours}
+        for host, version in self.watch.lapsed(time.monotonic(), waits).items():
             self._depose(self.view.hosts[host], version)
 
+    def _depose_wait(self, row: HostRow) -> float:
+        return depose_wait(
+            self.times,
+            self.outages.times,
+            row.knows_head,
+            self.keeper.registered_head,
+        )
+
     def _depose(self, row: HostRow, version: int) -> None:
         """End an incarnation whose lease lapsed.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_lease_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_lease_keeper.py
@@ -41,13 +41,13 @@
         would give up all its slots and every turn under way.
         """
         host = keeper()
-        assert host.keep()
+        assert host.keep(0)
         incarnation = host.row.incarnation
         host.platform.lose_answer = True
-        assert not host.keep()
+        assert not host.keep(0)
         host.platform.lose_answer = False
-        assert not host.keep()
-        assert host.keep()
+        assert not host.keep(0)
+        assert host.keep(0)
         assert host.holds()
         assert host.row.incarnation == incarnation
 
@@ -56,12 +56,12 @@
         would take slots for its own that are not.
         """
         host = keeper()
-        assert host.keep()
+        assert host.keep(0)
         incarnation = host.row.incarnation
         row = host.platform.row
         dead = {**row.value, "state": HostState.DEAD.value}
         host.platform.row = replace(row, version=row.version + 1, value=dead)
-        assert not host.keep()
+        assert not host.keep(0)
         assert not host.holds()
-        assert host.keep()
+        assert host.keep(0)
         assert host.row.incarnation != incarnation
--- a/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
@@ -17,8 +17,9 @@
     ShareService,
     YieldRequest,
 )
-from swifttide_daemon.membership import MembershipService
+from swifttide_daemon.membership import MembershipService, OutageService, PromiseRequest
 from swifttide_daemon.peering._heartbeat import Heartbeat
+from swifttide_daemon.platform import Transaction
 from swifttide_daemon.retention import (
     CacheKeeper,
     ExportedCache,
@@ -57,6 +58,7 @@
     grants : GrantBook
     strikes : StrikeService
     caches : CacheKeeper
+    outages : OutageService
     """
 
     def __init__(
@@ -69,7 +71,9 @@
         grants: GrantBook,
         strikes: StrikeService,
         caches: CacheKeeper,
+        outages: OutageService,
     ) -> None:
+        self.outages = outages
         self.membership = membership
         self.config = config
         self.heartbeat = heartbeat
@@ -84,6 +88,8 @@
         return [
             Route("POST", "/peer/v1/heartbeat", self.beat),
             Route("GET", "/peer/v1/config", self.changes),
+            Route("POST", "/peer/v1/promises", self.promise),
+            Route("POST", "/peer/v1/relays", self.relay),
             Route("POST", "/peer/v1/calls", self.call),
             Route("POST", "/peer/v1/customers/{customer}/draw", self.draw),
             Route("POST", "/peer/v1/customers/{customer}/return", self.give_back),
@@ -108,6 +114,16 @@
         changes = self.config.changes_after(int(after))
         return Response.from_json({"changes": changes})
 
+    def promise(self, req: Request) -> Response:
+        """Let a lease stand that can't be renewed, or offer to relay."""
+        message = _decode(req, PromiseRequest)
+        return _answer(message.map(self.outages.answer))
+
+    def relay(self, req: Request) -> Response:
+        """Renew a lease for a host that doesn't see the platform."""
+        tx = _decode(req, Transaction)
+        return _answer(tx.map(lambda found: {"versions": self.outages.relay(found)}))
+
     def call(self, req: Request) -> Response:
         """Run a call, or attach to it, and stream its events."""
         call = _decode(req, Call)
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_client.py
@@ -86,6 +86,11 @@
         silent = time.monotonic() - self._answered_at
         return not self._failing or silent < OUTAGE_SECONDS
 
+    @property
+    def failing(self) -> bool:
+        """Whether the last call got no answer."""
+        return self._failing
+
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         """Read one row; None when there is none."""
         answer = self._exchange("GET", f"/v1/rows/{table}/{quote(key, safe='')}")
@@ -127,12 +132,14 @@
         found = msgspec.json.decode(body, type=dict[str, list[Row]])
         return Ok(found["rows"])
 
-    def commit(self, tx: Transaction) -> Result[Committed | Conflict, PlatformError]:
+    def commit(
+        self, tx: Transaction, tries: int = COMMIT_TRIES
+    ) -> Result[Committed | Conflict, PlatformError]:
         """Run a transaction; its id settles answers that get lost."""
         body = msgspec.json.encode(tx)
         unknown = False
         error = PlatformError("not tried")
-        for attempt in range(COMMIT_TRIES):
+        for attempt in range(tries):
             if attempt:
                 time.sleep(RETRY_PAUSE_SECONDS)
             answer = self._exchange("POST", "/v1/transactions", body)
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
@@ -57,6 +57,14 @@
     return sock
 
 
+def receive_whole(sock):
+    """Read one echo answer to its end: head and body may come apart."""
+    received = b""
+    while not received.endswith(b"}"):
+        received += sock.recv(4096)
+    return received
+
+
 def exchange(server, data):
     """Send bytes and return all that comes until the server closes."""
     with connect(server) as sock:
@@ -234,18 +242,20 @@
         limits = LimitSettings(max_connections=2, idle_seconds=30, caller_threads=2)
         server = start(limits)
         kept = [connect(server) for _ in range(2)]
-        for sock in kept:
-            sock.sendall(request("Content-Length: 2", body=b"hi"))
-            assert b" 200 " in sock.recv(4096)
-        refused = connect(server).recv(4096)
-        assert b" 503 " in refused
-        assert b"Swifttide-Verdict: not_run" in refused
-        assert b"Retry-After: 1" in refused
-        kept[0].sendall(request("Content-Length: 2", body=b"hi"))
-        assert b" 200 " in kept[0].recv(4096)
-        for sock in kept:
-            sock.close()
-        server.web.stop()
+        try:
+            for sock in kept:
+                sock.sendall(request("Content-Length: 2", body=b"hi"))
+                assert b" 200 " in receive_whole(sock)
+            refused = connect(server).recv(4096)
+            assert b" 503 " in refused
+            assert b"Swifttide-Verdict: not_run" in refused
+            assert b"Retry-After: 1" in refused
+            kept[0].sendall(request("Content-Length: 2", body=b"hi"))
+            assert b" 200 " in receive_whole(kept[0])
+        finally:
+            for sock in kept:
+                sock.close()
+            server.web.stop()
 
 
 class TestJunk:
--- a/tests/fuzz/test_turns_fuzz.py
+++ b/tests/fuzz/test_turns_fuzz.py
@@ -101,7 +101,11 @@
         version, epoch = self.platform.rows.get(("slots", key), (0, 0))
         write = Write("slots", key, version, epoch + 1)
         self.platform.transact(f"claim-{host}-{version}", [write])
-        book = self.memory[host][1] if host in self.memory else ProgramBook(None)
+        book = (
+            self.memory[host][1]
+            if host in self.memory
+            else ProgramBook(None, lambda *_: None)
+        )
         self.memory[host] = (f"{key}/{epoch + 1}", book)
 
     @precondition(lambda self: self.memory)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,6 +5,7 @@
 the run fails instead.
 """
 
+import os
 import sys
 from pathlib import Path
 
@@ -37,4 +38,9 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    code = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # A test that fails can leave a server's threads behind. They would keep the
+    # process, and CI with it, alive for good after the last line was printed.
+    os._exit(code)
