--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,17 @@
 
 demo: setup
 	@echo "no demo yet"
+
+.PHONY: bench bench-plots bench-ablations bench-core
+
+bench: setup
+	$(BIN)/python -m benchmarks
+
+bench-plots: setup
+	$(BIN)/python -m benchmarks --plots
+
+bench-ablations: setup
+	$(BIN)/python -m benchmarks --ablations
+
+bench-core: setup
+	$(BIN)/python -m benchmarks.core_speed
--- a/benchmarks/ablations.py
+++ b/benchmarks/ablations.py
@@ -29,6 +29,15 @@
             whole, admission=replace(admission, under_way_wait_factor=1.0)
         ),
         "urgency": replace(whole, urgency=False),
+        "first-token time": replace(
+            whole, admission=replace(admission, first_token_target_seconds=math.inf)
+        ),
+        "load reports": replace(whole, reports=False),
+        "load reports and first-token time": replace(
+            whole,
+            reports=False,
+            admission=replace(admission, first_token_target_seconds=math.inf),
+        ),
         "adaptive limit": replace(whole, adaptive=False),
         "lease renewal and adoption": replace(whole, renew=False),
         "prefix affinity": replace(whole, affinity=False),
--- a/benchmarks/policies/ideal.py
+++ b/benchmarks/policies/ideal.py
@@ -10,11 +10,14 @@
 from swifttide_core.admission import call_cost
 
 
-import os
+SPARE = 0.3
+"""Part of an engine's limit below which histories may be computed again there."""
 
-W = float(os.environ.get("W", "4.0"))
-SPARE = float(os.environ.get("SPARE", "0.5"))
-FILL = float(os.environ.get("FILL", "1.0"))
+FILL = 1.0
+"""Part of an engine's memory that final lengths of histories may add up to."""
+
+RECOMPUTE_WEIGHT = 4.0
+"""Weight of a prompt's own time, since all others of the batch wait for it too."""
 
 
 class Ideal(Policy):
@@ -168,6 +171,6 @@
     def _seconds(self, engine, call: Call) -> float:
         uncached = call.prompt_tokens - engine.usable_prefix(call)
         prefill = engine.prefill_backlog
-        prefill += W * uncached / engine.spec.prefill_tokens_per_second
+        prefill += RECOMPUTE_WEIGHT * uncached / engine.spec.prefill_tokens_per_second
         gap = engine.token_gap(engine.n_running + 1)
         return prefill / engine.speed + gap * call.output_tokens
--- a/benchmarks/work.py
+++ b/benchmarks/work.py
@@ -66,6 +66,8 @@
         Whether the customer was inside its rate and burst when it started.
     agent : AgentPlan
         What it does.
+    vanishes_after : int
+        Step after which its caller dies without a word; -1 for never.
     """
 
     name: str
@@ -76,6 +78,7 @@
     urgency: int
     inside_rate: bool
     agent: AgentPlan
+    vanishes_after: int = -1
 
 
 def walk_steps(agent: AgentPlan):
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -184,6 +184,9 @@
         def use_service() -> None:
             if not is_last:
                 self.policy.paused(program, key, after)
+            if not parent and index == program.plan.vanishes_after:
+                self._vanish(program)
+                return
             if step.service_seconds:
                 self._new_call(program, key, "", 0, 0, 0, 0, 0, step, spread)
             else:
@@ -236,6 +239,12 @@
         self._ended_agents[key] = self.sim.now
         self.policy.agent_ended(program, key)
 
+    def _vanish(self, program: ProgramRun) -> None:
+        program.state = "vanished"
+        program.ended_at = self.sim.now
+        for key in program.agents:
+            self._ended_agents.setdefault(key, self.sim.now)
+
     def _finish(self, program: ProgramRun) -> None:
         if program.state != "running":
             return
--- a/packages/swifttide_core/src/swifttide_core/admission/_concurrency_limit.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_concurrency_limit.py
@@ -5,13 +5,14 @@
 engine, where nothing orders it by customer or deadline and nothing can be taken
 back; with a fixed limit, a slow engine is flooded and a fast one idles.
 
-The limit grows by one for a full round of calls while it is used up, doubles a round
-until the first congestion, and shrinks by a factor on congestion: first token or
-token gap beyond target, calls waiting inside the engine, or failures. Two decreases
-are kept a cooldown apart, because the signs of one congestion arrive late and many.
-
-Grounds: 0.76 s and 0.072 s are the users' targets for 95 in 100; the rest was tuned
-in the bench, see docs/measurements.md.
+The limit starts at the operators' bound, shrinks by a factor on congestion (calls that
+wait inside the engine, a first token far beyond the time for the prompt, failures) and
+grows by one for a full round of calls while it is used up. Two decreases are kept a
+cooldown apart, because the signs of one congestion arrive late and many.
+
+Grounds: docs/design/admission.md. A limit that started low and felt its way up, and one
+that held the first token at 0.76 s or the token gap at 0.072 s, made whole programs
+slower: a batch that is kept small serves less.
 """
 
 from swifttide_core.admission._config import AdmissionConfig
@@ -36,10 +37,9 @@
     def __init__(self, cfg: AdmissionConfig, max_limit: int) -> None:
         self._cfg = cfg
         self._max = max(max_limit, cfg.min_limit)
-        self._limit = float(min(cfg.initial_limit, self._max))
+        self._limit = float(self._max)
         self._congestion = 0.0
         self._decreased_at = float("-inf")
-        self._starting = True
         self._held = False
 
     @property
@@ -49,7 +49,10 @@
 
     def set_max(self, max_limit: int) -> None:
         """Take over an edited upper bound."""
-        self._max = max(max_limit, self._cfg.min_limit)
+        bound = max(max_limit, self._cfg.min_limit)
+        if bound > self._max and self._limit == self._max:
+            self._limit = float(bound)
+        self._max = bound
         self._limit = min(self._limit, float(self._max))
 
     def released(self, now: float, outcome: Outcome, saturated: bool) -> None:
@@ -94,11 +97,9 @@
             self._decrease(now)
 
     def _increase(self) -> None:
-        step = 1.0 if self._starting else 1.0 / self._limit
-        self._limit = min(float(self._max), self._limit + step)
+        self._limit = min(float(self._max), self._limit + 1.0 / self._limit)
 
     def _decrease(self, now: float) -> None:
-        self._starting = False
         if now - self._decreased_at < self._cfg.cooldown_seconds:
             return
         self._decreased_at = now
@@ -107,12 +108,8 @@
         )
 
     def _congestion_of(self, outcome: Outcome) -> float:
-        sample = 0.0
-        if outcome.first_token_seconds is not None:
-            prefill = outcome.uncached_tokens / self._cfg.prefill_tokens_per_second
-            allowed = self._cfg.first_token_target_seconds + prefill
-            sample = outcome.first_token_seconds / allowed
-        if outcome.token_gap_seconds is not None:
-            gap = outcome.token_gap_seconds / self._cfg.token_gap_target_seconds
-            sample = max(sample, gap)
-        return sample
+        if outcome.first_token_seconds is None:
+            return 0.0
+        prefill = outcome.uncached_tokens / self._cfg.prefill_tokens_per_second
+        allowed = self._cfg.first_token_target_seconds + prefill
+        return outcome.first_token_seconds / allowed
--- a/packages/swifttide_core/src/swifttide_core/admission/_config.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_config.py
@@ -10,8 +10,6 @@
 
     Parameters
     ----------
-    initial_limit : int
-        Calls at once that an unknown target is given at first.
     min_limit : int
         Lower bound of the adaptive limit; below it a target would never be
         measured again.
@@ -20,8 +18,6 @@
         computing the prompt; infinite for plain services.
     prefill_tokens_per_second : float
         Assumed speed of an engine at prompts, to tell a long prompt from congestion.
-    token_gap_target_seconds : float
-        Time between tokens that counts as congestion.
     decrease_factor : float
         What is left of the limit after a sign of congestion.
     cooldown_seconds : float
@@ -30,8 +26,6 @@
         Longest expected wait of the first call of a program.
     under_way_wait_factor : float
         How many times longer the later calls of a program may wait.
-    aging_tokens_per_second : float
-        Attained tokens that a second of waiting outweighs.
     urgency_seconds : float
         Seconds of waiting that one step of urgency is worth.
     lease_seconds : float
@@ -54,22 +48,19 @@
         Bounds of the time to come back.
     """
 
-    initial_limit: int = 8
     min_limit: int = 1
-    first_token_target_seconds: float = 0.76
+    first_token_target_seconds: float = 5.0
     prefill_tokens_per_second: float = 5_000.0
-    token_gap_target_seconds: float = 0.072
     decrease_factor: float = 0.85
     cooldown_seconds: float = 3.0
-    max_wait_seconds: float = 20.0
+    max_wait_seconds: float = 30.0
     under_way_wait_factor: float = 4.0
-    aging_tokens_per_second: float = 500.0
     urgency_seconds: float = 30.0
     lease_seconds: float = 150.0
     drain_window_seconds: float = 15.0
     initial_service_seconds: float = 2.0
     working_set_fill: float = 1.0
-    spare_fraction: float = 0.5
+    spare_fraction: float = 0.3
     idle_program_seconds: float = 120.0
     initial_stay_seconds: float = 60.0
     min_retry_seconds: float = 0.5
@@ -80,7 +71,6 @@
         """Return the settings of a plain service, which streams no tokens."""
         return cls(
             first_token_target_seconds=math.inf,
-            token_gap_target_seconds=math.inf,
             initial_service_seconds=0.5,
         )
 
@@ -95,16 +85,11 @@
     """
     if cfg.min_limit < 1:
         raise ValueError(f"min_limit must be >= 1, got {cfg.min_limit!r}")
-    if cfg.initial_limit < cfg.min_limit:
-        raise ValueError(
-            f"initial_limit must be >= min_limit={cfg.min_limit!r}, "
-            f"got {cfg.initial_limit!r}"
-        )
     if not 0 < cfg.decrease_factor < 1:
         raise ValueError(
             f"decrease_factor must be in (0, 1), got {cfg.decrease_factor!r}"
         )
-    for name in ("lease_seconds", "drain_window_seconds", "aging_tokens_per_second"):
+    for name in ("lease_seconds", "drain_window_seconds"):
         value = getattr(cfg, name)
         if not value > 0:
             raise ValueError(f"{name} must be > 0, got {value!r}")
--- a/packages/swifttide_core/src/swifttide_core/admission/_outcome.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_outcome.py
@@ -28,12 +28,9 @@
         From dispatch to the first token.
     uncached_tokens : float
         Part of the prompt that the engine had to compute.
-    token_gap_seconds : float or None
-        Mean time between tokens.
     """
 
     status: OutcomeStatus = OutcomeStatus.FINISHED
     tokens: float | None = None
     first_token_seconds: float | None = None
     uncached_tokens: float = 0.0
-    token_gap_seconds: float | None = None
--- a/packages/swifttide_core/src/swifttide_core/admission/_snapshot.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_snapshot.py
@@ -15,6 +15,8 @@
         Grants that were neither released nor expired.
     queued : int
         Calls that wait.
+    entering : int
+        First calls among them that wait for room.
     limit : int
         Present concurrency limit.
     drain_per_second : float
@@ -30,6 +32,7 @@
     measured_at: float
     running: int
     queued: int
+    entering: int
     limit: int
     drain_per_second: float
     service_seconds: float
--- a/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
@@ -262,6 +262,7 @@
             measured_at=now,
             running=len(self._grants),
             queued=len(self._queue),
+            entering=self._queue.n_entering,
             limit=self._limit.value,
             drain_per_second=self.drain_rate(now),
             service_seconds=self._drain.service_seconds,
@@ -363,11 +364,7 @@
             heapq.heapify(self._latest_starts)
 
     def _score(self, ticket: Ticket) -> float:
-        # All waiting calls age alike, so a fixed score keeps the order that
-        # "attained service minus age" has at any later time.
-        attained = ticket.attained_tokens / self._cfg.aging_tokens_per_second
-        bonus = ticket.urgency * self._cfg.urgency_seconds
-        return ticket.offered_at + attained - bonus
+        return ticket.offered_at - ticket.urgency * self._cfg.urgency_seconds
 
     def _latest_start(self, ticket: Ticket) -> float:
         # A program that starts too late to finish would use its target and be given
--- a/packages/swifttide_core/src/swifttide_core/retention/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/retention/__init__.py
@@ -4,12 +4,11 @@
 from swifttide_core.retention._decide import decide
 from swifttide_core.retention._decision import Drop, Export, Keep, RetentionDecision
 from swifttide_core.retention._pause_estimator import PauseEstimator
-from swifttide_core.retention._paused_program import EnginePressure, PausedProgram
+from swifttide_core.retention._paused_program import PausedProgram
 from swifttide_core.retention._release_order import HeldCache, release_order
 
 __all__ = [
     "Drop",
-    "EnginePressure",
     "Export",
     "HeldCache",
     "Keep",
--- a/packages/swifttide_core/src/swifttide_core/retention/_decide.py
+++ b/packages/swifttide_core/src/swifttide_core/retention/_decide.py
@@ -1,16 +1,17 @@
 """Keep, export or drop the cache of a program that waits for a tool.
 
-Load pattern: programs pause for tools between calls, for seconds or minutes, while
-their prefix holds engine memory that running programs need. Without this module an
-engine evicts by its own order, oldest use first: the cache of a long history that
-would have been back in two seconds goes, and that of a program which is gone stays.
-
-While memory is free, keeping costs nothing. When it is crowded, a cache that would be
-evicted before the program returns is worth nothing at the engine: it is exported when
-an import is cheaper than computing again, and dropped otherwise, so that the memory
-goes to caches that will be used.
-
-Grounds: docs/measurements.md, docs/design/retention.md.
+Load pattern: programs pause for tools between calls, for seconds or minutes, and some
+never come back: the caller died, the tool hangs. Engines are taken out of service
+while paused programs have their histories there. Without this module the memory of
+programs that are gone stays tied up until the engine needs it, and each program of a
+leaving engine computes its whole history again elsewhere.
+
+A cache is kept until the program has been silent for several times the pause that its
+profile seldom exceeds, then dropped. When its engine is leaving, it is exported if an
+import is faster than computing, and dropped otherwise.
+
+Grounds: docs/design/retention.md. Dropping or exporting caches during short pauses to
+make room for others was tried in the bench and lost: what left first was needed first.
 """
 
 from swifttide_core.retention._config import RetentionConfig
@@ -20,11 +21,11 @@
     Keep,
     RetentionDecision,
 )
-from swifttide_core.retention._paused_program import EnginePressure, PausedProgram
+from swifttide_core.retention._paused_program import PausedProgram
 
 
 def decide(
-    now: float, cfg: RetentionConfig, program: PausedProgram, engine: EnginePressure
+    now: float, cfg: RetentionConfig, program: PausedProgram
 ) -> RetentionDecision:
     """Decide on the cache of one paused program.
 
@@ -35,37 +36,24 @@
     cfg : RetentionConfig
         Speeds and bounds.
     program : PausedProgram
-        Its prefix and expected pause.
-    engine : EnginePressure
-        Memory at the engine that holds it.
+        Its prefix, expected pause and engine.
 
     Returns
     -------
     Keep or Export or Drop
-        ``Keep`` names the time of the next decision.
+        ``Keep`` names the time at which a program that is still silent is dropped.
     """
     if program.cached_tokens <= 0:
         return Drop()
+    if program.target_leaving:
+        return Export() if _export_pays(cfg, program) else Drop()
     patience = min(
         cfg.keep_margin * program.upper_pause_seconds, program.idle_limit_seconds
     )
-    if engine.fraction < cfg.crowded_fraction:
-        return Keep(now + patience)
-    if _survives(program, engine):
-        return Keep(now + min(patience, program.upper_pause_seconds))
-    return _give_up(cfg, program)
-
+    return Keep(now + patience)
 
-def _survives(program: PausedProgram, engine: EnginePressure) -> bool:
-    if engine.turnover_tokens_per_second <= 0:
-        return True
-    lifetime = engine.capacity_tokens / engine.turnover_tokens_per_second
-    return program.expected_pause_seconds < lifetime
 
-
-def _give_up(cfg: RetentionConfig, program: PausedProgram) -> Export | Drop:
+def _export_pays(cfg: RetentionConfig, program: PausedProgram) -> bool:
     if cfg.import_tokens_per_second <= cfg.prefill_tokens_per_second:
-        return Drop()
-    if program.cached_tokens < cfg.min_export_tokens:
-        return Drop()
-    return Export()
+        return False
+    return program.cached_tokens >= cfg.min_export_tokens
--- a/packages/swifttide_core/src/swifttide_core/retention/_pause_estimator.py
+++ b/packages/swifttide_core/src/swifttide_core/retention/_pause_estimator.py
@@ -31,12 +31,16 @@
         deviation += SMOOTHING * (abs(error) - deviation)
         self._seen[profile] = (mean, deviation)
 
-    def expected(self, profile: str, default_seconds: float) -> float:
-        """Return the mean pause, or the profile's setting before any was seen."""
-        return self._seen.get(profile, (default_seconds, 0.0))[0]
-
     def upper(self, profile: str, default_seconds: float) -> float:
-        """Return a pause that is seldom exceeded."""
+        """Return a pause that is seldom exceeded.
+
+        Parameters
+        ----------
+        profile : str
+            Name of the profile.
+        default_seconds : float
+            The profile's own setting, used until a pause was seen.
+        """
         mean, deviation = self._seen.get(
             profile, (default_seconds, default_seconds / 2)
         )
