--- a/Makefile
+++ b/Makefile
@@ -52,3 +52,17 @@
 # Each promise's mechanism disabled in a copy; the proofs must notice (docs/proofs.md).
 mutations: setup
 	$(BIN)/python tools/try_mutations.py
+
+.PHONY: bench bench-plots bench-ablations bench-core
+
+bench: setup
+	$(BIN)/python -m benchmarks
+
+bench-plots: setup
+	$(BIN)/python -m benchmarks --plots
+
+bench-ablations: setup
+	$(BIN)/python -m benchmarks --ablations
+
+bench-core: setup
+	$(BIN)/python -m benchmarks.core_speed
