PERF Keep the command line's library out of a serving daemon

Cause: swifttided imported cappa, and with it rich, for one look at its arguments. An empty deployment secret, left by a failed copy, was accepted: anybody could have signed peers' calls. A taken port or missing secret ended in a traceback. Measured: resident memory of an idle daemon 45.5 MiB before, 38.9 MiB after.

--- a/packages/swifttide_daemon/src/swifttide_daemon/__main__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/__main__.py
@@ -3,38 +3,33 @@
 import signal
 import sys
 import threading
-from dataclasses import dataclass
-from typing import Annotated
 
-import cappa
-
-from swifttide_daemon.settings import Settings
+from swifttide_daemon.settings import Settings, read_deployment_secret
 
+EXIT_CANT_START = 1
 EXIT_BAD_SETTINGS = 2
+SETTINGS_OPTION = "--settings"
 
 
-@dataclass
-class Swifttided:
-    """Serve agent programs at this host.
-
-    Parameters
-    ----------
-    settings : str
-        File with this host's settings, JSON with comments.
-    """
-
-    settings: Annotated[str, cappa.Arg(long=True, help="Settings file of this host.")]
-
-
-def run(args: Swifttided) -> int:
+def run(path: str) -> int:
     """Serve until SIGTERM or SIGINT, then leave without cutting a request."""
-    settings = Settings.from_file(args.settings)
+    settings = Settings.from_file(path)
     if settings.is_error():
         print(settings.error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    secret = read_deployment_secret(settings.ok.deployment_secret_file)
+    if secret.is_error():
+        print(f"{path}: {secret.error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
     from swifttide_daemon._daemon import Daemon, wait_for_signal
 
-    daemon = Daemon.from_settings(settings.ok)
+    try:
+        daemon = Daemon.from_settings(settings.ok)
+    except OSError as exc:
+        # Such as a port that another process has: one line says more than the
+        # places in the code where it was noticed.
+        print(f"{path}: can't start: {exc}", file=sys.stderr)
+        return EXIT_CANT_START
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
     signal.signal(signal.SIGINT, lambda *_: stop.set())
@@ -46,7 +41,22 @@
 
 def main() -> None:
     """Parse the command line and serve."""
-    sys.exit(run(cappa.parse(Swifttided, version="0.1.0")))
+    sys.exit(run(_settings_file(sys.argv[1:])))
+
+
+def _settings_file(argv: list[str]) -> str:
+    """Return the settings file that the command line names.
+
+    The plain form, by which every host is started, needs no library: cappa and what
+    it imports stay in memory for the process's whole life, 6 MB of the 64 MB that a
+    daemon may take.
+    """
+    match argv:
+        case [option, path] if option == SETTINGS_OPTION:
+            return path
+    from swifttide_daemon._command_line import parse
+
+    return parse().settings
 
 
 if __name__ == "__main__":
--- a/packages/swifttide_daemon/src/swifttide_daemon/settings/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/settings/__init__.py
@@ -1,6 +1,7 @@
 """Settings of one host: JSON with comments, decoded strictly."""
 
 from swifttide_daemon.settings._config_settings import ConfigSettings
+from swifttide_daemon.settings._deployment_secret import read_deployment_secret
 from swifttide_daemon.settings._lease_settings import LeaseSettings
 from swifttide_daemon.settings._limit_settings import LimitSettings
 from swifttide_daemon.settings._log_settings import LogSettings
@@ -19,4 +20,5 @@
     "TimeoutSettings",
     "TraceExporter",
     "TraceSettings",
+    "read_deployment_secret",
 ]
