--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -33,22 +33,39 @@
     burst: float
     level: float
     at: float = 0.0
+    over: bool = False
 
     def take(self, now: float) -> bool:
-        """Take one program start; return whether it was inside the rate."""
+        """Take one program start; return whether the customer is inside its rate.
+
+        Notes
+        -----
+        Once over, a customer stays so until half of its burst is back: which of
+        its programs are the surplus can't be said.
+        """
         self.level = min(self.burst, self.level + (now - self.at) * self.rate)
         self.at = now
         if self.level < 1.0:
+            self.over = True
             return False
         self.level -= 1.0
-        return True
+        if self.level >= self.burst / 2:
+            self.over = False
+        return not self.over
 
 
 def engine_seconds(step: Step, engine: EngineSpec) -> float:
-    """Return the engine time of a call whose history is cached."""
+    """Return the engine time of a call whose history is cached.
+
+    Notes
+    -----
+    Output goes on at a reduced speed while a prompt is computed, so a prompt costs
+    only what the others lose.
+    """
     gap = engine.gap_base_seconds + PLANNED_BATCH * engine.gap_per_call_seconds
     decode = step.output_tokens * gap / PLANNED_BATCH
-    return step.new_tokens / engine.prefill_tokens_per_second + decode
+    prefill = step.new_tokens / engine.prefill_tokens_per_second
+    return prefill * (1.0 - engine.prefill_slowdown) + decode
 
 
 def program_seconds(plan: ProgramPlan, engine: EngineSpec) -> float:
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -17,6 +17,9 @@
 DETECT_SECONDS = 3.0
 """Time until hosts know that a target died, came back or is leaving."""
 
+MAX_CONCURRENCY = 48
+"""Upper bound that operators set for an engine; more than its batch of 32."""
+
 RECONNECT_SECONDS = 1.0
 """Time until a caller whose host died sends its call again."""
 
@@ -94,7 +97,7 @@
         self.seen_alive = {t.name: True for t in self.targets}
         self.seen_leaving = {t.name: False for t in self.targets}
         self.seen_back = {t.name: float("-inf") for t in self.targets}
-        self.max_concurrency = {t.name: 32 for t in self.engines}
+        self.max_concurrency = {t.name: MAX_CONCURRENCY for t in self.engines}
         self.max_concurrency.update({t.name: 12 for t in self.services})
         self.policy = make_policy(self)
         self._last_at = max(p.starts_at + PATIENCE * p.deadline_seconds for p in plans)
@@ -182,18 +185,21 @@
             if not is_last:
                 self.policy.paused(program, key, after)
             if step.service_seconds:
-                self._new_call(program, key, "", 0, 0, 0, 0, step, spread)
+                self._new_call(program, key, "", 0, 0, 0, 0, 0, step, spread)
             else:
                 spread()
 
         shared = plan.shared_tokens
         new, output = step.new_tokens, step.output_tokens
+        final = after + sum(
+            s.new_tokens + s.output_tokens for s in plan.steps[index + 1 :]
+        )
         self._new_call(
-            program, key, parent, prompt, shared, new, output, None, use_service
+            program, key, parent, prompt, shared, new, output, final, None, use_service
         )
 
     def _new_call(
-        self, program, key, parent, prompt, shared, new, output, service, on_done
+        self, program, key, parent, prompt, shared, new, output, final, service, on_done
     ) -> None:
         if program.state != "running":
             return
@@ -210,6 +216,7 @@
             service_seconds=service.service_seconds if service else 0.0,
             offered_at=self.sim.now,
             on_done=on_done,
+            final_tokens=final,
         )
         program.n_calls += 1
         program.calls[call.call_id] = call
@@ -334,7 +341,7 @@
                         self.hosts_alive[host] = True
             case FaultKind.EDITS:
                 self._set_leaving(self.engines[0], False)
-                self._set_max_concurrency(self.engines[1], 32)
+                self._set_max_concurrency(self.engines[1], MAX_CONCURRENCY)
 
     def _target_down(self, target) -> None:
         target.fail()
