--- a/packages/swifttide_cli/src/swifttide_cli/api/_host_row.py
+++ b/packages/swifttide_cli/src/swifttide_cli/api/_host_row.py
@@ -12,7 +12,7 @@
     host, zone : str
         Its id and availability zone.
     state : str
-        ``live``, ``leaving`` or ``lost``.
+        ``live``, ``leaving`` or ``dead``.
     config_version : int
         Version of the configuration in force there.
     incarnation : str or int
