ENH Replay recorded traces of calls and turns

Change: daemons record what the core's call and turn machines were told and asked for (recording.path); swifttide replay feeds the events to the same machines, compares their actions, checks stated outcomes, and over the whole trace that no call runs twice and no turn is answered from two chunks.

--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/replay/_replay.py
@@ -0,0 +1,126 @@
+"""Replay of a trace."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from swifttide_core.replay._difference import Difference
+from swifttide_core.replay._encoding import with_type
+from swifttide_core.replay._machine import MACHINES, Machine
+from swifttide_core.replay._promises import Promises
+from swifttide_core.replay._trace_line import Outcome, TraceLine
+
+DISPATCHES = ("Dispatch", "RunModel")
+"""Types of the actions that send something to a target."""
+
+
+@dataclass(frozen=True, slots=True)
+class Replayed:
+    """What a replay found.
+
+    Parameters
+    ----------
+    n_runs, n_steps : int
+        Calls and turns, and events, that were replayed.
+    differences : tuple of Difference
+        Empty when everything is as stated.
+    """
+
+    n_runs: int
+    n_steps: int
+    differences: tuple[Difference, ...]
+
+
+@dataclass(slots=True)
+class _Run:
+    machine: Machine
+    subject: Any
+    state: Any
+    actions: list[str] = field(default_factory=list)
+
+
+def replay_lines(lines: Iterable[bytes]) -> Replayed:
+    """Replay a trace.
+
+    Parameters
+    ----------
+    lines : iterable of bytes
+        JSON lines; empty ones and those that start with ``//`` are left out.
+
+    Returns
+    -------
+    Replayed
+        Every difference: actions other than recorded, outcomes other than stated,
+        promises broken over the whole trace, lines that can't be read.
+    """
+    replay = _Replay()
+    for number, line in enumerate(lines, 1):
+        if line.strip() and not line.startswith(b"//"):
+            replay.take(number, line)
+    return Replayed(
+        n_runs=len(replay.runs),
+        n_steps=replay.n_steps,
+        differences=(*replay.found, *replay.promises.differences()),
+    )
+
+
+class _Replay:
+    def __init__(self) -> None:
+        self.runs: dict[str, _Run] = {}
+        self.promises = Promises()
+        self.found: list[Difference] = []
+        self.n_steps = 0
+
+    def take(self, number: int, data: bytes) -> None:
+        """Replay one line."""
+        try:
+            line = msgspec.json.decode(data, type=TraceLine)
+            self._take(number, line)
+        except (msgspec.MsgspecError, KeyError, TypeError, AttributeError) as exc:
+            got = f"{type(exc).__name__}: {exc}"
+            self.found.append(Difference(number, "", "a readable line", got))
+
+    def _take(self, number: int, line: TraceLine) -> None:
+        if line.machine:
+            machine = MACHINES[line.machine]
+            arguments = [
+                msgspec.convert(raw, kind)
+                for raw, kind in zip(line.start or (), machine.start_types, strict=True)
+            ]
+            step = machine.start(*arguments)
+            run = _Run(machine, arguments[0], step.state)
+            self.runs[line.run] = run
+            self._compare(number, line, run, None, step.actions)
+        elif line.event is not None:
+            run = self.runs[line.run]
+            members = {k: v for k, v in line.event.items() if k != "type"}
+            event = msgspec.convert(members, run.machine.events[line.event["type"]])
+            step = run.machine.step(run.state, event)
+            run.state = step.state
+            self.n_steps += 1
+            self._compare(number, line, run, event, step.actions)
+        if line.outcome is not None:
+            self._check_outcome(number, line.run, line.outcome)
+
+    def _compare(
+        self, number: int, line: TraceLine, run: _Run, event: Any, actions: tuple
+    ) -> None:
+        run.actions += [type(action).__name__ for action in actions]
+        self.promises.note(line.run, run.subject, event, actions)
+        got = [with_type(action) for action in actions]
+        if got != list(line.actions):
+            stated = msgspec.json.encode(line.actions).decode()
+            shown = msgspec.json.encode(got).decode()
+            self.found.append(Difference(number, line.run, stated, shown))
+
+    def _check_outcome(self, number: int, name: str, outcome: Outcome) -> None:
+        actions = self.runs[name].actions
+        ends_as = actions[-1] if actions else ""
+        if ends_as != outcome.ends_as:
+            self.found.append(Difference(number, name, outcome.ends_as, ends_as))
+        dispatched = sum(action in DISPATCHES for action in actions)
+        if outcome.dispatched not in (None, dispatched):
+            stated = f"{outcome.dispatched} dispatches"
+            self.found.append(Difference(number, name, stated, str(dispatched)))
--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -29,6 +29,7 @@
 from swifttide_daemon.peers import PeerClient, PeerProof
 from swifttide_daemon.platform import PlatformClient, new_id
 from swifttide_daemon.programs import ProgramBook, ProgramStore
+from swifttide_daemon.recording import Recorder
 from swifttide_daemon.retention import CacheKeeper, ProgramJudge
 from swifttide_daemon.runners import (
     CallRunner,
@@ -250,8 +251,13 @@
         generator = Generator(
             placer, self.engines, retries, self.strikes, crashes, self.telemetry
         )
+        recorder = Recorder(self.settings.recording.path)
         chats = ChatRunner(
-            self.membership, self.book, generator, lambda: self.platform.available
+            self.membership,
+            self.book,
+            generator,
+            lambda: self.platform.available,
+            recorder,
         )
         services = ServiceRunner(
             self.book,
@@ -260,6 +266,7 @@
             retries,
             self.platform,
             self.telemetry,
+            recorder,
         )
         runner = CallRunner(self.config, chats, services, self.telemetry)
         self.table = CallTable(runner.run)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/recording/__init__.py
@@ -0,0 +1,5 @@
+"""Recording of traces that ``swifttide replay`` takes."""
+
+from swifttide_daemon.recording._recorder import RecordedRun, Recorder
+
+__all__ = ["RecordedRun", "Recorder"]
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_chat_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_chat_runner.py
@@ -12,6 +12,7 @@
 from swifttide_daemon.membership import MembershipService
 from swifttide_daemon.platform import new_id
 from swifttide_daemon.programs import ProgramBook, ProgramEntry, platform_refusal
+from swifttide_daemon.recording import Recorder
 from swifttide_daemon.runners._chat_body import ChatBody
 from swifttide_daemon.runners._generator import Generator
 from swifttide_daemon.runners._permit import Permit
@@ -30,6 +31,7 @@
     generator : Generator
     platform_available : callable
         Returns whether the platform answered the last call to it.
+    recorder : Recorder
     """
 
     def __init__(
@@ -38,7 +40,9 @@
         book: ProgramBook,
         generator: Generator,
         platform_available: Callable[[], bool],
+        recorder: Recorder,
     ) -> None:
+        self.recorder = recorder
         self.membership = membership
         self.book = book
         self.generator = generator
@@ -93,6 +97,7 @@
             max_tokens,
             running,
             traceparent,
+            self.recorder,
         )
         return runner.run()
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_service_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_service_runner.py
@@ -31,6 +31,7 @@
     start_call,
     step_call,
 )
+from swifttide_core.replay import CALL
 from swifttide_core.retries import Retry
 from swifttide_core.verdicts import Reason, Refusal, Verdict
 from swifttide_daemon.calls import Call, Failed, Finished, RunningCall, Started
@@ -43,6 +44,7 @@
     new_id,
 )
 from swifttide_daemon.programs import ProgramBook
+from swifttide_daemon.recording import Recorder
 from swifttide_daemon.runners._chat_runner import earlier_call_runs
 from swifttide_daemon.runners._permit import Permit
 from swifttide_daemon.runners._placement import Demand, Placement, Placer
@@ -83,6 +85,7 @@
     platform : PlatformClient
         Keeps the journal.
     telemetry : Telemetry
+    recorder : Recorder
     """
 
     def __init__(
@@ -93,7 +96,9 @@
         retries: RetryAccount,
         platform: PlatformClient,
         telemetry: Telemetry,
+        recorder: Recorder,
     ) -> None:
+        self.recorder = recorder
         self.telemetry = telemetry
         self.book = book
         self.placer = placer
@@ -243,7 +248,9 @@
 
     def run(self) -> None:
         """Take the call to its end; the caller is answered as soon as it is known."""
-        step = start_call(_wanted(self.permit.call))
+        wanted = _wanted(self.permit.call)
+        step = start_call(wanted)
+        self.recorded = self.runner.recorder.start(CALL, (wanted,), step.actions)
         state = step.state
         actions = list(step.actions)
         while actions:
@@ -257,6 +264,7 @@
             if event is None:
                 continue
             step = step_call(state, event)
+            self.recorded.step(event, step.actions)
             state = step.state
             actions.extend(step.actions)
 
@@ -363,6 +371,7 @@
                 time.sleep(pause)
                 pause = min(2 * pause, MAX_OUTCOME_PAUSE_SECONDS)
             step = step_call(state, event)
+            self.recorded.step(event, step.actions)
             state = step.state
             actions.extend(step.actions)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
@@ -27,6 +27,7 @@
     start_turn,
     step_turn,
 )
+from swifttide_core.replay import TURN
 from swifttide_core.verdicts import Refusal, Verdict
 from swifttide_daemon.calls import Failed, Finished, RunningCall
 from swifttide_daemon.platform import Committed
@@ -38,6 +39,7 @@
     ProgramEntry,
     platform_refusal,
 )
+from swifttide_daemon.recording import Recorder
 from swifttide_daemon.runners._chat_body import ChatBody
 from swifttide_daemon.runners._generator import Generator
 from swifttide_daemon.runners._permit import Permit
@@ -64,6 +66,7 @@
     max_tokens : int
     running : RunningCall
     traceparent : str
+    recorder : Recorder
     """
 
     def __init__(
@@ -77,7 +80,9 @@
         max_tokens: int,
         running: RunningCall,
         traceparent: str,
+        recorder: Recorder,
     ) -> None:
+        self.recorder = recorder
         self.book = book
         self.generator = generator
         self.permit = permit
@@ -96,6 +101,7 @@
         """Take the turn to its end."""
         known = self.book.known_rows(self.permit.call, self.turn.keys)
         step = start_turn(self.turn, known)
+        run = self.recorder.start(TURN, (self.turn, known), step.actions)
         state = step.state
         actions = list(step.actions)
         while actions:
@@ -104,6 +110,7 @@
             if isinstance(outcome, Finished | Failed):
                 return outcome
             step = step_turn(state, outcome)
+            run.step(outcome, step.actions)
             state = step.state
             actions.extend(step.actions)
         return Failed(platform_refusal(Verdict.MAY_HAVE_RUN))
--- a/packages/swifttide_daemon/src/swifttide_daemon/settings/_settings.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/settings/_settings.py
@@ -12,6 +12,7 @@
 from swifttide_daemon.settings._lease_settings import LeaseSettings
 from swifttide_daemon.settings._limit_settings import LimitSettings
 from swifttide_daemon.settings._log_settings import LogSettings
+from swifttide_daemon.settings._recording_settings import RecordingSettings
 from swifttide_daemon.settings._settings_errors import SettingsErrors
 from swifttide_daemon.settings._timeout_settings import TimeoutSettings
 from swifttide_daemon.settings._trace_settings import TraceSettings
@@ -47,6 +48,7 @@
     timeouts : TimeoutSettings
     log : LogSettings
     traces : TraceSettings
+    recording : RecordingSettings
     ready_file : str
         File that the daemon writes its addresses to once it serves; empty for
         none.
@@ -69,6 +71,7 @@
     timeouts: TimeoutSettings = field(default_factory=TimeoutSettings)
     log: LogSettings = field(default_factory=LogSettings)
     traces: TraceSettings = field(default_factory=TraceSettings)
+    recording: RecordingSettings = field(default_factory=RecordingSettings)
     ready_file: str = ""
 
     @classmethod
@@ -126,6 +129,7 @@
             deployment_secret_file=resolve(self.deployment_secret_file),
             ready_file=resolve(self.ready_file),
             traces=replace(self.traces, path=resolve(self.traces.path)),
+            recording=replace(self.recording, path=resolve(self.recording.path)),
         )
 
     def _with_advertised(self) -> "Settings":
--- a/packages/swifttide_daemon/src/swifttide_daemon/settings/tests/test_settings.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/settings/tests/test_settings.py
@@ -41,7 +41,7 @@
         """
         cfg = Settings.from_file(EXAMPLE).ok
         plain = Settings.from_document(SMALLEST).ok
-        for section in ("lease", "config", "limits", "timeouts", "log"):
+        for section in ("lease", "config", "limits", "timeouts", "log", "recording"):
             assert getattr(cfg, section) == getattr(plain, section)
         text = EXAMPLE.read_text()
         for field in dataclasses.fields(Settings):
