--- a/packages/swifttide_core/src/swifttide_core/replay/_replay.py
+++ b/packages/swifttide_core/src/swifttide_core/replay/_replay.py
@@ -78,7 +78,7 @@
         try:
             line = msgspec.json.decode(data, type=TraceLine)
             self._take(number, line)
-        except (msgspec.MsgspecError, KeyError, TypeError, AttributeError) as exc:
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
             got = f"{type(exc).__name__}: {exc}"
             self.found.append(Difference(number, "", "a readable line", got))
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_server.py
@@ -1,11 +1,15 @@
 """A cheroot server on a port of its own, running on a thread."""
 
+import logging
+import sys
 import threading
 
 from swifttide_daemon.settings import LimitSettings
 from swifttide_daemon.web._app import App
 from swifttide_daemon.web._strict_server import StrictServer
 
+log = logging.getLogger(__name__)
+
 
 class WebServer:
     """One listening port.
@@ -39,7 +43,7 @@
         server.max_request_body_size = app.max_body_bytes
         server.max_request_header_size = limits.max_header_bytes
         server.keep_alive_conn_limit = limits.max_connections
-        server.error_log = _discard
+        server.error_log = _log_failure
         server.prepare()
         return cls(server)
 
@@ -57,5 +61,13 @@
         self.server.stop()
 
 
-def _discard(msg: str = "", level: int = 20, traceback: bool = False) -> None:
-    """Drop cheroot's own messages, which quote raw input."""
+def _log_failure(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    """Log what ended a connection, without cheroot's text, which quotes raw input.
+
+    An answer's iterator that fails half-way ends here and nowhere else: dropped, a
+    fault that cuts streams would leave no trace.
+    """
+    exc = sys.exc_info()[1]
+    if exc is None or isinstance(exc, OSError):
+        return
+    log.error("connection_failed", exc_info=exc)
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
@@ -30,8 +30,16 @@
     def leave(req):
         return Response(503, b"", (("Connection", "close"),))
 
+    def break_off(req):
+        def pieces():
+            yield b"first"
+            raise ZeroDivisionError
+
+        return Response(200, pieces())
+
     routes = [Route("POST", "/echo", echo), Route("GET", "/smuggled", echo)]
     routes.append(Route("GET", "/leave", leave))
+    routes.append(Route("GET", "/broken", break_off))
     app = App(routes, limits.max_body_bytes)
     web = WebServer.from_settings("127.0.0.1", 0, app, limits.caller_threads, limits)
     web.start()
@@ -258,6 +266,19 @@
             server.web.stop()
 
 
+class TestFailingAnswer:
+    def test_fault_within_a_stream_is_logged(self, server, caplog):
+        """An answer's iterator fails after its first piece. The caller sees a cut
+        stream; without a line in the log nobody would know why.
+        """
+        answer = exchange(server, request(line="GET /broken HTTP/1.1"))
+        assert b"first" in answer
+        assert not answer.endswith(b"0\r\n\r\n")
+        (record,) = caplog.records
+        assert record.getMessage() == "connection_failed"
+        assert record.exc_info[0] is ZeroDivisionError
+
+
 class TestJunk:
     @pytest.mark.parametrize(
         "data",
