--- a/benchmarks/policies/ideal.py
+++ b/benchmarks/policies/ideal.py
@@ -9,7 +9,6 @@
 from benchmarks.work import unloaded_seconds
 from swifttide_core.admission import call_cost
 
-
 SPARE = 0.3
 """Part of an engine's limit below which histories may be computed again there."""
 
--- a/packages/swifttide_core/src/swifttide_core/admission/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/__init__.py
@@ -8,6 +8,7 @@
 from swifttide_core.admission._fair_queue import FairQueue
 from swifttide_core.admission._load_report import LoadReport
 from swifttide_core.admission._outcome import Outcome, OutcomeStatus
+from swifttide_core.admission._profile_estimates import ProfileEstimates
 from swifttide_core.admission._snapshot import QueueSnapshot
 from swifttide_core.admission._target_queue import TargetQueue
 from swifttide_core.admission._ticket import Ticket, check_ticket
@@ -23,6 +24,7 @@
     "LoadReport",
     "Outcome",
     "OutcomeStatus",
+    "ProfileEstimates",
     "QueueSnapshot",
     "Queued",
     "Refused",
--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -237,6 +237,7 @@
             ProgramJudge(self.config, self.book),
             self.engines,
             self.peer_client,
+            self.queues,
         )
 
     def _build_runners(self) -> None:
@@ -249,7 +250,13 @@
         retries = RetryAccount.from_rng(self.rng)
         crashes = CrashDetector(self.engines, self.strikes)
         generator = Generator(
-            placer, self.engines, retries, self.strikes, crashes, self.telemetry
+            placer,
+            self.engines,
+            retries,
+            self.strikes,
+            crashes,
+            self.telemetry,
+            self.book.estimates,
         )
         recorder = Recorder(self.settings.recording.path)
         chats = ChatRunner(
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
@@ -6,6 +6,7 @@
 
 from expression import Ok, Result
 
+from swifttide_core.admission import ProfileEstimates
 from swifttide_core.programs import ProgramRow
 from swifttide_core.retention import PauseEstimator
 from swifttide_core.verdicts import Refusal
@@ -43,6 +44,7 @@
         self.store = store
         self.on_end = on_end
         self.pauses = PauseEstimator()
+        self.estimates = ProfileEstimates()
         self._trees: dict[str, ProgramTree] = {}
         self._lock = threading.Lock()
 
@@ -187,4 +189,6 @@
             told, tree.latency_told = tree.latency_told, True
         if tree.started_at and not told:
             seconds = tree.active_at - tree.started_at
+            longest = max((r.total_tokens for r in tree.rows.values()), default=0)
+            self.estimates.observe_program(tree.profile, longest, seconds)
             self.on_end(tree.customer, tree.profile, seconds)
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
@@ -42,6 +42,8 @@
         Monotonic seconds of the last call.
     exported : tuple of (str, int) or None
         Object that holds its cache, and the cache's tokens.
+    attained_cost : float
+        Cost that it was served here, in the queue's units.
     """
 
     order: FifoLock = field(default_factory=FifoLock)
@@ -49,6 +51,7 @@
     messages: tuple[Message, ...] = ()
     active_at: float = 0.0
     exported: tuple[str, int] | None = None
+    attained_cost: float = 0.0
 
 
 @dataclass(slots=True)
--- a/packages/swifttide_daemon/src/swifttide_daemon/retention/_cache_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/retention/_cache_keeper.py
@@ -11,13 +11,13 @@
 import logging
 import threading
 import time
+from dataclasses import replace
 
 import msgspec
 
 from swifttide_core.documents import Target, TargetKind
 from swifttide_core.retention import (
     Drop,
-    EnginePressure,
     Export,
     HeldCache,
     Keep,
@@ -37,7 +37,7 @@
     ListedPrograms,
 )
 from swifttide_daemon.retention._program_judge import ProgramJudge
-from swifttide_daemon.targets import EngineClient
+from swifttide_daemon.targets import EngineClient, QueueService
 
 log = logging.getLogger(__name__)
 
@@ -59,6 +59,8 @@
         For programs whose slots are held here.
     engines : EngineClient
     peers : PeerClient
+    queues : QueueService
+        Told which programs' memory is free again.
     """
 
     def __init__(
@@ -69,7 +71,9 @@
         judge: ProgramJudge,
         engines: EngineClient,
         peers: PeerClient,
+        queues: QueueService,
     ) -> None:
+        self.queues = queues
         self.membership = membership
         self.config = config
         self.book = book
@@ -117,11 +121,8 @@
         self.held_bytes[target.name] = sum(listing.values())
         judgements = self._judgements(tuple(listing))
         self._release_gone(target, listing, judgements)
-        load = self.engines.load(target)
-        if load is not None:
-            capacity = load["cache_capacity_bytes"]
-            pressure = EnginePressure(sum(listing.values()), capacity)
-            self._thin_out(target, pressure, judgements)
+        self._thin_out(target, judgements)
+        self._measure_tokens(target, listing, judgements)
 
     def _release_gone(
         self,
@@ -134,22 +135,36 @@
         held = (HeldCache(p, target.name, listing[p], True, now) for p in gone)
         for cache in release_order(held)[:MAX_RELEASES]:
             fencing = gone[cache.program].fencing
-            self.engines.release(target, cache.program, fencing)
+            self._release(target, cache.program, fencing)
 
-    def _thin_out(
-        self, target: Target, pressure: EnginePressure, judgements: list[Judgement]
-    ) -> None:
-        """Take caches of paused programs out of a crowded engine."""
+    def _thin_out(self, target: Target, judgements: list[Judgement]) -> None:
+        """Take caches of programs that are silent for long out of an engine."""
+        now = time.monotonic()
         for judgement in judgements:
             if judgement.gone or judgement.paused is None:
                 continue
-            match decide(time.monotonic(), self.cfg, judgement.paused, pressure):
-                case Keep():
+            paused = replace(judgement.paused, target_leaving=target.leaving)
+            match decide(now - judgement.paused_seconds, self.cfg, paused):
+                case Keep(until) if until > now:
                     continue
                 case Export():
                     self._export(target, judgement)
-                case Drop():
-                    self.engines.release(target, judgement.program, judgement.fencing)
+                case Keep() | Drop():
+                    self._release(target, judgement.program, judgement.fencing)
+
+    def _release(self, target: Target, program: str, fencing: int) -> None:
+        if self.engines.release(target, program, fencing):
+            self.queues.end_program(target.name, program)
+
+    def _measure_tokens(
+        self, target: Target, listing: dict[str, int], judgements: list[Judgement]
+    ) -> None:
+        """Learn how many bytes of the engine's memory a token takes."""
+        paused = [j for j in judgements if j.paused is not None]
+        n_tokens = sum(j.paused.cached_tokens for j in paused)
+        n_bytes = sum(listing.get(j.program, 0) for j in paused)
+        if n_tokens and n_bytes:
+            self.queues.note_token_bytes(target.name, n_bytes / n_tokens)
 
     def _export(self, target: Target, judgement: Judgement) -> None:
         name = f"cache/{judgement.program}/{judgement.fencing}"
@@ -167,7 +182,7 @@
                 url = holder.peer_url
                 self.peers.call(url, "POST", "/peer/v1/programs/exported", exported)
             break
-        self.engines.release(target, program, fencing)
+        self._release(target, program, fencing)
 
     def _judgements(self, programs: tuple[str, ...]) -> list[Judgement]:
         by_holder: dict[str, list[str]] = {}
--- a/packages/swifttide_daemon/src/swifttide_daemon/retention/_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/retention/_messages.py
@@ -25,6 +25,8 @@
         Whether it ended or was silent beyond its profile's limit.
     paused : PausedProgram or None
         Set while it waits for a tool; None while a call runs.
+    paused_seconds : float
+        How long it has waited.
     turns : int
         Committed turns.
     """
@@ -33,6 +35,7 @@
     fencing: int
     gone: bool = False
     paused: PausedProgram | None = None
+    paused_seconds: float = 0.0
     turns: int = 0
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/retention/_program_judge.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/retention/_program_judge.py
@@ -75,20 +75,14 @@
             return Judgement(name, version, gone=True)
         if row is None or last >= now - LOOK_SECONDS:
             return Judgement(name, version)
-        return Judgement(name, version, paused=self._pause(row, profile, now - last))
-
-    def _pause(
-        self, row: ProgramRow, profile: Profile, paused_seconds: float
-    ) -> PausedProgram:
-        pauses = self.book.pauses
-        expected = pauses.expected(profile.name, profile.tool_pause_seconds)
-        upper = pauses.upper(profile.name, profile.tool_pause_seconds)
-        return PausedProgram(
+        paused = PausedProgram(
             cached_tokens=row.total_tokens,
-            expected_pause_seconds=max(0.0, expected - paused_seconds),
-            upper_pause_seconds=max(0.0, upper - paused_seconds),
-            idle_limit_seconds=max(0.0, profile.idle_seconds - paused_seconds),
+            upper_pause_seconds=self.book.pauses.upper(
+                profile.name, profile.tool_pause_seconds
+            ),
+            idle_limit_seconds=profile.idle_seconds,
         )
+        return Judgement(name, version, paused=paused, paused_seconds=now - last)
 
     def _look(self, name: str, customer: str, program: str, now: float) -> _Seen | None:
         with self._lock:
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_generator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_generator.py
@@ -5,7 +5,7 @@
 
 from expression import Error, Ok, Result
 
-from swifttide_core.admission import Outcome, OutcomeStatus
+from swifttide_core.admission import Outcome, OutcomeStatus, ProfileEstimates, call_cost
 from swifttide_core.retries import GiveUp, Retry
 from swifttide_core.routing import CachedPrefix
 from swifttide_core.strikes import fingerprint_of
@@ -35,6 +35,8 @@
     strikes : StrikeService
     crashes : CrashDetector
     telemetry : Telemetry
+    estimates : ProfileEstimates
+        What programs of each profile usually need.
     """
 
     def __init__(
@@ -45,7 +47,9 @@
         strikes: StrikeService,
         crashes: CrashDetector,
         telemetry: Telemetry,
+        estimates: ProfileEstimates,
     ) -> None:
+        self.estimates = estimates
         self.placer = placer
         self.engines = engines
         self.retries = retries
@@ -70,7 +74,7 @@
                 return Error(_after(n_tries, put_aside))
             n_tries += 1
             ticket_id = f"{call.request_id}-{n_tries}"
-            demand = _demand(permit, prompt)
+            demand = self._demand(permit, prompt)
             placed = self.placer.place(permit, demand, ticket_id, avoid)
             if placed.is_error():
                 return Error(_after(n_tries - 1, placed.error))
@@ -103,6 +107,28 @@
         kind = f"{permit.call.customer}/{permit.profile.model}"
         return fingerprint_of(document, kind)
 
+    def _demand(self, permit: Permit, prompt: Prompt) -> Demand:
+        profile = permit.profile.name
+        estimates = self.estimates
+        output = min(estimates.output_tokens(profile), prompt.max_tokens)
+        n_tokens = sum(len(m.content.split()) for m in prompt.messages)
+        fresh = max(0, n_tokens - prompt.former_tokens)
+        starts = prompt.attained_cost == 0
+        return Demand(
+            serves=permit.profile.model,
+            prompt_tokens=n_tokens,
+            expected_tokens=call_cost(fresh, output),
+            attained_tokens=prompt.attained_cost,
+            context_tokens=n_tokens + output if permit.call.program else 0.0,
+            expected_context_tokens=estimates.context_tokens(profile),
+            expected_remaining_seconds=(
+                estimates.program_seconds(profile) if starts else 0.0
+            ),
+            prefixes=tuple(
+                CachedPrefix(t, prompt.former_tokens) for t in prompt.targets
+            ),
+        )
+
     def _stream(
         self,
         permit: Permit,
@@ -194,12 +220,13 @@
         uncached = usage.prompt_tokens - usage.cached_tokens
         outcome = Outcome(
             OutcomeStatus.FINISHED,
-            tokens=uncached + usage.completion_tokens,
+            tokens=call_cost(uncached, usage.completion_tokens),
             first_token_seconds=clock.first_seconds,
             uncached_tokens=uncached,
-            token_gap_seconds=clock.mean_gap(usage.completion_tokens),
         )
         self.placer.finish(placement, outcome, ok=True)
+        profile = permit.profile.name
+        self.estimates.observe_output(profile, usage.completion_tokens)
         self.strikes.ran(prompt.fingerprint)
         metrics = self.telemetry.metrics
         if clock.first_at is not None:
@@ -257,24 +284,6 @@
     def first_seconds(self) -> float | None:
         return None if self.first_at is None else self.first_at - self.sent_at
 
-    def mean_gap(self, n_tokens: int) -> float | None:
-        if self.first_at is None or n_tokens < 2:
-            return None
-        return (self.last_at - self.first_at) / (n_tokens - 1)
-
-
-def _demand(permit: Permit, prompt: Prompt) -> Demand:
-    n_tokens = sum(len(m.content.split()) for m in prompt.messages)
-    prefixes = tuple(CachedPrefix(t, prompt.former_tokens) for t in prompt.targets)
-    fresh = max(0, n_tokens - prompt.former_tokens)
-    return Demand(
-        serves=permit.profile.model,
-        prompt_tokens=n_tokens,
-        expected_tokens=float(fresh + prompt.max_tokens),
-        attained_tokens=float(prompt.former_tokens),
-        prefixes=prefixes,
-    )
-
 
 def _message(permit: Permit, prompt: Prompt) -> dict[str, object]:
     call = permit.call
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_placement.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_placement.py
@@ -34,7 +34,13 @@
     expected_tokens : float
         Tokens that the target will compute.
     attained_tokens : float
-        Tokens that the program was served so far.
+        Cost that the program was served so far.
+    context_tokens : float
+        Length of the history after the call.
+    expected_context_tokens : float
+        Length that it is expected to reach.
+    expected_remaining_seconds : float
+        Time until the program's expected end; 0 when unknown.
     prefixes : tuple of CachedPrefix
         Targets that may hold its cache.
     """
@@ -43,6 +49,9 @@
     prompt_tokens: int = 0
     expected_tokens: float = 1.0
     attained_tokens: float = 0.0
+    context_tokens: float = 0.0
+    expected_context_tokens: float = 0.0
+    expected_remaining_seconds: float = 0.0
     prefixes: tuple[CachedPrefix, ...] = ()
 
 
@@ -143,12 +152,15 @@
         req = AcquireRequest(
             ticket_id=ticket_id,
             customer=call.customer,
-            program=call.program or call.request_id,
+            program=call.program_path or call.request_id,
             weight=profile.weight,
             urgency=profile.urgency,
             deadline_in_seconds=min(profile.deadline_seconds, permit.remaining),
             expected_tokens=demand.expected_tokens,
             attained_tokens=demand.attained_tokens,
+            context_tokens=demand.context_tokens,
+            expected_context_tokens=demand.expected_context_tokens,
+            expected_remaining_seconds=demand.expected_remaining_seconds,
             waited_seconds=asked_at - permit.started_at,
             wait_seconds=POLL_SECONDS,
         )
@@ -169,4 +181,5 @@
             prompt_tokens=demand.prompt_tokens,
             prefixes=demand.prefixes,
             avoid=avoid,
+            new_program=demand.context_tokens > 0 and demand.attained_tokens == 0,
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_prompt.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_prompt.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from swifttide_core.admission import call_cost
 from swifttide_daemon.programs import Message
 
 
@@ -16,6 +17,8 @@
     max_tokens : int
     fingerprint : str
         By which the request is known if it crashes targets.
+    attained_cost : float
+        Cost that the program was served so far, in the queue's units.
     former_tokens : int
         Tokens of the history before the new messages.
     targets : tuple of str
@@ -31,6 +34,7 @@
     max_tokens: int
     fingerprint: str
     former_tokens: int = 0
+    attained_cost: float = 0.0
     targets: tuple[str, ...] = ()
     exported: tuple[str, int] | None = None
     fencing: int = 0
@@ -46,6 +50,12 @@
     cached_tokens: int
     target: str
 
+    @property
+    def cost(self) -> float:
+        """Cost of the answer, in the queue's units."""
+        uncached = self.prompt_tokens - self.cached_tokens
+        return call_cost(uncached, self.completion_tokens)
+
     @property
     def total_tokens(self) -> int:
         """Tokens of the history with this answer."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import replace
 
+from swifttide_core.admission import call_cost
 from swifttide_core.documents import HistoryMode
 from swifttide_core.programs import (
     ChunkStored,
@@ -195,11 +196,16 @@
             max_tokens=self.max_tokens,
             fingerprint=self.generator.fingerprint(self.permit, messages),
             former_tokens=row.total_tokens,
+            attained_cost=self._attained_cost(row),
             targets=row.targets,
             exported=exported,
             fencing=row.version,
         )
 
+    def _attained_cost(self, row: ProgramRow) -> float:
+        """Return what the program was served, or a lower bound after a takeover."""
+        return max(self.entry.attained_cost, call_cost(row.total_tokens, 0))
+
     def _store(self, name: str) -> TurnEvent:
         number = int(name.rpartition("/")[2].partition("-")[0])
         self.chunk = Chunk(
@@ -222,6 +228,7 @@
     def _reply(self, action: ReplyTurn) -> Finished | Failed:
         if action.chunk != self.turn.chunk_name(action.number):
             return self._replay(action)
+        self.entry.attained_cost += self.made.cost
         ahead = Ahead(action.ahead, action.term)
         self.book.leave_ahead(self.permit.call, ahead)
         self.book.remember(self.entry, action.chunk, self.chunk)
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_messages.py
@@ -20,6 +20,8 @@
     deadline_in_seconds : float
         Until the program should be finished.
     expected_tokens, attained_tokens : float
+    context_tokens, expected_context_tokens : float
+    expected_remaining_seconds : float
     waited_seconds : float
         Since the call entered the system.
     wait_seconds : float
@@ -34,6 +36,9 @@
     deadline_in_seconds: float
     expected_tokens: float
     attained_tokens: float
+    context_tokens: float
+    expected_context_tokens: float
+    expected_remaining_seconds: float
     waited_seconds: float
     wait_seconds: float
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_queue_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_queue_keeper.py
@@ -84,6 +84,11 @@
             for call in calls:
                 self.queue.renew(now, _ticket(call, now))
 
+    def end_program(self, program: str) -> None:
+        """Give a program's room at the target to those that wait to start."""
+        with self._changed:
+            self._tell(self.queue.end_program(time.monotonic(), program))
+
     def tick(self) -> None:
         """Let time pass: expire grants and refuse what comes too late."""
         with self._changed:
@@ -134,5 +139,8 @@
         deadline_at=now + req.deadline_in_seconds,
         expected_tokens=req.expected_tokens,
         attained_tokens=req.attained_tokens,
+        context_tokens=req.context_tokens,
+        expected_context_tokens=req.expected_context_tokens,
+        expected_remaining_seconds=req.expected_remaining_seconds,
         offered_at=now - req.waited_seconds,
     )
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_queue_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_queue_service.py
@@ -3,6 +3,7 @@
 import logging
 import threading
 import time
+from typing import Any
 
 from expression import Error, Ok, Result
 
@@ -43,6 +44,7 @@
         self.config = config
         self.engines = engines
         self._keepers: dict[str, tuple[int, QueueKeeper]] = {}
+        self._token_bytes: dict[str, float] = {}
         self._lock = threading.Lock()
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -76,6 +78,17 @@
         """Return the calls that wait, by target."""
         return {name: keeper.n_queued() for name, keeper in self._held()}
 
+    def end_program(self, target: str, program: str) -> None:
+        """Count a program's memory at a target as free."""
+        with self._lock:
+            known = self._keepers.get(target)
+        if known is not None:
+            known[1].end_program(program)
+
+    def note_token_bytes(self, target: str, n_bytes: float) -> None:
+        """Note the bytes of a target's memory that a token takes."""
+        self._token_bytes[target] = n_bytes
+
     def _held(self) -> list[tuple[str, QueueKeeper]]:
         with self._lock:
             return [(name, keeper) for name, (_, keeper) in self._keepers.items()]
@@ -106,7 +119,14 @@
         if load is not None:
             # Reports carry no time of measurement; they count as just measured.
             now = time.monotonic()
-            keeper.report_load(LoadReport(now, load["running"], load["waiting"]))
+            keeper.report_load(self._report(name, load, now))
+
+    def _report(self, name: str, load: dict[str, Any], now: float) -> LoadReport:
+        token_bytes = self._token_bytes.get(name)
+        capacity = 0.0
+        if token_bytes:
+            capacity = load["cache_capacity_bytes"] / token_bytes
+        return LoadReport(now, load["running"], load["waiting"], capacity)
 
     def _on_changes(self, changes: list[Change]) -> None:
         for change in changes:
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_target_board.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_target_board.py
@@ -119,6 +119,7 @@
                 limit=snapshot.limit,
                 service_seconds=snapshot.service_seconds,
                 drain_per_second=snapshot.drain_per_second,
+                entry_wait_seconds=snapshot.entry_wait_seconds,
                 leaving=known.view.leaving or snapshot.leaving,
             )
             self._changed = True
