--- a/tests/fuzz/test_limits_fuzz.py
+++ b/tests/fuzz/test_limits_fuzz.py
@@ -11,6 +11,7 @@
     CustomerShare,
     EntryAllowance,
     NeedDraw,
+    Pull,
     ShareKeeper,
     Taken,
     ZoneShares,
@@ -149,14 +150,26 @@
         for entry in self.entries:
             self._drain(entry, levels_out)
 
-    @rule(who=PICK, fate=FATE)
-    def lean(self, who, fate):
-        """Send so much in one zone that it takes from the others, and shares move."""
-        for _ in range(15):
-            self._drain(self.entries[who % len(self.entries)], True)
+    @rule(zone=ZONE, to_zone=ZONE, fates=st.tuples(FATE, FATE), again=st.booleans())
+    def lean(self, zone, to_zone, fates, again):
+        """Let one zone take from another until a part of its share moves over."""
+        self.wait(1.2)
+        asked, asking = self.current[zone], self.current[to_zone]
+        burst = self.customer.burst
+        for _ in range(20):
+            self.n_names += 1
+            pull = Pull(zone, f"lean{self.n_names}", 0.0, burst, burst)
+            asked.keeper.share.yield_to(
+                self.now, asking.name, pull, asked.lease_ends_at, zone=to_zone
+            )
             self.wait(0.3)
-        self.move_shares(fate)
-        self.move_shares(fate)
+        self.move_shares(fates[0])
+        self.wait(1.2)
+        self.move_shares(fates[0])
+        asking.keeper.learn(self.now, self.platform.row, self.platform.version)
+        self.move_shares(fates[1])
+        asking.keeper.learn(self.now, self.platform.row, self.platform.version)
+        self.drain(8.0, (), True, KINDS, again)
 
     @rule(
         who=PICK,
