--- a/packages/swifttide_core/src/swifttide_core/limits/_entry_allowance.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/_entry_allowance.py
@@ -108,6 +108,12 @@
         self._in_flight = {}
         self._n_draws = 0
         self._trip = 0.0
+        self._with_returns = set()
+
+    @property
+    def known_customers(self) -> frozenset[str]:
+        """Customers that something is remembered of."""
+        return frozenset(self._purses)
 
     def take(self, now: float, customer: Customer) -> Taken | NeedDraw | RateRefused:
         """Decide on a request that arrives.
@@ -124,9 +130,8 @@
         Taken, NeedDraw or RateRefused
             After ``NeedDraw``, ``settle`` says how the request goes on.
         """
-        purse = self._purses.get(customer.name)
-        if purse is None:
-            purse = self._purses[customer.name] = _Purse(())
+        purse = self._purses.pop(customer.name, None) or _Purse(())
+        self._purses[customer.name] = purse
         purse.order = zone_order(customer, self.zones)
         purse.seen_at = now
         return self._decide(now, purse, _Quest(customer.name))
@@ -163,17 +168,26 @@
         """Give up the parts that were of no use; call it every 0.1 s or so."""
         orders = [
             ReturnOrder(customer, zone, batch)
-            for customer, purse in self._purses.items()
-            for zone, batches in purse.returned.items()
+            for customer in self._with_returns
+            for zone, batches in self._purses[customer].returned.items()
             for batch in batches
         ]
-        waiting = {flight.quest.customer for flight in self._in_flight.values()}
-        for customer, purse in list(self._purses.items()):
-            purse.returned = {}
-            if now - purse.seen_at >= IDLE_SECONDS and customer not in waiting:
-                del self._purses[customer]
+        for customer in self._with_returns:
+            self._purses[customer].returned = {}
+        self._with_returns = set()
+        self._forget_idle(now)
         return tuple(orders)
 
+    def _forget_idle(self, now):
+        """Drop customers not seen of late; those seen last stand at the end."""
+        waiting = {flight.quest.customer for flight in self._in_flight.values()}
+        while self._purses:
+            customer = next(iter(self._purses))
+            is_idle = now - self._purses[customer].seen_at >= IDLE_SECONDS
+            if not is_idle or customer in waiting:
+                return
+            del self._purses[customer]
+
     def _decide(self, now, purse, quest):
         if quest.held(now) + TOLERANCE >= 1.0:
             return Taken()
@@ -204,6 +218,8 @@
         return self._order(now, purse, quest, zone, True)
 
     def _refuse(self, now, purse, quest):
+        if quest.parts:
+            self._with_returns.add(quest.customer)
         for part in quest.parts:
             purse.returned.setdefault(part.zone, []).append(part.batch)
         available = quest.held(now)
--- a/packages/swifttide_core/src/swifttide_core/limits/tests/test_entry_allowance.py
+++ b/packages/swifttide_core/src/swifttide_core/limits/tests/test_entry_allowance.py
@@ -92,3 +92,22 @@
         refused = allowance.settle(0.003, order.draw_id, EMPTY)
         assert isinstance(refused, RateRefused)
         assert [back.batch.tokens for back in allowance.returns(0.1)] == [0.6]
+
+
+class TestMemory:
+    def test_customers_not_seen_of_late_are_forgotten(self):
+        """Thousands of customers pass through a host in a day, and it has 64 MB."""
+        allowance = entry()
+        for n in range(100):
+            customer = Customer(f"c{n}", 10.0, 40.0)
+            order = allowance.take(n * 1.0, customer)
+            allowance.settle(n * 1.0, order.draw_id, Batch(order.draw_id, 1.0, 0.1))
+        allowance.returns(99.0)
+        assert len(allowance.known_customers) <= 60
+
+    def test_a_waiting_request_finds_its_customer(self):
+        """An answer comes after the customer would have been forgotten."""
+        allowance = entry()
+        order = allowance.take(0.0, CUSTOMER)
+        allowance.returns(100.0)
+        assert allowance.settle(100.0, order.draw_id, DrawFailed()) is not None
