ENH End programs that loop by time and by calls; release targets off the path

Cause: a program that loops over cheap service calls, or whose tool never answers, was bounded neither by tokens nor by turns. The release of a target was one more exchange between hosts before each answer. Change: max_calls and max_program_seconds in the profile, counted in the root's row and checked by the turn machine and the service runner; releases are sent by a small pool.

--- a/Makefile
+++ b/Makefile
@@ -66,3 +66,8 @@
 
 bench-core: setup
 	$(BIN)/python -m benchmarks.core_speed
+
+.PHONY: bench-daemon
+
+bench-daemon: setup
+	$(BIN)/python -m benchmarks.daemon_speed
--- a/packages/swifttide_core/src/swifttide_core/documents/_check_document.py
+++ b/packages/swifttide_core/src/swifttide_core/documents/_check_document.py
@@ -31,6 +31,8 @@
 
 MAX_BUDGET_TOKENS = 1_000_000_000
 MAX_TURNS = 100_000
+MAX_CALLS = 1_000_000
+MAX_PROGRAM_SECONDS = 30 * DAY_SECONDS
 MAX_RATE_PER_SECOND = 1_000_000.0
 MAX_WEIGHT = 1000.0
 MIN_WEIGHT = 0.001
@@ -107,6 +109,10 @@
         *check_each("never_repeat", doc.never_repeat, _check_prefix),
         *check_between("budget_tokens", doc.budget_tokens, 1, MAX_BUDGET_TOKENS),
         *check_between("max_turns", doc.max_turns, 1, MAX_TURNS),
+        *check_between("max_calls", doc.max_calls, 1, MAX_CALLS),
+        *check_between(
+            "max_program_seconds", doc.max_program_seconds, 1.0, MAX_PROGRAM_SECONDS
+        ),
         *check_between("max_turn_tokens", doc.max_turn_tokens, 1, doc.budget_tokens),
         *check_between("weight", doc.weight, MIN_WEIGHT, MAX_WEIGHT),
         *check_between("urgency", doc.urgency, 0, MAX_URGENCY),
--- a/packages/swifttide_core/src/swifttide_core/documents/_profile.py
+++ b/packages/swifttide_core/src/swifttide_core/documents/_profile.py
@@ -25,6 +25,10 @@
         Tokens that a root program and its sub-agents may use together.
     max_turns : int
         Turns of a root program and its sub-agents together.
+    max_calls : int
+        Calls of plain services of a root program and its sub-agents together.
+    max_program_seconds : float
+        Time from a root program's first turn after which it gets no further one.
     max_turn_tokens : int
         Tokens that one turn may generate; reserved before it is dispatched.
     weight : float
@@ -50,6 +54,8 @@
     never_repeat: tuple[str, ...] = ()
     budget_tokens: int = 500_000
     max_turns: int = 100
+    max_calls: int = 1000
+    max_program_seconds: float = 86_400.0
     max_turn_tokens: int = 4096
     weight: float = 1.0
     urgency: int = 0
--- a/packages/swifttide_core/src/swifttide_core/programs/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/__init__.py
@@ -1,6 +1,11 @@
 """Programs: order of turns, history and budget."""
 
-from swifttide_core.programs._budget_rules import keep_unknown, reserve, settle
+from swifttide_core.programs._budget_rules import (
+    check_limits,
+    keep_unknown,
+    reserve,
+    settle,
+)
 from swifttide_core.programs._program_row import ProgramRow, ProgramState
 from swifttide_core.programs._turn import Turn
 from swifttide_core.programs._turn_action import (
@@ -81,6 +86,7 @@
     "TurnState",
     "TurnStep",
     "WriteRows",
+    "check_limits",
     "decide_turn",
     "keep_unknown",
     "reserve",
--- a/packages/swifttide_core/src/swifttide_core/programs/_budget_rules.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/_budget_rules.py
@@ -15,6 +15,37 @@
 from swifttide_core.verdicts import Reason, Refusal
 
 
+def check_limits(
+    root: ProgramRow, profile: Profile, now: float, calls: int = 0
+) -> Refusal | None:
+    """Return why a program gets no further turn or call, or None.
+
+    Tokens alone don't end a program that loops over cheap calls, or one whose tool
+    never answers.
+
+    Parameters
+    ----------
+    root : ProgramRow
+        Row of the root.
+    profile : Profile
+        Limits of the program.
+    now : float
+        Wall-clock seconds.
+    calls : int
+        Calls of plain services since the root's last commit.
+    """
+    age = now - root.started_at
+    if root.started_at and age > profile.max_program_seconds:
+        limit = profile.max_program_seconds
+        detail = f"the program is {age:.0f} s old, the profile allows {limit:.0f} s"
+        return Refusal(Reason.BUDGET, detail)
+    n_calls = root.root_calls + calls
+    if n_calls >= profile.max_calls:
+        detail = f"got {n_calls} calls, the profile allows {profile.max_calls}"
+        return Refusal(Reason.BUDGET, detail)
+    return None
+
+
 def reserve(
     root: ProgramRow, profile: Profile, tokens: int
 ) -> Result[ProgramRow, Refusal]:
--- a/packages/swifttide_core/src/swifttide_core/programs/_program_row.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/_program_row.py
@@ -41,6 +41,10 @@
         Of the root: tokens settled, and reserved for turns that may be in flight.
     root_turns : int
         Of the root: turns of the program and its sub-agents.
+    root_calls : int
+        Of the root: calls of plain services, as of the last commit.
+    started_at : float
+        Of the root: wall-clock seconds of its first turn; 0 when unknown.
     targets : tuple of str
         Engines that may hold its cache.
     holder : str
@@ -69,6 +73,8 @@
     budget_used: int = 0
     budget_reserved: int = 0
     root_turns: int = 0
+    root_calls: int = 0
+    started_at: float = 0.0
     targets: tuple[str, ...] = ()
     holder: str = ""
     term: int = 0
--- a/packages/swifttide_core/src/swifttide_core/programs/_turn.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/_turn.py
@@ -28,6 +28,10 @@
         Limits of the program.
     tokens : int
         Most tokens that the turn can add to the history.
+    now : float
+        Wall-clock seconds.
+    calls : int
+        Calls of plain services of the tree since its last commit.
     ahead : int
         Tokens that an earlier commit of this holder left reserved and that nobody
         else uses: a turn that they suffice for needs no write before it runs.
@@ -43,6 +47,8 @@
     new_root: ProgramRow
     profile: Profile
     tokens: int
+    now: float = 0.0
+    calls: int = 0
     ahead: int = 0
     ahead_term: int = 0
 
--- a/packages/swifttide_core/src/swifttide_core/programs/_turn_machine.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/_turn_machine.py
@@ -15,7 +15,12 @@
 
 from dataclasses import dataclass, replace
 
-from swifttide_core.programs._budget_rules import keep_unknown, reserve, settle
+from swifttide_core.programs._budget_rules import (
+    check_limits,
+    keep_unknown,
+    reserve,
+    settle,
+)
 from swifttide_core.programs._program_row import ProgramRow, ProgramState
 from swifttide_core.programs._turn import Turn
 from swifttide_core.programs._turn_action import (
@@ -163,6 +168,9 @@
 ) -> TurnStep:
     if root.state is ProgramState.ENDED:
         return _refuse(Refusal(Reason.PROGRAM_ENDED, "the root program has ended"))
+    beyond = check_limits(root, turn.profile, turn.now, turn.calls)
+    if beyond is not None:
+        return _refuse(beyond)
     if root.holder != turn.holder:
         root = keep_unknown(root)
         root = replace(root, holder=turn.holder, term=root.term + 1)
@@ -246,7 +254,11 @@
     turn = stored.turn
     root = settle(root, turn.reserved, stored.used)
     ahead = _next_reservation(turn, root)
-    root = replace(root, budget_reserved=root.budget_reserved + ahead)
+    root = replace(
+        root,
+        budget_reserved=root.budget_reserved + ahead,
+        root_calls=root.root_calls + turn.calls,
+    )
     if program.is_root:
         program = root
     program = replace(
--- a/packages/swifttide_core/src/swifttide_core/programs/tests/test_budget_rules.py
+++ b/packages/swifttide_core/src/swifttide_core/programs/tests/test_budget_rules.py
@@ -1,7 +1,13 @@
 """A root's budget holds over its sub-agents and over deaths of hosts."""
 
 from swifttide_core.documents import Profile
-from swifttide_core.programs import ProgramRow, keep_unknown, reserve, settle
+from swifttide_core.programs import (
+    ProgramRow,
+    check_limits,
+    keep_unknown,
+    reserve,
+    settle,
+)
 from swifttide_core.verdicts import Reason
 
 PROFILE = Profile("p", budget_tokens=100, max_turns=3)
@@ -37,3 +43,21 @@
         row = keep_unknown(reserve(ROOT, PROFILE, 60).ok)
         assert (row.budget_used, row.budget_reserved) == (60, 0)
         assert reserve(row, PROFILE, 41).is_error()
+
+
+class TestCheckLimits:
+    def test_program_that_never_ends_runs_out_of_time(self):
+        """A tool never answers and the program asks again for days. Its turns are
+        few and short, so neither tokens nor turns would ever end it.
+        """
+        profile = Profile("p", max_program_seconds=60)
+        row = ProgramRow("c", "p", "p", started_at=1000.0)
+        assert check_limits(row, profile, now=1060.0) is None
+        assert check_limits(row, profile, now=1061.0).reason is Reason.BUDGET
+
+    def test_calls_since_the_last_commit_count(self):
+        """A program loops over a plain service between two turns."""
+        profile = Profile("p", max_calls=5)
+        row = ProgramRow("c", "p", "p", root_calls=3)
+        assert check_limits(row, profile, now=0.0, calls=1) is None
+        assert check_limits(row, profile, now=0.0, calls=2).reason is Reason.BUDGET
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
@@ -7,7 +7,8 @@
 from expression import Ok, Result
 
 from swifttide_core.admission import ProfileEstimates
-from swifttide_core.programs import ProgramRow
+from swifttide_core.documents import Profile
+from swifttide_core.programs import ProgramRow, check_limits
 from swifttide_core.retention import PauseEstimator
 from swifttide_core.verdicts import Refusal
 from swifttide_daemon.calls import Call
@@ -122,6 +123,29 @@
             tokens, tree.unrecorded_tokens = tree.unrecorded_tokens, 0
             return tokens
 
+    def count_call(self, call: Call, profile: Profile) -> Refusal | None:
+        """Count a call of a plain service, or say why it is one too many."""
+        tree = self.tree(call)
+        with tree.lock:
+            root = tree.rows.get(f"{call.customer}/{call.root}")
+            known = root or ProgramRow(call.customer, call.root, call.root)
+            refusal = check_limits(known, profile, time.time(), tree.calls)
+            if refusal is None:
+                tree.calls += 1
+            return refusal
+
+    def calls_since_commit(self, call: Call) -> int:
+        """Return the calls of plain services that no commit has counted."""
+        tree = self.tree(call)
+        with tree.lock:
+            return tree.calls
+
+    def forget_calls(self, call: Call, calls: int) -> None:
+        """Take off calls that a commit has counted."""
+        tree = self.tree(call)
+        with tree.lock:
+            tree.calls -= calls
+
     def history(
         self, entry: ProgramEntry, chunks: tuple[str, ...]
     ) -> Result[tuple[Message, ...], Refusal]:
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
@@ -68,6 +68,8 @@
         What a commit left reserved and no turn has taken yet.
     unrecorded_tokens : int
         Used while the platform was away, to be settled with the next commit.
+    calls : int
+        Calls of plain services since the last commit.
     customer, profile : str
         Of the root's first call here.
     started_at : float
@@ -82,6 +84,7 @@
     rows: dict[str, ProgramRow] = field(default_factory=dict)
     ahead: Ahead = NOTHING_AHEAD
     unrecorded_tokens: int = 0
+    calls: int = 0
     customer: str = ""
     profile: str = ""
     started_at: float = 0.0
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_chat_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_chat_runner.py
@@ -162,6 +162,8 @@
             new_root=self._new_row(permit, call.root, ""),
             profile=permit.profile,
             tokens=max_tokens + sum(len(m.content.encode()) for m in fresh),
+            now=time.time(),
+            calls=self.book.calls_since_commit(call),
             ahead=ahead.tokens,
             ahead_term=ahead.term,
         )
@@ -174,6 +176,7 @@
             root=call.root,
             parent=parent,
             profile=call.profile,
+            started_at=time.time(),
             zone=self.membership.me.zone,
         )
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_placement.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_placement.py
@@ -139,9 +139,12 @@
     def _release(self, placement: Placement, outcome: Outcome) -> None:
         name = placement.target.name
         self.board.finished(name)
-        answer = self.grants.release(placement.target, placement.ticket_id, outcome)
-        if answer is not None:
-            self.board.learn(name, answer.snapshot)
+        self.grants.release(
+            placement.target,
+            placement.ticket_id,
+            outcome,
+            lambda answer: self.board.learn(name, answer.snapshot),
+        )
 
     def _ask(
         self, permit: Permit, demand: Demand, target: Target, ticket_id: str
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_service_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_service_runner.py
@@ -110,6 +110,10 @@
         """Run one call and append its events, the last one final."""
         order = None
         if permit.call.program:
+            refusal = self.book.count_call(permit.call, permit.profile)
+            if refusal is not None:
+                running.append(Failed(refusal))
+                return
             order = self.book.entry(permit.call).order
             if not order.acquire(permit.remaining):
                 running.append(Failed(earlier_call_runs()))
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
@@ -229,6 +229,7 @@
         if action.chunk != self.turn.chunk_name(action.number):
             return self._replay(action)
         self.entry.attained_cost += self.made.cost
+        self.book.forget_calls(self.permit.call, self.turn.calls)
         ahead = Ahead(action.ahead, action.term)
         self.book.leave_ahead(self.permit.call, ahead)
         self.book.remember(self.entry, action.chunk, self.chunk)
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_grant_book.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_grant_book.py
@@ -2,6 +2,8 @@
 
 import threading
 import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 from expression import Error, Ok, Result
@@ -29,6 +31,7 @@
 noticed after this time, and the call asks again under the same id."""
 
 HOLDER_PAUSE_SECONDS = 0.2
+RELEASE_THREADS = 4
 OWN_ZONE_PATIENCE_SECONDS = 15.0
 OTHER_ZONE_PATIENCE_SECONDS = 2.0
 
@@ -53,6 +56,7 @@
         self.peers = peers
         self._grants: dict[str, tuple[Target, AcquireRequest]] = {}
         self._lock = threading.Lock()
+        self._releases = ThreadPoolExecutor(RELEASE_THREADS, "release")
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -61,8 +65,9 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop renewing."""
+        """Stop renewing; releases that are on their way are sent."""
         self._stop.set()
+        self._releases.shutdown(wait=True)
 
     def acquire(
         self, target: Target, req: AcquireRequest
@@ -115,13 +120,30 @@
         return OWN_ZONE_PATIENCE_SECONDS if own else OTHER_ZONE_PATIENCE_SECONDS
 
     def release(
-        self, target: Target, ticket_id: str, outcome: Outcome
-    ) -> AcquireAnswer | None:
-        """End a grant; if the message is lost the grant expires."""
+        self,
+        target: Target,
+        ticket_id: str,
+        outcome: Outcome,
+        on_answer: Callable[[AcquireAnswer], None],
+    ) -> None:
+        """End a grant, off the path of the call that is over.
+
+        If the message is lost the grant expires.
+        """
         with self._lock:
             self._grants.pop(ticket_id, None)
+        self._releases.submit(self._release, target, ticket_id, outcome, on_answer)
+
+    def _release(
+        self,
+        target: Target,
+        ticket_id: str,
+        outcome: Outcome,
+        on_answer: Callable[[AcquireAnswer], None],
+    ) -> None:
         answer = self._ask(target, "release", ReleaseRequest(ticket_id, outcome))
-        return answer.ok if answer.is_ok() else None
+        if answer.is_ok():
+            on_answer(answer.ok)
 
     def withdraw(self, target: Target, ticket_id: str) -> None:
         """Give up a place in a queue."""
