--- a/Makefile
+++ b/Makefile
@@ -71,3 +71,8 @@
 
 bench-daemon: setup
 	$(BIN)/python -m benchmarks.daemon_speed
+.PHONY: bench-limits
+
+# Rate and burst, and retries, against baselines; the same figures on every run.
+bench-limits: setup
+	$(BIN)/python -m benchmarks.limits
