--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from swifttide_core.membership import HostRow, LeaseTimes
+from swifttide_core.membership import HostRow, LeaseTimes, OutageTimes
 from swifttide_core.slots import SlotKind
 from swifttide_daemon.calls import CallTable
 from swifttide_daemon.configuration import ConfigEditor, ConfigService
@@ -23,12 +23,13 @@
     ProgramRoots,
 )
 from swifttide_daemon.limits import RateLimiter, ShareMover, ShareRows, ShareService
-from swifttide_daemon.membership import LeaseKeeper, MembershipService
+from swifttide_daemon.membership import LeaseKeeper, MembershipService, OutageService
 from swifttide_daemon.operators import OperatorHandlers
 from swifttide_daemon.peering import Heartbeat, PeerHandlers
 from swifttide_daemon.peers import PeerClient, PeerProof
 from swifttide_daemon.platform import PlatformClient, new_id
 from swifttide_daemon.programs import ProgramBook, ProgramStore
+from swifttide_daemon.recording import Recorder
 from swifttide_daemon.retention import CacheKeeper, ProgramJudge
 from swifttide_daemon.runners import (
     CallRunner,
@@ -208,8 +209,14 @@
         self.keeper = LeaseKeeper(
             self.platform, row, times, lambda: self.config.version
         )
+        self.outages = OutageService(
+            self.keeper,
+            self.platform,
+            self.peer_client,
+            OutageTimes(promise_seconds=times.lease_seconds),
+        )
         self.membership = MembershipService.from_settings(
-            cfg, self.platform, self.keeper
+            cfg, self.platform, self.keeper, self.outages
         )
 
     def _build_target_side(self) -> None:
@@ -230,6 +237,7 @@
             ProgramJudge(self.config, self.book),
             self.engines,
             self.peer_client,
+            self.queues,
         )
 
     def _build_runners(self) -> None:
@@ -242,10 +250,21 @@
         retries = RetryAccount.from_rng(self.rng)
         crashes = CrashDetector(self.engines, self.strikes)
         generator = Generator(
-            placer, self.engines, retries, self.strikes, crashes, self.telemetry
+            placer,
+            self.engines,
+            retries,
+            self.strikes,
+            crashes,
+            self.telemetry,
+            self.book.estimates,
         )
+        recorder = Recorder(self.settings.recording.path)
         chats = ChatRunner(
-            self.membership, self.book, generator, lambda: self.platform.available
+            self.membership,
+            self.book,
+            generator,
+            lambda: self.platform.available,
+            recorder,
         )
         services = ServiceRunner(
             self.book,
@@ -254,6 +273,7 @@
             retries,
             self.platform,
             self.telemetry,
+            recorder,
         )
         runner = CallRunner(self.config, chats, services, self.telemetry)
         self.table = CallTable(runner.run)
@@ -297,6 +317,7 @@
             self.grants,
             self.strikes,
             self.caches,
+            self.outages,
         )
         # A caller's body grows by a third as base64 on its way between hosts.
         peer_app = App(handlers.routes(), 2 * limits.max_body_bytes, self.proof.check)
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
@@ -30,8 +30,16 @@
     def leave(req):
         return Response(503, b"", (("Connection", "close"),))
 
+    def break_off(req):
+        def pieces():
+            yield b"first"
+            raise ZeroDivisionError
+
+        return Response(200, pieces())
+
     routes = [Route("POST", "/echo", echo), Route("GET", "/smuggled", echo)]
     routes.append(Route("GET", "/leave", leave))
+    routes.append(Route("GET", "/broken", break_off))
     app = App(routes, limits.max_body_bytes)
     web = WebServer.from_settings("127.0.0.1", 0, app, limits.caller_threads, limits)
     web.start()
@@ -57,6 +65,14 @@
     return sock
 
 
+def receive_whole(sock):
+    """Read one echo answer to its end: head and body may come apart."""
+    received = b""
+    while not received.endswith(b"}"):
+        received += sock.recv(4096)
+    return received
+
+
 def exchange(server, data):
     """Send bytes and return all that comes until the server closes."""
     with connect(server) as sock:
@@ -234,18 +250,33 @@
         limits = LimitSettings(max_connections=2, idle_seconds=30, caller_threads=2)
         server = start(limits)
         kept = [connect(server) for _ in range(2)]
-        for sock in kept:
-            sock.sendall(request("Content-Length: 2", body=b"hi"))
-            assert b" 200 " in sock.recv(4096)
-        refused = connect(server).recv(4096)
-        assert b" 503 " in refused
-        assert b"Swifttide-Verdict: not_run" in refused
-        assert b"Retry-After: 1" in refused
-        kept[0].sendall(request("Content-Length: 2", body=b"hi"))
-        assert b" 200 " in kept[0].recv(4096)
-        for sock in kept:
-            sock.close()
-        server.web.stop()
+        try:
+            for sock in kept:
+                sock.sendall(request("Content-Length: 2", body=b"hi"))
+                assert b" 200 " in receive_whole(sock)
+            refused = connect(server).recv(4096)
+            assert b" 503 " in refused
+            assert b"Swifttide-Verdict: not_run" in refused
+            assert b"Retry-After: 1" in refused
+            kept[0].sendall(request("Content-Length: 2", body=b"hi"))
+            assert b" 200 " in receive_whole(kept[0])
+        finally:
+            for sock in kept:
+                sock.close()
+            server.web.stop()
+
+
+class TestFailingAnswer:
+    def test_fault_within_a_stream_is_logged(self, server, caplog):
+        """An answer's iterator fails after its first piece. The caller sees a cut
+        stream; without a line in the log nobody would know why.
+        """
+        answer = exchange(server, request(line="GET /broken HTTP/1.1"))
+        assert b"first" in answer
+        assert not answer.endswith(b"0\r\n\r\n")
+        (record,) = caplog.records
+        assert record.getMessage() == "connection_failed"
+        assert record.exc_info[0] is ZeroDivisionError
 
 
 class TestJunk:
