--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_dispatcher.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_dispatcher.py
@@ -150,6 +150,9 @@
                 continue
             if self._is_misplaced(event):
                 return False
+            if self._is_cut_off(event, holder):
+                self.owner.zone_failed(holder)
+                return False
             self.n_seen += 1
             yield self._truthful(event)
             if isinstance(event, Finished | Failed):
@@ -203,6 +206,20 @@
             return event
         return Failed(event.refusal.with_verdict(Verdict.MAY_HAVE_RUN))
 
+    def _is_cut_off(self, event: CallEvent, holder: HostRow) -> bool:
+        """Return whether another zone refuses because it has lost the platform.
+
+        This zone may still see it. Passing the refusal on would stop every program
+        whose home is the other zone for as long as that zone is cut off.
+        """
+        return (
+            isinstance(event, Failed)
+            and event.refusal.reason is Reason.PLATFORM_UNAVAILABLE
+            and event.refusal.verdict is Verdict.NOT_RUN
+            and holder.zone != self.owner.membership.me.zone
+            and self.owner.membership.platform.available
+        )
+
     def _is_misplaced(self, event: CallEvent) -> bool:
         return (
             isinstance(event, Failed)
--- a/tests/e2e/_world.py
+++ b/tests/e2e/_world.py
@@ -214,14 +214,18 @@
         self.messages: list[dict] = []
         self.turn = 0
 
-    def say(self, host: str, text: str) -> Answer:
-        """Send the next turn until it is answered, and check it byte for byte."""
+    def say(self, host: str | Callable[[], str], text: str) -> Answer:
+        """Send the next turn until it is answered, and check it byte for byte.
+
+        `host` may choose anew for each try, as the platform's balancer does.
+        """
+        choose = host if callable(host) else lambda: host
         message = {"role": "user", "content": text}
         expected = expected_text([*self.messages, message], 8)
         answers: list[Answer] = []
 
         def answered() -> bool:
-            got = self.world.chat(host, self.program, self.turn + 1, text)
+            got = self.world.chat(choose(), self.program, self.turn + 1, text)
             answers.append(got)
             assert got.status not in (400, 401, 403, 409, 410, 422), got
             return got.status == 200
--- a/tests/e2e/test_stop_and_replace.py
+++ b/tests/e2e/test_stop_and_replace.py
@@ -21,7 +21,6 @@
     def __init__(self, world, n_callers):
         self.world = world
         self.ended = threading.Event()
-        self.answers = []
         self.stories = [Story(world, f"story-{i}") for i in range(n_callers)]
         self.faults = []
         self.threads = [
@@ -35,17 +34,16 @@
         n = 0
         while not self.ended.is_set():
             n += 1
-            ready = self.ready_hosts()
             try:
-                self.answers.append(story.say(ready[(i + n) % len(ready)], f"turn {n}"))
+                story.say(lambda n=n: self.choose(i + n), f"turn {n}")
             except Exception as exc:
                 self.faults.append(exc)
                 return
 
-    def ready_hosts(self):
-        """Return what the platform's balancer would send callers to."""
-        ready = [h for h in self.world.hosts if self.is_ready(h)]
-        return ready or self.world.hosts
+    def choose(self, number):
+        """Return the host that the platform's balancer would send a caller to."""
+        ready = [h for h in self.world.hosts if self.is_ready(h)] or self.world.hosts
+        return ready[number % len(ready)]
 
     def is_ready(self, host):
         return self.world.send(host, "/readyz", b"", method="GET").status == 200
--- /dev/null
+++ b/tests/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traces against stated outcomes."""
