--- a/packages/swifttide_cli/src/swifttide_cli/api/_operator_client.py
+++ b/packages/swifttide_cli/src/swifttide_cli/api/_operator_client.py
@@ -135,7 +135,10 @@
         self, method: str, path: str, body: dict[str, Any] | None = None
     ) -> Result[Any, Failure]:
         tried: list[str] = []
-        for url in self._urls:
+        # A read is tried twice at each host: the other end may have closed a kept
+        # connection just before. An edit isn't: it may have been taken in.
+        urls = self._urls * 2 if method == "GET" else self._urls
+        for url in urls:
             try:
                 answer = self._send(method, url.rstrip("/") + path, body)
             except (NewConnectionError, ConnectTimeoutError):
@@ -197,7 +200,7 @@
         code=ExitCode.MAY_HAVE_APPLIED,
         message="the answer to the edit was lost",
         advice="look whether the edit is there before you send it again.",
-        details=tuple(tried),
+        details=tuple(dict.fromkeys(tried)),
     )
 
 
@@ -207,5 +210,5 @@
         message="no daemon answered",
         advice="check --url or SWIFTTIDE_URL; several URLs may stand there, with "
         "commas between them.",
-        details=tuple(tried),
+        details=tuple(dict.fromkeys(tried)),
     )
--- a/packages/swifttide_core/src/swifttide_core/replay/_replay.py
+++ b/packages/swifttide_core/src/swifttide_core/replay/_replay.py
@@ -15,6 +15,9 @@
 DISPATCHES = ("Dispatch", "RunModel")
 """Types of the actions that send something to a target."""
 
+ANSWERS = ("Reply", "Refuse", "ReplyTurn", "RefuseRequest")
+"""Types of the actions that answer the caller; a run has one."""
+
 
 @dataclass(frozen=True, slots=True)
 class Replayed:
@@ -117,9 +120,10 @@
 
     def _check_outcome(self, number: int, name: str, outcome: Outcome) -> None:
         actions = self.runs[name].actions
-        ends_as = actions[-1] if actions else ""
-        if ends_as != outcome.ends_as:
-            self.found.append(Difference(number, name, outcome.ends_as, ends_as))
+        answers = [action for action in actions if action in ANSWERS]
+        if answers != [outcome.answer]:
+            got = ", ".join(answers) or "no answer"
+            self.found.append(Difference(number, name, outcome.answer, got))
         dispatched = sum(action in DISPATCHES for action in actions)
         if outcome.dispatched not in (None, dispatched):
             stated = f"{outcome.dispatched} dispatches"
--- a/packages/swifttide_core/src/swifttide_core/replay/_trace_line.py
+++ b/packages/swifttide_core/src/swifttide_core/replay/_trace_line.py
@@ -10,13 +10,14 @@
 
     Parameters
     ----------
-    ends_as : str
-        Type of the last action, such as ``Reply`` or ``Refuse``.
+    answer : str
+        Type of the action that answered the caller: ``Reply`` or ``Refuse`` of a
+        call, ``ReplyTurn`` or ``RefuseRequest`` of a turn.
     dispatched : int or None
         How often the call went out to a target; None where nothing is stated.
     """
 
-    ends_as: str
+    answer: str
     dispatched: int | None = None
 
 
--- a/packages/swifttide_core/src/swifttide_core/replay/tests/test_replay.py
+++ b/packages/swifttide_core/src/swifttide_core/replay/tests/test_replay.py
@@ -43,9 +43,9 @@
 
     def test_stated_outcome(self):
         lines = record("a", ONCE)
-        right = outcome("a", ends_as="Reply", dispatched=1)
+        right = outcome("a", answer="Reply", dispatched=1)
         assert replay_lines([*lines, right]).differences == ()
-        wrong = outcome("a", ends_as="Refuse", dispatched=0)
+        wrong = outcome("a", answer="Refuse", dispatched=0)
         assert len(replay_lines([*lines, wrong]).differences) == 2
 
     def test_action_that_changed(self):
@@ -88,7 +88,7 @@
             b'{"run": "unknown", "event": {"type": "RowWritten", "version": 1}}',
             b'{"run": "a", "event": {"type": "None"}}',
             b'{"run": "a", "event": {}}',
-            b'{"run": "unknown", "outcome": {"ends_as": "Reply"}}',
+            b'{"run": "unknown", "outcome": {"answer": "Reply"}}',
         ],
     )
     def test_line_that_can_not_be_read(self, line):
