ENH Leave a stranger's long body unread

Cause: a body was read whole before its key was looked at; strangers could fill a host's memory with the permitted length on all threads, 8 MiB on each of 64. Ruled out: a bound on all bodies together (refuses known customers for strangers' sake). Change: for bodies over 64 KiB, or of unknown length, the key is checked first and the connection closed; tests of the authenticator.

--- a/packages/swifttide_cli/src/swifttide_cli/commands/_program.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_program.py
@@ -79,7 +79,8 @@
 
 
 def _report(found: dict[str, Any]) -> Report:
+    shown = {**found, "history": f"{len(found.get('history', ()))} turns (--json)"}
     rows = tuple(
-        (name, json.dumps(v) if isinstance(v, dict) else v) for name, v in found.items()
+        (name, json.dumps(v) if isinstance(v, dict) else v) for name, v in shown.items()
     )
     return Report(found, columns=("MEMBER", "VALUE"), rows=rows)
--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -300,7 +300,11 @@
     def _bind_servers(self) -> None:
         cfg = self.settings
         limits = cfg.limits
-        caller_app = App(self._caller_routes(), limits.max_body_bytes)
+        caller_app = App(
+            self._caller_routes(),
+            limits.max_body_bytes,
+            before_body=self.authenticator.stranger,
+        )
         handlers = PeerHandlers(
             self.membership,
             self.config,
--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_authenticator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_authenticator.py
@@ -43,6 +43,13 @@
         self.config = config
         self.operator_hashes = operator_hashes
 
+    def stranger(self, req: Request) -> Refusal | None:
+        """Return the refusal of a request whose key nobody was granted, or None."""
+        found = self.customer(req)
+        return (
+            found.error if found.is_error() and self.operator(req).is_error() else None
+        )
+
     def customer(self, req: Request) -> Result[Identity, Refusal]:
         """Return the customer of a request's key."""
         key_hash = _key_hash(req)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/tests/test_authenticator.py
@@ -0,0 +1,66 @@
+"""Who a request comes from."""
+
+from hashlib import sha256
+from types import SimpleNamespace
+
+import pytest
+
+from swifttide_core.documents import KeyGrant
+from swifttide_daemon.entry import Authenticator
+from swifttide_daemon.web import Request
+
+
+def hashed(key):
+    return sha256(key.encode()).hexdigest()
+
+
+GRANTS = {
+    hashed("customer"): KeyGrant(hashed("customer"), "club"),
+    hashed("operator"): KeyGrant(hashed("operator"), operator=True),
+}
+
+
+@pytest.fixture
+def authenticator():
+    # Like the configuration, which returns no grant for a withdrawn key.
+    return Authenticator(SimpleNamespace(key=GRANTS.get), (hashed("bootstrap"),))
+
+
+def request(value):
+    return Request("POST", "/", headers={"authorization": value} if value else {})
+
+
+class TestAuthenticator:
+    def test_customers_key(self, authenticator):
+        identity = authenticator.customer(request("Bearer customer")).ok
+        assert identity.customer == "club"
+        assert authenticator.operator(request("Bearer customer")).error.status == 403
+
+    @pytest.mark.parametrize("key", ["operator", "bootstrap"])
+    def test_operators_key(self, authenticator, key):
+        assert authenticator.operator(request(f"Bearer {key}")).is_ok()
+        assert authenticator.customer(request(f"Bearer {key}")).error.status == 401
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            "",
+            "Bearer ",
+            "Bearer none",
+            "customer",
+            "Basic customer",
+            "bearer customer",
+            f"Bearer {hashed('customer')}",
+            f"Bearer {hashed('bootstrap')}",
+            "Bearer \udcff",
+        ],
+    )
+    def test_no_key(self, authenticator, value):
+        """Whoever has read a row or a settings file has hashes, not keys."""
+        assert authenticator.customer(request(value)).error.status == 401
+        assert authenticator.operator(request(value)).error.status == 401
+        assert authenticator.stranger(request(value)).status == 401
+
+    @pytest.mark.parametrize("key", ["customer", "operator", "bootstrap"])
+    def test_no_stranger(self, authenticator, key):
+        assert authenticator.stranger(request(f"Bearer {key}")) is None
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/_app.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_app.py
@@ -4,11 +4,11 @@
 import re
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from swifttide_core.verdicts import Reason, Refusal, Verdict
-from swifttide_daemon.web._input import read_body
+from swifttide_daemon.web._input import has_small_body, read_body
 from swifttide_daemon.web._request import Request
 from swifttide_daemon.web._response import Response
 
@@ -53,6 +53,9 @@
         Longest body that is read.
     guard : callable or None
         Called with each request before its handler; a refusal ends it.
+    before_body : callable or None
+        Called, without its body, with each request whose body is longer than
+        `SMALL_BODY_BYTES` or of unknown length; a refusal ends it unread.
     """
 
     def __init__(
@@ -60,7 +63,9 @@
         routes: Iterable[Route],
         max_body_bytes: int,
         guard: Callable[[Request], Refusal | None] | None = None,
+        before_body: Callable[[Request], Refusal | None] | None = None,
     ) -> None:
+        self.before_body = before_body
         self.routes = [(route, route.compiled()) for route in routes]
         self.max_body_bytes = max_body_bytes
         self.guard = guard
@@ -80,6 +85,12 @@
 
     def _answer(self, environ: dict[str, Any]) -> Response:
         now = time.monotonic()
+        refusal = self._check_before_body(environ, now)
+        if refusal is not None:
+            # What is left unread must not be taken for the next request.
+            closed = (("Connection", "close"),)
+            response = Response.from_refusal(refusal)
+            return replace(response, headers=(*response.headers, *closed))
         body = read_body(environ, self.max_body_bytes)
         if body.is_error():
             return Response.from_refusal(body.error)
@@ -98,6 +109,16 @@
                 )
             )
 
+    def _check_before_body(self, environ: dict[str, Any], now: float) -> Refusal | None:
+        """Refuse a stranger's long body before it takes up memory.
+
+        Anybody can open connections and send bodies of the permitted length on all
+        threads at once: half a gigabyte, at a host whose daemon should take 64 MB.
+        """
+        if self.before_body is None or has_small_body(environ):
+            return None
+        return self.before_body(Request.from_environ(environ, b"", now))
+
     def _dispatch(self, req: Request) -> Response:
         known_path = False
         for route, pattern in self.routes:
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/_input.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_input.py
@@ -6,6 +6,17 @@
 
 from swifttide_core.verdicts import Reason, Refusal
 
+SMALL_BODY_BYTES = 64 * 1024
+"""Read whoever sends it: 64 threads of them are 4 MB."""
+
+
+def has_small_body(environ: dict[str, Any]) -> bool:
+    """Return whether a request declares a body of `SMALL_BODY_BYTES` at most."""
+    declared = environ.get("CONTENT_LENGTH", "")
+    if not declared:
+        return not environ.get("wsgi.input_terminated")
+    return declared.isdigit() and int(declared) <= SMALL_BODY_BYTES
+
 
 def read_body(environ: dict[str, Any], max_bytes: int) -> Result[bytes, Refusal]:
     """Read the whole body of a request.
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/tests/test_strict_server.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from swifttide_core.verdicts import Reason, Refusal
 from swifttide_daemon.settings import LimitSettings
 from swifttide_daemon.web import App, Response, Route, WebServer
 
@@ -19,7 +20,7 @@
 )
 
 
-def start(limits=LIMITS):
+def start(limits=LIMITS, before_body=None):
     """Serve an application that tells which bodies reached it."""
     seen = []
 
@@ -40,7 +41,7 @@
     routes = [Route("POST", "/echo", echo), Route("GET", "/smuggled", echo)]
     routes.append(Route("GET", "/leave", leave))
     routes.append(Route("GET", "/broken", break_off))
-    app = App(routes, limits.max_body_bytes)
+    app = App(routes, limits.max_body_bytes, before_body=before_body)
     web = WebServer.from_settings("127.0.0.1", 0, app, limits.caller_threads, limits)
     web.start()
     return SimpleNamespace(web=web, seen=seen)
@@ -266,6 +267,33 @@
             server.web.stop()
 
 
+class TestStrangers:
+    def test_long_body_of_a_stranger_is_not_read(self):
+        """Strangers send bodies of the permitted length on all threads at once, and
+        the host's memory is gone before any of them is told to go away.
+        """
+        limits = LimitSettings(max_body_bytes=2**20, idle_seconds=5, caller_threads=2)
+
+        def before_body(req):
+            known = req.header("authorization") == "Bearer known"
+            return None if known else Refusal(Reason.UNAUTHENTICATED, "no")
+
+        server = start(limits, before_body)
+        long = request("Content-Length: 1000000", body=b"only the start")
+        answer = exchange(server, long)
+        assert b" 401 " in answer
+        assert b"Connection: close" in answer
+        chunked = request(CHUNKED, body=b"5\r\nhello\r\n0\r\n\r\n" + SMUGGLED)
+        assert exchange(server, chunked).count(b"HTTP/1.1") == 1
+        assert server.seen == []
+        short = request("Content-Length: 2", body=b"hi")
+        assert b" 200 " in exchange(server, short)
+        body = b"x" * 100_000
+        known = ("Authorization: Bearer known", "Content-Length: 100000")
+        assert b" 200 " in exchange(server, request(*known, body=body))
+        server.web.stop()
+
+
 class TestFailingAnswer:
     def test_fault_within_a_stream_is_logged(self, server, caplog):
         """An answer's iterator fails after its first piece. The caller sees a cut
