--- a/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
@@ -364,7 +364,8 @@
             heapq.heapify(self._latest_starts)
 
     def _score(self, ticket: Ticket) -> float:
-        return ticket.offered_at - ticket.urgency * self._cfg.urgency_seconds
+        steps = ticket.urgency + (1 if ticket.under_way else 0)
+        return ticket.offered_at - steps * self._cfg.urgency_seconds
 
     def _latest_start(self, ticket: Ticket) -> float:
         # A program that starts too late to finish would use its target and be given
