--- a/benchmarks/ablations.py
+++ b/benchmarks/ablations.py
@@ -20,6 +20,7 @@
         "nothing": whole,
         "customer fairness": replace(whole, fair=False),
         "working set": replace(whole, working_set=False),
+        "room for sub-agents": replace(whole, gate_sub_agents=False),
         "early refusal": replace(
             whole, admission=replace(admission, max_wait_seconds=math.inf)
         ),
