--- a/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
@@ -383,7 +383,7 @@
         ahead = self._queue.tokens_ahead(ticket)
         first = self._drain.service_seconds / self._limit.value
         wait = ahead / self._own_rate(ticket) + first
-        if not ticket.enters:
+        if ticket.under_way or not ticket.enters:
             return wait
         n_ahead = self._queue.entries_ahead(ticket)
         return max(wait, self._entry_wait(n_ahead / self._queue.share(ticket)))
