--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_derive.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_derive.py
@@ -9,10 +9,7 @@
 TOKEN = "processor for a streamed token, of 4 hosts"
 EDIT = "slowest of 4 edits in force at all hosts"
 MEASURED_EDIT_HOSTS = 24
-CACHED_PROGRAMS = 24
-CACHED = (
-    f"platform reads a second for {CACHED_PROGRAMS} more programs in an engine's cache"
-)
+CACHED = "platform reads of a program in an engine's cache, durable history, of 4 hosts"
 
 
 def derive(slopes: Mapping[str, float], size: Size) -> list[Derived]:
@@ -130,7 +127,7 @@
     edits = size.edits_per_day / SECONDS_PER_DAY * size.daemons
     edit_reads = edits * slopes["platform reads for an edit, for each host"]
     max_reads, max_writes = size.platform_reads, size.platform_writes
-    cached = size.programs * slopes[CACHED] / CACHED_PROGRAMS
+    cached = size.programs * slopes[CACHED]
     rows = (
         ("reads without callers", idle_reads, max_reads),
         ("reads for edits", edit_reads, max_reads),
--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_requests.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_requests.py
@@ -30,34 +30,40 @@
         for name, path in (("repeatable", "look"), ("non-repeatable", "charge")):
             used = _run(site, CALLER, _service(path), N_REQUESTS).without(idle)
             slopes += _per_request(f"a {name} service call, {where}", used)
+        before = idle
         for name, profile in (("caller's", CALLER), ("durable", DURABLE)):
-            first, further, cached = _measure_turns(site, profile, idle)
+            first, resting, further = _measure_turns(site, profile, before)
             writes = first.writes / N_PROGRAMS
             history = f"{name} history, {where}"
             slopes.append(
                 Slope(f"platform writes for a first chat turn, {history}", writes, "1")
             )
             slopes += _per_request(f"a further chat turn, {history}", further)
-        slopes.append(cached)
-        slopes.append(_per_token(site, idle, where))
+            slopes.append(_per_cached_program(before, resting, history))
+            before = resting
+        slopes.append(_per_token(site, before, where))
     return slopes
 
 
-def _measure_turns(site: Site, profile: str, idle: Usage) -> tuple[Usage, Usage, Slope]:
-    """Return first and further turns, and the reads for programs in a cache.
+def _measure_turns(
+    site: Site, profile: str, before: Usage
+) -> tuple[Usage, Usage, Usage]:
+    """Return first turns, the time after them without callers, and further turns.
 
     Few programs with many turns each: the hosts look up every program that an engine
     has in its cache, which would pass for a cost of the turns if it weren't taken
     off, and taking it off is only as good as a round of these reads is small.
     """
-    first = _run(site, profile, _turns(profile, 0), N_PROGRAMS).without(idle)
+    first = _run(site, profile, _turns(profile, 0), N_PROGRAMS).without(before)
     resting = idle_usage(site, ROUNDS_SECONDS)
     further = _run(site, profile, _turns(profile, 1), N_REQUESTS).without(resting)
-    reads = resting.reads / resting.at - idle.reads / idle.at
-    name = (
-        f"platform reads a second for {N_PROGRAMS} more programs in an engine's cache"
-    )
-    return first, further, Slope(name, reads, "1/s")
+    return first, resting, further
+
+
+def _per_cached_program(before: Usage, resting: Usage, history: str) -> Slope:
+    reads = resting.reads / resting.at - before.reads / before.at
+    name = f"platform reads of a program in an engine's cache, {history}"
+    return Slope(name, reads / N_PROGRAMS, "1/s")
 
 
 def _per_request(name: str, used: Usage) -> list[Slope]:
