--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_lease_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_lease_keeper.py
@@ -19,7 +19,7 @@
     def read(self, table, key):
         return Ok(self.row)
 
-    def commit(self, tx):
+    def commit(self, tx, tries=1):
         known = self.row.version if self.row else 0
         if tx.checks[0].version != known:
             return Ok(Conflict("hosts", "z/h1", known))
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/tests/test_queue_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/tests/test_queue_keeper.py
@@ -8,7 +8,21 @@
 
 
 def call(ticket_id):
-    return AcquireRequest(ticket_id, "c", "p", 1.0, 0, 60.0, 1.0, 0.0, 0.0, 0.0)
+    return AcquireRequest(
+        ticket_id=ticket_id,
+        customer="c",
+        program="p",
+        weight=1.0,
+        urgency=0,
+        deadline_in_seconds=60.0,
+        expected_tokens=1.0,
+        attained_tokens=0.0,
+        context_tokens=0.0,
+        expected_context_tokens=0.0,
+        expected_remaining_seconds=0.0,
+        waited_seconds=0.0,
+        wait_seconds=0.0,
+    )
 
 
 class TestRenew:
