--- a/tests/e2e/_world.py
+++ b/tests/e2e/_world.py
@@ -8,7 +8,7 @@
 
 import urllib3
 
-from swifttide_core.slots import SlotKind, slot_of
+from swifttide_core.slots import SlotKind, ranked_zones, slot_of
 from swifttide_standins.engine import expected_text
 from swifttide_standins.launcher import (
     Fleet,
@@ -169,9 +169,10 @@
         url = f"{self.fleet.platform.url}/v1/rows/slots?{query}"
         return self.fleet.call("GET", url).json()["rows"]
 
-    def holder(self, program: str, zone: str) -> str:
+    def holder(self, program: str) -> str:
         """Return the host that the platform lists as a root program's holder."""
         key = f"{CUSTOMER}/{program}"
+        zone = ranked_zones(key, self.fleet.plan.zones)[0]
         slot = slot_of(SlotKind.PROGRAM, key, self.fleet.plan.n_slots)
         row = quote(f"{zone}/{slot:05d}", safe="")
         url = f"{self.fleet.platform.url}/v1/rows/slots/{row}"
@@ -213,14 +214,18 @@
         self.messages: list[dict] = []
         self.turn = 0
 
-    def say(self, host: str, text: str) -> Answer:
-        """Send the next turn until it is answered, and check it byte for byte."""
+    def say(self, host: str | Callable[[], str], text: str) -> Answer:
+        """Send the next turn until it is answered, and check it byte for byte.
+
+        `host` may choose anew for each try, as the platform's balancer does.
+        """
+        choose = host if callable(host) else lambda: host
         message = {"role": "user", "content": text}
         expected = expected_text([*self.messages, message], 8)
         answers: list[Answer] = []
 
         def answered() -> bool:
-            got = self.world.chat(host, self.program, self.turn + 1, text)
+            got = self.world.chat(choose(), self.program, self.turn + 1, text)
             answers.append(got)
             assert got.status not in (400, 401, 403, 409, 410, 422), got
             return got.status == 200
