--- a/Makefile
+++ b/Makefile
@@ -66,3 +66,13 @@
 
 bench-core: setup
 	$(BIN)/python -m benchmarks.core_speed
+
+.PHONY: bench-daemon
+
+bench-daemon: setup
+	$(BIN)/python -m benchmarks.daemon_speed
+.PHONY: bench-limits
+
+# Rate and burst, and retries, against baselines; the same figures on every run.
+bench-limits: setup
+	$(BIN)/python -m benchmarks.limits
