--- a/tests/e2e/test_stop_and_replace.py
+++ b/tests/e2e/test_stop_and_replace.py
@@ -7,6 +7,9 @@
 
 from tests.e2e._world import Story
 
+LONG_WORD_SECONDS = 1.2
+"""Eight words take longer than a host's notice and its server's own shutdown."""
+
 SIGTERM_STATUS = (0, -signal.SIGTERM)
 
 
@@ -59,7 +62,7 @@
         """A host is stopped while callers read long answers from it. One that simply
         exits cuts them off in the middle of a sentence.
         """
-        world.fault_engines("slow", word_seconds=0.3)
+        world.fault_engines("slow", word_seconds=LONG_WORD_SECONDS)
         answers = []
         hosts = ["za-h0"] * 6
         threads = [
--- a/tools/try_mutations.py
+++ b/tools/try_mutations.py
@@ -34,6 +34,8 @@
         Text that stands in the file exactly once, and its replacement.
     tests : tuple of str
         pytest arguments.
+    also : tuple of (str, str, str)
+        File, old and new text of a second line that keeps the promise by itself.
     """
 
     id: str
@@ -42,6 +44,7 @@
     old: str
     new: str
     tests: tuple[str, ...]
+    also: tuple[tuple[str, str, str], ...] = ()
 
 
 def read_mutations() -> list[Mutation]:
@@ -52,12 +55,14 @@
 
 def mutate(tree: Path, mutation: Mutation) -> None:
     """Put the mutation into a copy of the tree; raise when its place isn't there."""
-    path = tree / mutation.file
-    text = path.read_text(encoding="utf-8")
-    n_found = text.count(mutation.old)
-    if n_found != 1:
-        raise ValueError(f"got {n_found} places, expected 1")
-    path.write_text(text.replace(mutation.old, mutation.new), encoding="utf-8")
+    own = (mutation.file, mutation.old, mutation.new)
+    for file, old, new in (own, *mutation.also):
+        path = tree / file
+        text = path.read_text(encoding="utf-8")
+        n_found = text.count(old)
+        if n_found != 1:
+            raise ValueError(f"got {n_found} places in {file}, expected 1")
+        path.write_text(text.replace(old, new), encoding="utf-8")
 
 
 def run_tests(tree: Path, tests: tuple[str, ...]) -> subprocess.CompletedProcess[str]:
