FIX Replay traces of before a row gained members

Cause: rows gained root_calls and started_at, and recorded actions without them counted as different, though no decision had changed; four replay tests failed. Why the check was wrong: it compared text, which says nothing about decisions. Change: recorded actions are decoded, new members count as their defaults, and every recorded member must still exist and be equal, at every depth; tests for a member that is new, gone, of another type or of another value.

--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/replay/_comparing.py
@@ -0,0 +1,50 @@
+"""Comparing recorded actions with those of the installed version."""
+
+from typing import Any
+
+import msgspec
+
+from swifttide_core.replay._encoding import with_type
+from swifttide_core.replay._machine import Machine
+
+
+def same_actions(
+    machine: Machine, stated: tuple[dict[str, Any], ...], got: tuple[Any, ...]
+) -> bool:
+    """Return whether actions are as recorded.
+
+    A member that the recording version didn't know yet counts as its default: rows
+    gain members over time, and that alone changes no decision. A recorded member that
+    the installed version no longer has is a difference.
+    """
+    if len(stated) != len(got):
+        return False
+    return all(
+        _same(machine, one, other) for one, other in zip(stated, got, strict=True)
+    )
+
+
+def _same(machine: Machine, stated: dict[str, Any], got: Any) -> bool:
+    kind = machine.actions.get(stated.get("type", ""))
+    if kind is not type(got):
+        return False
+    members = {name: value for name, value in stated.items() if name != "type"}
+    try:
+        decoded = msgspec.convert(members, kind)
+    except msgspec.ValidationError:
+        return False
+    return decoded == got and _contains(with_type(got), stated)
+
+
+def _contains(whole: Any, part: Any) -> bool:
+    """Return whether `whole` has all members of `part`, at every depth."""
+    match whole, part:
+        case dict(), dict():
+            known = part.keys() <= whole.keys()
+            return known and all(_contains(whole[name], part[name]) for name in part)
+        case list(), list():
+            if len(whole) != len(part):
+                return False
+            return all(_contains(w, p) for w, p in zip(whole, part, strict=True))
+        case _:
+            return whole == part
--- a/packages/swifttide_core/src/swifttide_core/replay/_machine.py
+++ b/packages/swifttide_core/src/swifttide_core/replay/_machine.py
@@ -5,6 +5,7 @@
 from typing import Any, get_args
 
 from swifttide_core.intents import (
+    CallAction,
     CallEvent,
     IntentRow,
     start_call,
@@ -13,6 +14,7 @@
 from swifttide_core.programs import (
     ProgramRow,
     Turn,
+    TurnAction,
     TurnEvent,
     start_turn,
     step_turn,
@@ -31,7 +33,7 @@
         As the daemon calls them.
     start_types : tuple
         Types of the start's arguments.
-    events : dict of str to type
+    events, actions : dict of str to type
         By the name of the type.
     """
 
@@ -40,6 +42,11 @@
     step: Callable[[Any, Any], Any]
     start_types: tuple[Any, ...]
     events: dict[str, type]
+    actions: dict[str, type]
+
+
+def _by_name(union: Any) -> dict[str, type]:
+    return {kind.__name__: kind for kind in get_args(union)}
 
 
 CALL = Machine(
@@ -47,7 +54,8 @@
     start=start_call,
     step=step_call,
     start_types=(IntentRow,),
-    events={event.__name__: event for event in get_args(CallEvent)},
+    events=_by_name(CallEvent),
+    actions=_by_name(CallAction),
 )
 """A call that may not be repeated."""
 
@@ -56,7 +64,8 @@
     start=start_turn,
     step=step_turn,
     start_types=(Turn, tuple[ProgramRow | None, ...] | None),
-    events={event.__name__: event for event in get_args(TurnEvent)},
+    events=_by_name(TurnEvent),
+    actions=_by_name(TurnAction),
 )
 """A turn of a program."""
 
--- a/packages/swifttide_core/src/swifttide_core/replay/_replay.py
+++ b/packages/swifttide_core/src/swifttide_core/replay/_replay.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from swifttide_core.replay._comparing import same_actions
 from swifttide_core.replay._difference import Difference
 from swifttide_core.replay._encoding import with_type
 from swifttide_core.replay._machine import MACHINES, Machine
@@ -113,7 +114,7 @@
         run.actions += [type(action).__name__ for action in actions]
         self.promises.note(line.run, run.subject, event, actions)
         got = [with_type(action) for action in actions]
-        if got != list(line.actions):
+        if not same_actions(run.machine, line.actions, actions):
             stated = msgspec.json.encode(line.actions).decode()
             shown = msgspec.json.encode(got).decode()
             self.found.append(Difference(number, line.run, stated, shown))
--- a/packages/swifttide_core/src/swifttide_core/replay/tests/test_replay.py
+++ b/packages/swifttide_core/src/swifttide_core/replay/tests/test_replay.py
@@ -60,6 +60,24 @@
         assert (found.line, found.run) == (2, "a")
         assert "WriteRow" in found.got
 
+    def test_member_that_the_recording_did_not_know(self):
+        """Rows gain members over time. A trace from before must stay replayable."""
+        lines = record("a", ONCE)
+        older = json.loads(lines[1])
+        del older["actions"][0]["row"]["content_type"]
+        lines[1] = json.dumps(older).encode()
+        assert replay_lines(lines).differences == ()
+
+    @pytest.mark.parametrize(
+        "members", [{"gone": 1}, {"state": "done"}, {"answer": "x"}, {"version": "1"}]
+    )
+    def test_member_that_is_otherwise(self, members):
+        lines = record("a", ONCE)
+        changed = json.loads(lines[1])
+        changed["actions"][0]["row"] |= members
+        lines[1] = json.dumps(changed).encode()
+        assert [d.line for d in replay_lines(lines).differences] == [2]
+
     def test_call_that_runs_twice(self):
         """Two hosts each believe that the journal row is theirs: a club pays twice.
         Each run alone is as stated, only the whole trace shows it.
