--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/swifttide_$(p))
 
-.PHONY: setup lint format test demo
+.PHONY: setup lint format test demo site docs-check capacity fuzz mutations
 
 setup: $(STAMP)
 
@@ -28,7 +28,30 @@
 	$(BIN)/python tools/run_tests.py
 
 demo: setup
-	@echo "no demo yet"
+	$(BIN)/python -m swifttide_standins.demo
+
+# A small fleet to try the command on; runs until Ctrl-C.
+site: setup
+	$(BIN)/python -m swifttide_standins.site out/site.env
+
+# Links of all pages, and every command of the documentation.
+docs-check: setup
+	$(BIN)/python tools/check_docs.py
+
+# Some four minutes; PARTS="control edits" measures only those.
+capacity: setup
+	mkdir -p out
+	$(BIN)/python -m swifttide_standins.capacity $(PARTS) --json out/capacity.json
+
+# Fuzzing with fresh seeds, FUZZ_SECONDS for each rule machine; prints each seed.
+# SWIFTTIDE_FUZZ_SEED=N runs one seed again.
+FUZZ_SECONDS ?= 60
+fuzz: setup
+	SWIFTTIDE_FUZZ_SECONDS=$(FUZZ_SECONDS) $(BIN)/python -m pytest -s tests/fuzz
+
+# Each promise's mechanism disabled in a copy; the proofs must notice (docs/proofs.md).
+mutations: setup
+	$(BIN)/python tools/try_mutations.py
 
 .PHONY: bench bench-plots bench-ablations bench-core
 
@@ -43,3 +66,13 @@
 
 bench-core: setup
 	$(BIN)/python -m benchmarks.core_speed
+
+.PHONY: bench-daemon
+
+bench-daemon: setup
+	$(BIN)/python -m benchmarks.daemon_speed
+.PHONY: bench-limits
+
+# Rate and burst, and retries, against baselines; the same figures on every run.
+bench-limits: setup
+	$(BIN)/python -m benchmarks.limits
