MAINT Use the daemon's profile estimates in the bench, too

The bench kept moving means of its own beside ProfileEstimates; now both learn alike, sub-agents under a name of their own.

--- a/benchmarks/policies/swifttide.py
+++ b/benchmarks/policies/swifttide.py
@@ -11,6 +11,7 @@
     Admitted,
     Outcome,
     OutcomeStatus,
+    ProfileEstimates,
     Queued,
     Refused,
     TargetQueue,
@@ -135,10 +136,8 @@
         self.paused_at: dict[str, tuple[float, str]] = {}
         self.pauses = PauseEstimator()
         self.started_at: dict[str, float] = {}
-        self.duration: dict[str, float] = {}
-        self.length: dict[str, float] = {}
-        self.tokens: dict[str, tuple[str, float]] = {}
-        self.output: dict[str, float] = {}
+        self.tokens: dict[str, float] = {}
+        self.estimates = ProfileEstimates()
         self.snapshots: deque[dict] = deque(maxlen=VIEW_LAG)
         self.seconds = 0
         self._refresh_views()
@@ -249,15 +248,12 @@
             self._drop(agent)
         else:
             self.prefixes.pop(agent, None)
-        if agent == program.name and program.state == "running":
-            lasted = self.sim.now - self.started_at.pop(program.name, self.sim.now)
-            profile = program.plan.profile
-            seen = self.duration.get(profile, lasted)
-            self.duration[profile] = seen + 0.05 * (lasted - seen)
-        kind, tokens = self.tokens.pop(agent, ("", 0.0))
-        if program.state != "given_up" and kind:
-            seen = self.length.get(kind, tokens)
-            self.length[kind] = seen + 0.05 * (tokens - seen)
+        tokens = self.tokens.pop(agent, None)
+        if program.state == "running" and tokens is not None:
+            is_root = agent == program.name
+            begun_at = self.started_at.pop(agent, self.sim.now)
+            kind = _kind(program.plan.profile, is_root)
+            self.estimates.observe_program(kind, tokens, self.sim.now - begun_at)
         for name in sorted(self.resident.pop(agent, ())):
             self._apply(self.queues[name].end_program(self.sim.now, agent))
 
@@ -370,12 +366,14 @@
         program = call.program
         plan = program.plan
         features = self.features
+        kind = _kind(plan.profile, call.parent == "")
+        output = self.estimates.output_tokens(kind)
         call.policy_data["tries"] += 1
         if call.is_service:
             cost = 1.0
         else:
             uncached = call.prompt_tokens - call.policy_data["cached"]
-            cost = call_cost(uncached, self.output.get(plan.profile, 150.0))
+            cost = call_cost(uncached, output)
         return Ticket(
             ticket_id=f"{call.call_id}/{self.sim.now}/{call.policy_data['tries']}",
             customer=plan.customer if features.fair else "everyone",
@@ -385,16 +383,16 @@
             expected_tokens=cost,
             attained_tokens=program.attained,
             offered_at=call.offered_at,
-            context_tokens=call.prompt_tokens + self.output.get(plan.profile, 150.0)
+            context_tokens=call.prompt_tokens + output
             if features.working_set and not call.is_service
             else 0.0,
-            expected_remaining_seconds=self.duration.get(plan.profile, 0.0)
+            expected_remaining_seconds=self.estimates.program_seconds(kind)
             if program.attained == 0 and not call.is_service and features.remaining
             else 0.0,
             new_history=features.gate_sub_agents
             and call.parent != ""
             and call.agent not in self.tokens,
-            expected_context_tokens=self.length.get(self._kind(call), 0.0),
+            expected_context_tokens=self.estimates.context_tokens(kind),
         )
 
     def _apply(self, decisions) -> None:
@@ -414,7 +412,7 @@
         name = call.policy_data["route"][1]
         call.exported_tokens = min(call.prompt_tokens, self.exported.pop(call.agent, 0))
         if not call.is_service:
-            self.started_at.setdefault(call.program.name, self.sim.now)
+            self.started_at.setdefault(call.agent, self.sim.now)
             self.resident.setdefault(call.agent, set()).add(name)
         self.by_name[name].submit(call)
 
@@ -505,12 +503,11 @@
         if call.is_service:
             return
         program = call.program
-        profile = program.plan.profile
+        kind = _kind(program.plan.profile, call.parent == "")
         program.attained += call_cost(call.uncached_tokens, call.output_tokens)
-        seen = self.output.get(profile, float(call.output_tokens))
-        self.output[profile] = seen + 0.05 * (call.output_tokens - seen)
+        self.estimates.observe_output(kind, call.output_tokens)
         tokens = call.prompt_tokens + call.output_tokens
-        self.tokens[call.agent] = (self._kind(call), float(tokens))
+        self.tokens[call.agent] = float(tokens)
         held = self.prefixes.setdefault(call.agent, {})
         for name in list(held):
             if name != call.target.name:
@@ -532,9 +529,6 @@
         )
         return tuple(held)
 
-    def _kind(self, call: Call) -> str:
-        return f"{call.program.plan.profile}/{call.parent != ''}"
-
     def _prefix_target(self, agent: str) -> str | None:
         held = self.prefixes.get(agent, {})
         return next(iter(held), None)
@@ -558,3 +552,8 @@
 def hash_of(text: str) -> int:
     """Return a hash that is the same on every run."""
     return sum(text.encode())
+
+
+def _kind(profile: str, is_root: bool) -> str:
+    """Return the name under which estimates are kept; sub-agents are shorter."""
+    return profile if is_root else f"{profile}/sub-agent"
