MAINT Split the daemon's assembly and the journaled call; wait for outcomes at a stop

Change: Builder and Health beside Daemon; ServiceSender, JournaledCall and UnrecordedCalls beside ServiceRunner; Daemon drains the latter for up to 30 s.

--- a/packages/swifttide_daemon/src/swifttide_daemon/__main__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/__main__.py
@@ -21,10 +21,11 @@
     if secret.is_error():
         print(f"{path}: {secret.error}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    from swifttide_daemon._daemon import Daemon, wait_for_signal
+    from swifttide_daemon._builder import Builder
+    from swifttide_daemon._daemon import wait_for_signal
 
     try:
-        daemon = Daemon.from_settings(settings.ok)
+        daemon = Builder(settings.ok).build()
     except OSError as exc:
         # Such as a port that another process has: one line says more than the
         # places in the code where it was noticed.
--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -1,7 +1,6 @@
-"""All parts of one host, put together."""
+"""One host, from its start to its planned stop."""
 
 import logging
-import random
 import threading
 import time
 from dataclasses import dataclass
@@ -9,48 +8,18 @@
 
 import msgspec
 
-from swifttide_core.membership import HostRow, LeaseTimes, OutageTimes
-from swifttide_core.slots import SlotKind
 from swifttide_daemon.calls import CallTable
-from swifttide_daemon.configuration import ConfigEditor, ConfigService
+from swifttide_daemon.configuration import ConfigService
 from swifttide_daemon.entry import (
-    Authenticator,
-    CallHandlers,
-    Dispatcher,
     Gate,
     GateState,
-    ProgramHandlers,
-    ProgramRoots,
-)
-from swifttide_daemon.limits import RateLimiter, ShareMover, ShareRows, ShareService
-from swifttide_daemon.membership import LeaseKeeper, MembershipService, OutageService
-from swifttide_daemon.operators import OperatorHandlers
-from swifttide_daemon.peering import Heartbeat, PeerHandlers
-from swifttide_daemon.peers import PeerClient, PeerProof
-from swifttide_daemon.platform import PlatformClient, new_id
-from swifttide_daemon.programs import ProgramBook, ProgramStore
-from swifttide_daemon.recording import Recorder
-from swifttide_daemon.retention import CacheKeeper, ProgramJudge
-from swifttide_daemon.runners import (
-    CallRunner,
-    ChatRunner,
-    CrashDetector,
-    Generator,
-    Placer,
-    RetryAccount,
-    ServiceRunner,
 )
+from swifttide_daemon.membership import MembershipService
+from swifttide_daemon.platform import PlatformClient
+from swifttide_daemon.runners import UnrecordedCalls
 from swifttide_daemon.settings import Settings
-from swifttide_daemon.strikes import StrikeService
-from swifttide_daemon.targets import (
-    EngineClient,
-    GrantBook,
-    QueueService,
-    ServiceClient,
-    TargetBoard,
-)
 from swifttide_daemon.telemetry import Telemetry
-from swifttide_daemon.web import App, Request, Response, Route, WebServer
+from swifttide_daemon.web import WebServer
 
 log = logging.getLogger(__name__)
 
@@ -61,6 +30,9 @@
 DRAIN_SECONDS = 600.0
 """Longest wait for streams that run; a turn's timeout is well below."""
 
+OUTCOME_SECONDS = 30.0
+"""Longest wait for a platform that doesn't take the outcomes of calls."""
+
 HAND_OVER_PAUSE_SECONDS = 0.2
 HAND_OVER_SECONDS = 10.0
 
@@ -78,6 +50,7 @@
     config : ConfigService
     membership : MembershipService
     table : CallTable
+    unrecorded : UnrecordedCalls
     services : tuple
         Further parts with `start` and `stop`, in the order of their start.
     callers, peers : WebServer
@@ -90,15 +63,11 @@
     config: ConfigService
     membership: MembershipService
     table: CallTable
+    unrecorded: UnrecordedCalls
     services: tuple
     callers: WebServer
     peers: WebServer
 
-    @classmethod
-    def from_settings(cls, settings: Settings) -> "Daemon":
-        """Put a host together; it listens and does nothing until `start`."""
-        return _Builder(settings).build()
-
     def start(self) -> None:
         """Join the zone and serve."""
         self.peers.start()
@@ -141,6 +110,9 @@
             if self.gate.n_inside() == 0 and self.table.n_running() == 0:
                 break
             time.sleep(HAND_OVER_PAUSE_SECONDS)
+        outcomes_until = time.monotonic() + OUTCOME_SECONDS
+        while self.unrecorded.count() and time.monotonic() < outcomes_until:
+            time.sleep(HAND_OVER_PAUSE_SECONDS)
         # An entry host may still be reading the last events of an ended call.
         time.sleep(HAND_OVER_PAUSE_SECONDS)
 
@@ -155,261 +127,6 @@
         part.replace(path)
 
 
-class _Builder:
-    """Makes the parts in the order in which they need each other."""
-
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
-        self.rng = random.Random()
-
-    def build(self) -> Daemon:
-        cfg = self.settings
-        self.telemetry = Telemetry.from_settings(cfg)
-        self.gate = Gate()
-        self._build_platform_side()
-        self._build_target_side()
-        self._build_runners()
-        self._build_entry_side()
-        self._bind_servers()
-        self._note_zones()
-        return Daemon(
-            settings=cfg,
-            telemetry=self.telemetry,
-            gate=self.gate,
-            platform=self.platform,
-            config=self.config,
-            membership=self.membership,
-            table=self.table,
-            services=(
-                self.queues,
-                self.grants,
-                self.mover,
-                self.limiter,
-                self.caches,
-                self.heartbeat,
-            ),
-            callers=self.callers,
-            peers=self.peer_server,
-        )
-
-    def _build_platform_side(self) -> None:
-        cfg = self.settings
-        secret = Path(cfg.deployment_secret_file).read_bytes().strip()
-        self.proof = PeerProof(secret, cfg.host)
-        self.peer_client = PeerClient.from_settings(cfg, self.proof)
-        self.platform = PlatformClient.from_settings(cfg, self.telemetry)
-        self.config = ConfigService.from_settings(cfg, self.platform)
-        self.editor = ConfigEditor(self.platform)
-        times = LeaseTimes(
-            cfg.lease.lease_seconds,
-            cfg.lease.renew_seconds,
-            cfg.lease.drift_margin_seconds,
-        )
-        row = HostRow(cfg.host, cfg.zone, new_id(), "", "")
-        self.keeper = LeaseKeeper(
-            self.platform, row, times, lambda: self.config.version
-        )
-        self.outages = OutageService(
-            self.keeper,
-            self.platform,
-            self.peer_client,
-            OutageTimes(promise_seconds=times.lease_seconds),
-        )
-        self.membership = MembershipService.from_settings(
-            cfg, self.platform, self.keeper, self.outages
-        )
-
-    def _build_target_side(self) -> None:
-        timeouts = self.settings.timeouts
-        self.engines = EngineClient.from_settings(timeouts)
-        self.service_client = ServiceClient.from_settings(timeouts)
-        self.queues = QueueService(self.membership, self.config, self.engines)
-        self.grants = GrantBook(self.membership, self.queues, self.peer_client)
-        self.board = TargetBoard.from_config(self.config)
-        self.strikes = StrikeService(self.membership, self.peer_client)
-        self.book = ProgramBook(
-            ProgramStore(self.platform), self.telemetry.metrics.end_program
-        )
-        self.caches = CacheKeeper(
-            self.membership,
-            self.config,
-            self.book,
-            ProgramJudge(self.config, self.book),
-            self.engines,
-            self.peer_client,
-            self.queues,
-        )
-
-    def _build_runners(self) -> None:
-        placer = Placer(
-            self.board,
-            self.grants,
-            self.settings.zone,
-            self.telemetry.metrics.admit,
-        )
-        retries = RetryAccount.from_rng(self.rng)
-        crashes = CrashDetector(self.engines, self.strikes)
-        generator = Generator(
-            placer,
-            self.engines,
-            retries,
-            self.strikes,
-            crashes,
-            self.telemetry,
-            self.book.estimates,
-        )
-        recorder = Recorder(self.settings.recording.path)
-        chats = ChatRunner(
-            self.membership,
-            self.book,
-            generator,
-            lambda: self.platform.available,
-            recorder,
-        )
-        services = ServiceRunner(
-            self.book,
-            placer,
-            self.service_client,
-            retries,
-            self.platform,
-            self.telemetry,
-            recorder,
-        )
-        runner = CallRunner(self.config, chats, services, self.telemetry)
-        self.table = CallTable(runner.run)
-
-    def _build_entry_side(self) -> None:
-        cfg = self.settings
-        rows = ShareRows(self.platform)
-        self.shares = ShareService(self.membership, self.config, rows, self.peer_client)
-        self.mover = ShareMover(self.membership, self.config, self.shares, rows)
-        self.limiter = RateLimiter(self.membership, self.peer_client, self.shares)
-        self.heartbeat = Heartbeat(self.membership, self.config, self.peer_client)
-        self.authenticator = Authenticator(self.config, cfg.operator_key_hashes)
-        lease = cfg.lease
-        takeover = 2 * lease.lease_seconds + 2 * lease.drift_margin_seconds
-        self.calls = CallHandlers(
-            self.gate,
-            self.authenticator,
-            self.config,
-            self.limiter,
-            ProgramRoots(self.book.store),
-            Dispatcher(self.membership, self.peer_client, self.table, takeover),
-            self.telemetry,
-        )
-        self.programs = ProgramHandlers(
-            self.authenticator, self.book, self.config, self.engines
-        )
-        self.operators = OperatorHandlers(
-            self.authenticator, self.config, self.editor, self.platform, self.programs
-        )
-
-    def _bind_servers(self) -> None:
-        cfg = self.settings
-        limits = cfg.limits
-        caller_app = App(
-            self._caller_routes(),
-            limits.max_body_bytes,
-            before_body=self.authenticator.stranger,
-        )
-        handlers = PeerHandlers(
-            self.membership,
-            self.config,
-            self.heartbeat,
-            self.table,
-            self.shares,
-            self.grants,
-            self.strikes,
-            self.caches,
-            self.outages,
-        )
-        # A caller's body grows by a third as base64 on its way between hosts.
-        peer_app = App(handlers.routes(), 2 * limits.max_body_bytes, self.proof.check)
-        self.callers = WebServer.from_settings(
-            cfg.caller_address,
-            cfg.caller_port,
-            caller_app,
-            limits.caller_threads,
-            limits,
-        )
-        self.peer_server = WebServer.from_settings(
-            cfg.peer_address, cfg.peer_port, peer_app, limits.peer_threads, limits
-        )
-        address = cfg.advertise_address
-        self.keeper.set_urls(
-            f"http://{address}:{self.callers.port}",
-            f"http://{address}:{self.peer_server.port}",
-        )
-
-    def _caller_routes(self) -> list[Route]:
-        operators = self.operators
-        documents = "/v1/operator/documents/{kind}"
-        programs = "/v1/operator/programs/{customer}/{program}"
-        health = _Health(self)
-        return [
-            Route("POST", "/v1/chat/completions", self.calls.chat),
-            Route("POST", "/v1/services/{service}/{path*}", self.calls.service),
-            Route("GET", "/v1/programs/{program}", self.programs.show),
-            Route("DELETE", "/v1/programs/{program}", self.programs.end),
-            Route("GET", documents, operators.list_documents),
-            Route("GET", documents + "/{name}", operators.show_document),
-            Route("PUT", documents + "/{name}", operators.put_document),
-            Route("GET", "/v1/operator/history", operators.history),
-            Route("GET", "/v1/operator/hosts", operators.hosts),
-            Route("GET", "/v1/operator/targets", operators.targets),
-            Route("GET", programs, operators.show_program),
-            Route("DELETE", programs, operators.end_program),
-            Route("GET", "/healthz", health.alive),
-            Route("GET", "/readyz", health.ready),
-            Route("GET", "/metrics", health.metrics),
-        ]
-
-    def _note_zones(self) -> None:
-        self.config.listen(
-            lambda _changes: self.membership.note_zones(
-                target.zone for target in self.config.targets()
-            )
-        )
-
-
-class _Health:
-    """What balancers and monitoring ask."""
-
-    def __init__(self, parts: _Builder) -> None:
-        self.parts = parts
-
-    def alive(self, req: Request) -> Response:
-        """Answer ``/healthz``: the process answers."""
-        return Response.from_json({"state": self.parts.gate.state})
-
-    def ready(self, req: Request) -> Response:
-        """Answer ``/readyz``: the host takes new requests."""
-        parts = self.parts
-        slot = parts.membership.holder(SlotKind.PROGRAM, "any")
-        ready = parts.gate.state is GateState.OPEN and slot is not None
-        state = {
-            "ready": ready,
-            "state": parts.gate.state,
-            "config_version": parts.config.version,
-        }
-        return Response.from_json(state, 200 if ready else 503)
-
-    def metrics(self, req: Request) -> Response:
-        """Answer ``/metrics``."""
-        parts = self.parts
-        metrics = parts.telemetry.metrics
-        holds = parts.keeper.holds()
-        metrics.set_lease("held" if holds else "lapsed")
-        metrics.set_config_version(parts.config.version)
-        metrics.set_slots_held(len(parts.membership.held()))
-        for target, length in parts.queues.lengths().items():
-            metrics.set_queue(target, length)
-        for target, n_bytes in parts.caches.held_bytes.items():
-            metrics.set_cache_held(target, n_bytes)
-        body, content_type = metrics.render()
-        return Response(200, body, (("Content-Type", content_type),))
-
-
 def wait_for_signal(stop: threading.Event) -> None:
     """Sleep until `stop` is set, waking up for signals."""
     while not stop.wait(1.0):
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_health.py
@@ -0,0 +1,77 @@
+"""What balancers and monitoring ask of a host."""
+
+from swifttide_core.slots import SlotKind
+from swifttide_daemon.configuration import ConfigService
+from swifttide_daemon.entry import (
+    Gate,
+    GateState,
+)
+from swifttide_daemon.membership import LeaseKeeper, MembershipService
+from swifttide_daemon.retention import CacheKeeper
+from swifttide_daemon.targets import (
+    QueueService,
+)
+from swifttide_daemon.telemetry import Metrics
+from swifttide_daemon.web import Request, Response
+
+
+class Health:
+    """Answers about this host as a whole.
+
+    Parameters
+    ----------
+    gate : Gate
+    config : ConfigService
+    keeper : LeaseKeeper
+    membership : MembershipService
+    queues : QueueService
+    caches : CacheKeeper
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        gate: Gate,
+        config: ConfigService,
+        keeper: LeaseKeeper,
+        membership: MembershipService,
+        queues: QueueService,
+        caches: CacheKeeper,
+        metrics: Metrics,
+    ) -> None:
+        self.gate = gate
+        self.config = config
+        self.keeper = keeper
+        self.membership = membership
+        self.queues = queues
+        self.caches = caches
+        self.host_metrics = metrics
+
+    def alive(self, req: Request) -> Response:
+        """Answer ``/healthz``: the process answers."""
+        return Response.from_json({"state": self.gate.state})
+
+    def ready(self, req: Request) -> Response:
+        """Answer ``/readyz``: the host takes new requests."""
+        slot = self.membership.holder(SlotKind.PROGRAM, "any")
+        ready = self.gate.state is GateState.OPEN and slot is not None
+        state = {
+            "ready": ready,
+            "state": self.gate.state,
+            "config_version": self.config.version,
+        }
+        return Response.from_json(state, 200 if ready else 503)
+
+    def metrics(self, req: Request) -> Response:
+        """Answer ``/metrics``."""
+        metrics = self.host_metrics
+        holds = self.keeper.holds()
+        metrics.set_lease("held" if holds else "lapsed")
+        metrics.set_config_version(self.config.version)
+        metrics.set_slots_held(len(self.membership.held()))
+        for target, length in self.queues.lengths().items():
+            metrics.set_queue(target, length)
+        for target, n_bytes in self.caches.held_bytes.items():
+            metrics.set_cache_held(target, n_bytes)
+        body, content_type = metrics.render()
+        return Response(200, body, (("Content-Type", content_type),))
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/__init__.py
@@ -8,6 +8,8 @@
 from swifttide_daemon.runners._placement import Placer
 from swifttide_daemon.runners._retry_account import RetryAccount
 from swifttide_daemon.runners._service_runner import ServiceRunner, must_not_repeat
+from swifttide_daemon.runners._service_sender import ServiceSender
+from swifttide_daemon.runners._unrecorded_calls import UnrecordedCalls
 
 __all__ = [
     "CallRunner",
@@ -18,5 +20,7 @@
     "Placer",
     "RetryAccount",
     "ServiceRunner",
+    "ServiceSender",
+    "UnrecordedCalls",
     "must_not_repeat",
 ]
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_service_sender.py
@@ -0,0 +1,114 @@
+"""Sends calls of plain services to their targets."""
+
+from expression import Error, Ok, Result
+
+from swifttide_core.admission import Outcome, OutcomeStatus
+from swifttide_core.verdicts import Refusal, Verdict
+from swifttide_daemon.calls import Call, RunningCall, Started
+from swifttide_daemon.runners._permit import Permit
+from swifttide_daemon.runners._placement import Demand, Placement, Placer
+from swifttide_daemon.targets import ServiceAnswer, ServiceClient, TargetFailure
+from swifttide_daemon.telemetry import Telemetry
+
+
+class ServiceSender:
+    """Finds a target for a call and sends it there, once.
+
+    Parameters
+    ----------
+    placer : Placer
+    services : ServiceClient
+    telemetry : Telemetry
+    """
+
+    def __init__(
+        self, placer: Placer, services: ServiceClient, telemetry: Telemetry
+    ) -> None:
+        self.placer = placer
+        self.services = services
+        self.telemetry = telemetry
+
+    def send(
+        self,
+        permit: Permit,
+        running: RunningCall,
+        traceparent: str,
+        try_id: str,
+        avoid: frozenset[str],
+        reuse: bool,
+    ) -> Result[ServiceAnswer, tuple[Refusal, str]]:
+        """Send a call to one target, once.
+
+        Returns
+        -------
+        Result
+            The answer, or the refusal and the target that it failed on (empty when
+            it was never placed).
+        """
+        demand = Demand(serves=permit.call.service)
+        placed = self.placer.place(permit, demand, try_id, avoid)
+        if placed.is_error():
+            return Error((placed.error, ""))
+        placement = placed.ok
+        # Time has passed in the queue, and this is the last moment before dispatch.
+        refusal = permit.refusal()
+        if refusal is not None:
+            self.placer.drop(placement)
+            return Error((refusal, ""))
+        running.append(Started(placement.target.name))
+        return self._exchange(permit, placement, traceparent, reuse)
+
+    def _exchange(
+        self, permit: Permit, placement: Placement, traceparent: str, reuse: bool
+    ) -> Result[ServiceAnswer, tuple[Refusal, str]]:
+        name = placement.target.name
+        try:
+            answer = self._send_traced(permit, placement, traceparent, reuse)
+        except TargetFailure as failure:
+            sent = failure.verdict is not Verdict.NOT_RUN
+            status = OutcomeStatus.FAILED if sent else OutcomeStatus.NOT_SENT
+            self.placer.finish(placement, Outcome(status), ok=False)
+            refusal = Refusal(
+                failure.reason,
+                failure.detail,
+                verdict=failure.verdict,
+                retry_after_seconds=1.0,
+            )
+            return Error((refusal, name))
+        outcome = Outcome(OutcomeStatus.FINISHED, tokens=1.0)
+        self.placer.finish(placement, outcome, ok=answer.status < 500)
+        return Ok(answer)
+
+    def _send_traced(
+        self, permit: Permit, placement: Placement, traceparent: str, reuse: bool
+    ) -> ServiceAnswer:
+        call = permit.call
+        with self.telemetry.span(
+            "target",
+            traceparent,
+            request_id=call.request_id,
+            target=placement.target.name,
+        ) as span:
+            answer = self.services.send(
+                placement.target,
+                call.path,
+                call.body,
+                _headers(call, span.traceparent),
+                permit.remaining,
+                reuse,
+            )
+            span.set(status=answer.status, verdict=Verdict.RAN.value)
+            return answer
+
+
+def _headers(call: Call, traceparent: str) -> dict[str, str]:
+    headers = {
+        "X-Request-Id": call.request_id,
+        "X-Customer": call.customer,
+        "Content-Type": call.content_type or "application/json",
+    }
+    if call.idempotency_key:
+        headers["Idempotency-Key"] = call.idempotency_key
+    if traceparent:
+        headers["traceparent"] = traceparent
+    return headers
