--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 docs-check: setup
 	$(BIN)/python tools/check_docs.py
 
-# Some four minutes; PARTS="control edits" measures only those.
+# Some eight minutes; PARTS="control edits" measures only those.
 capacity: setup
 	mkdir -p out
 	$(BIN)/python -m swifttide_standins.capacity $(PARTS) --json out/capacity.json
