--- a/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
@@ -364,7 +364,8 @@
             heapq.heapify(self._latest_starts)
 
     def _score(self, ticket: Ticket) -> float:
-        return ticket.offered_at - ticket.urgency * self._cfg.urgency_seconds
+        steps = ticket.urgency + (1 if ticket.under_way else 0)
+        return ticket.offered_at - steps * self._cfg.urgency_seconds
 
     def _latest_start(self, ticket: Ticket) -> float:
         # A program that starts too late to finish would use its target and be given
@@ -382,7 +383,7 @@
         ahead = self._queue.tokens_ahead(ticket)
         first = self._drain.service_seconds / self._limit.value
         wait = ahead / self._own_rate(ticket) + first
-        if not ticket.enters:
+        if ticket.under_way or not ticket.enters:
             return wait
         n_ahead = self._queue.entries_ahead(ticket)
         return max(wait, self._entry_wait(n_ahead / self._queue.share(ticket)))
--- a/packages/swifttide_core/src/swifttide_core/replay/_replay.py
+++ b/packages/swifttide_core/src/swifttide_core/replay/_replay.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from swifttide_core.replay._comparing import same_actions
 from swifttide_core.replay._difference import Difference
 from swifttide_core.replay._encoding import with_type
 from swifttide_core.replay._machine import MACHINES, Machine
@@ -15,6 +16,9 @@
 DISPATCHES = ("Dispatch", "RunModel")
 """Types of the actions that send something to a target."""
 
+ANSWERS = ("Reply", "Refuse", "ReplyTurn", "RefuseRequest")
+"""Types of the actions that answer the caller; a run has one."""
+
 
 @dataclass(frozen=True, slots=True)
 class Replayed:
@@ -110,16 +114,17 @@
         run.actions += [type(action).__name__ for action in actions]
         self.promises.note(line.run, run.subject, event, actions)
         got = [with_type(action) for action in actions]
-        if got != list(line.actions):
+        if not same_actions(run.machine, line.actions, actions):
             stated = msgspec.json.encode(line.actions).decode()
             shown = msgspec.json.encode(got).decode()
             self.found.append(Difference(number, line.run, stated, shown))
 
     def _check_outcome(self, number: int, name: str, outcome: Outcome) -> None:
         actions = self.runs[name].actions
-        ends_as = actions[-1] if actions else ""
-        if ends_as != outcome.ends_as:
-            self.found.append(Difference(number, name, outcome.ends_as, ends_as))
+        answers = [action for action in actions if action in ANSWERS]
+        if answers != [outcome.answer]:
+            got = ", ".join(answers) or "no answer"
+            self.found.append(Difference(number, name, outcome.answer, got))
         dispatched = sum(action in DISPATCHES for action in actions)
         if outcome.dispatched not in (None, dispatched):
             stated = f"{outcome.dispatched} dispatches"
