--- a/packages/swifttide_standins/src/swifttide_standins/capacity/_derive.py
+++ b/packages/swifttide_standins/src/swifttide_standins/capacity/_derive.py
@@ -9,7 +9,9 @@
 TOKEN = "processor for a streamed token, of 4 hosts"
 EDIT = "slowest of 4 edits in force at all hosts"
 MEASURED_EDIT_HOSTS = 24
-CACHED = "platform reads of a program in an engine's cache, caller's history, of 4 hosts"
+CACHED = (
+    "platform reads of a program in an engine's cache, caller's history, of 4 hosts"
+)
 
 
 def derive(slopes: Mapping[str, float], size: Size) -> list[Derived]:
