ENH Bound how long a cut-off host believes its keys; learn edits from other zones

Cause: the freshness of the configuration was noted and used nowhere. A zone cut off from everything would have taken a withdrawn key for good, and one cut from the platform alone asked only its own neighbours, cut off as well. A peer served only edits that it had seen as log entries, so one that had started lately had none to give. Change: heartbeats carry the age of the sender's knowledge; a host that isn't fresh asks a host of each other zone; peers give the newest change of each document, from which any older state catches up; config.max_stale_seconds.

--- a/packages/swifttide_core/src/swifttide_core/configuration/_config_state.py
+++ b/packages/swifttide_core/src/swifttide_core/configuration/_config_state.py
@@ -89,6 +89,18 @@
         """Return the newest change of a document, removals included."""
         return self._changes.get((kind, name))
 
+    def newest_after(self, version: int) -> list[Change]:
+        """Return the newest change of each document that is later than `version`.
+
+        With the known version they bring any host of an older one up to date, however
+        far behind it is.
+        """
+        changes = self._changes.values()
+        return sorted(
+            (change for change in changes if change.version > version),
+            key=lambda change: change.version,
+        )
+
     def newest_of(self, kind: DocumentKind) -> list[Change]:
         """Return the newest change of each document of a kind that exists."""
         return [
--- a/packages/swifttide_core/src/swifttide_core/configuration/tests/test_config_state.py
+++ b/packages/swifttide_core/src/swifttide_core/configuration/tests/test_config_state.py
@@ -43,3 +43,14 @@
         state.apply([key_change(1, False), Change(2, DocumentKind.KEY, KEY, None)])
         assert state.get(DocumentKind.KEY, KEY) is None
         assert state.newest(DocumentKind.KEY, KEY).version == 2
+
+    def test_host_far_behind_catches_up_from_a_peer(self):
+        """A zone loses the platform for days and reaches one host elsewhere. What that
+        host has must be enough, though it doesn't keep old entries of the log.
+        """
+        ahead, behind = ConfigState(), ConfigState()
+        behind.apply([key_change(1, False)])
+        ahead.load(9, [key_change(9, True)])
+        behind.load(ahead.version, ahead.newest_after(behind.version))
+        assert behind.version == 9
+        assert behind.get(DocumentKind.KEY, KEY).withdrawn
--- a/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
@@ -39,6 +39,8 @@
     platform : PlatformClient
     poll_seconds : float
         Pause between looks at the head row.
+    max_stale_seconds : float
+        How long keys are believed without knowing that no edit was missed.
 
     Attributes
     ----------
@@ -46,14 +48,19 @@
         Monotonic seconds at which this host last knew that it missed nothing.
     """
 
-    def __init__(self, platform: PlatformClient, poll_seconds: float) -> None:
+    def __init__(
+        self,
+        platform: PlatformClient,
+        poll_seconds: float,
+        max_stale_seconds: float,
+    ) -> None:
+        self.max_stale_seconds = max_stale_seconds
         self.platform = platform
         self.poll_seconds = poll_seconds
         self.state = ConfigState()
         self.fresh_at = float("-inf")
         self._lock = threading.Lock()
         self._listeners: list[Callable[[list[Change]], None]] = []
-        self._recent: list[Change] = []
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -62,7 +69,8 @@
         cls, settings: Settings, platform: PlatformClient
     ) -> "ConfigService":
         """Return a service that isn't started yet."""
-        return cls(platform, settings.config.poll_seconds)
+        cfg = settings.config
+        return cls(platform, cfg.poll_seconds, cfg.max_stale_seconds)
 
     def start(self) -> None:
         """Keep the configuration current from now on."""
@@ -99,17 +107,38 @@
         return self.state.all(DocumentKind.TARGET)
 
     def changes_after(self, version: int) -> list[Change]:
-        """Return the log after `version`, as far as this host still has it."""
+        """Return what a host of an older version misses."""
         with self._lock:
-            return [change for change in self._recent if change.version > version]
+            return self.state.newest_after(version)
+
+    def learn_from_peer(self, version: int, changes: list[Change]) -> None:
+        """Take in what a peer of a later version has."""
+        with self._lock:
+            news = [c for c in changes if c.version > self.state.version]
+            self.state.load(version, changes)
+        self._tell(news)
+
+    def confirm_fresh(self, version: int, at: float) -> None:
+        """Note that `version` was the newest of all at monotonic time `at`."""
+        if version <= self.state.version:
+            self.fresh_at = max(self.fresh_at, at)
+
+    def fresh_age(self) -> float:
+        """Return the seconds since this host knew that it missed no edit."""
+        return time.monotonic() - self.fresh_at
+
+    def is_stale(self) -> bool:
+        """Return whether edits may have been missed for longer than is allowed.
+
+        A zone that is cut off serves on with the keys that it knows; a key that was
+        withdrawn elsewhere must not work there for good.
+        """
+        return self.fresh_age() > self.max_stale_seconds
 
     def learn(self, changes: Iterable[Change]) -> None:
-        """Take in log entries, from the platform or from a peer."""
+        """Take in entries of the platform's log."""
         with self._lock:
-            before = self.state.version
             news = self.state.apply(changes)
-            known = [c for c in changes if before < c.version <= self.state.version]
-            self._recent = (self._recent + known)[-LOG_PAGE:]
         self._tell(news)
 
     def refresh(self) -> bool:
@@ -125,7 +154,7 @@
             # The store answers from an older state; what is in force here stays.
             log.warning("the platform answered with an older configuration")
             return False
-        self.fresh_at = asked_at
+        self.confirm_fresh(version, asked_at)
         return True
 
     def _catch_up(self, version: int) -> bool:
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/tests/test_service.py
@@ -0,0 +1,66 @@
+"""What a host believes of its configuration while the platform is away."""
+
+from types import SimpleNamespace
+
+import pytest
+from expression import Error, Ok
+from freezegun import freeze_time
+
+from swifttide_core.configuration import Change
+from swifttide_core.documents import DocumentKind
+from swifttide_daemon.configuration import ConfigService
+from swifttide_daemon.platform import PlatformError, Row
+
+KEY = "ab" * 32
+MAX_STALE_SECONDS = 60.0
+
+
+def key_change(version, withdrawn):
+    document = {"key_hash": KEY, "customer": "c", "withdrawn": withdrawn}
+    return Change(version, DocumentKind.KEY, KEY, document)
+
+
+@pytest.fixture
+def clock():
+    with freeze_time("2026-12-02") as frozen:
+        yield frozen
+
+
+def service(head):
+    platform = SimpleNamespace(read=lambda table, key: head)
+    found = ConfigService(platform, 1.0, MAX_STALE_SECONDS)
+    found.learn([key_change(1, False)])
+    return found
+
+
+class TestFreshness:
+    def test_cut_off_host_stops_believing(self, clock):
+        """The platform vanishes and no peer knows better."""
+        config = service(Ok(Row("head", 1, {"version": 1})))
+        assert config.refresh()
+        config.platform = SimpleNamespace(read=lambda *_: Error(PlatformError("x")))
+        clock.tick(MAX_STALE_SECONDS - 1)
+        assert not config.refresh()
+        assert not config.is_stale()
+        clock.tick(2)
+        assert config.is_stale()
+
+    def test_peer_that_sees_the_platform_keeps_it_fresh(self, clock):
+        """Only this zone lost the platform; another zone's host still reaches it."""
+        config = service(Error(PlatformError("x")))
+        config.learn_from_peer(2, [key_change(2, True)])
+        config.confirm_fresh(2, at=0.0)
+        assert config.key(KEY) is None
+        assert config.fresh_at == 0.0
+
+    def test_peer_with_more_edits_confirms_nothing(self):
+        """A peer has an edit that this host couldn't pull."""
+        config = service(Error(PlatformError("x")))
+        config.confirm_fresh(2, at=0.0)
+        assert config.is_stale()
+
+    def test_older_answer_of_the_store(self):
+        """The store answers from an older state; that says nothing of newer edits."""
+        config = service(Ok(Row("head", 0, {"version": 0})))
+        assert not config.refresh()
+        assert config.is_stale()
--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_authenticator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_authenticator.py
@@ -11,6 +11,7 @@
 from swifttide_daemon.web import Request
 
 BEARER = "Bearer "
+STALE_RETRY_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +57,8 @@
         grant = self.config.key(key_hash) if key_hash else None
         if grant is None or not grant.customer:
             return Error(_unauthenticated())
+        if self.config.is_stale():
+            return Error(_stale())
         return Ok(Identity(key_hash, grant.customer))
 
     def operator(self, req: Request) -> Result[Identity, Refusal]:
@@ -90,3 +93,11 @@
     return Refusal(
         Reason.UNAUTHENTICATED, "expected a granted key as 'Authorization: Bearer KEY'"
     )
+
+
+def _stale() -> Refusal:
+    return Refusal(
+        Reason.PLATFORM_UNAVAILABLE,
+        "this host has been cut off for too long to tell which keys still stand",
+        retry_after_seconds=STALE_RETRY_SECONDS,
+    )
--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/tests/test_authenticator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/tests/test_authenticator.py
@@ -20,10 +20,15 @@
 }
 
 
+def make_authenticator(stale=False):
+    # Like the configuration, which returns no grant for a withdrawn key.
+    config = SimpleNamespace(key=GRANTS.get, is_stale=lambda: stale)
+    return Authenticator(config, (hashed("bootstrap"),))
+
+
 @pytest.fixture
 def authenticator():
-    # Like the configuration, which returns no grant for a withdrawn key.
-    return Authenticator(SimpleNamespace(key=GRANTS.get), (hashed("bootstrap"),))
+    return make_authenticator()
 
 
 def request(value):
@@ -36,6 +41,14 @@
         assert identity.customer == "club"
         assert authenticator.operator(request("Bearer customer")).error.status == 403
 
+    def test_cut_off_for_too_long(self):
+        """A zone is cut off from everything. A key that was withdrawn elsewhere in the
+        meantime would work there for as long as the cut lasts.
+        """
+        refused = make_authenticator(stale=True).customer(request("Bearer customer"))
+        assert refused.error.verdict == "not_run"
+        assert refused.error.retry_after_seconds > 0
+
     @pytest.mark.parametrize("key", ["operator", "bootstrap"])
     def test_operators_key(self, authenticator, key):
         assert authenticator.operator(request(f"Bearer {key}")).is_ok()
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -1,6 +1,7 @@
 """Who is in the zone, which slots this host holds, and who holds the others."""
 
 import logging
+import random
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -88,6 +89,7 @@
         self._lock = threading.Lock()
         self._wanted_zones: set[str] = set()
         self._leaving = False
+        self._watch_at = 0.0
         self._stop = threading.Event()
         self._wake = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -183,6 +185,15 @@
         hosts = {row.host: row for row in self.zone_hosts()}
         return [hosts[h] for h in ring_neighbours(self.me.host, hosts)]
 
+    def hosts_elsewhere(self) -> list[HostRow]:
+        """Return one live host of each other zone, another one each time."""
+        chosen = []
+        for zone, view in list(self._others.items()):
+            rows = [r for r in view.hosts.values() if r.state is HostState.LIVE]
+            if zone != self.me.zone and rows:
+                chosen.append(random.choice(rows))
+        return chosen
+
     def look_again(self) -> None:
         """Read the zone soon: a holder wasn't where the view has it."""
         self._others = {
@@ -222,9 +233,11 @@
 
     def _refresh_others(self) -> None:
         now = time.monotonic()
-        for zone in list(self._wanted_zones):
+        for zone in set(self.zones()) - {self.me.zone}:
             known = self._others.get(zone) or ZoneView()
-            if now - known.read_at < OTHER_ZONE_SECONDS:
+            wanted = zone in self._wanted_zones
+            pause = OTHER_ZONE_SECONDS if wanted else FULL_READ_SECONDS
+            if known.read_at and now - known.read_at < pause:
                 continue
             if self._is_unchanged(zone, known):
                 self._others[zone] = replace(known, read_at=now)
@@ -274,7 +287,10 @@
         age = time.monotonic() - self.view.read_at
         if head.ok != self.view.head_version or age > FULL_READ_SECONDS:
             self._read_zone()
-        self._watch_neighbours()
+        if time.monotonic() >= self._watch_at:
+            # Rows change once a renewal; reading them twice as often tells nothing.
+            self._watch_at = time.monotonic() + self.times.renew_seconds
+            self._watch_neighbours()
         if self.keeper.holds():
             if self.outages.may_depose():
                 self._claim_slots()
--- a/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
@@ -111,8 +111,11 @@
         after = req.param("after", "0")
         if not after.isdigit():
             return _bad("after: expected a whole number")
+        # The version first: a change that comes between the two is sent twice, never
+        # left out.
+        version = self.config.version
         changes = self.config.changes_after(int(after))
-        return Response.from_json({"changes": changes})
+        return Response.from_json({"version": version, "changes": changes})
 
     def promise(self, req: Request) -> Response:
         """Let a lease stand that can't be renewed, or offer to relay."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/peering/_heartbeat.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peering/_heartbeat.py
@@ -7,6 +7,7 @@
 
 import logging
 import threading
+import time
 
 import msgspec
 
@@ -19,6 +20,10 @@
 log = logging.getLogger(__name__)
 
 PERIOD_SECONDS = 1.0
+OWN_ZONE_SECONDS = 4.0
+"""Age of its knowledge from which a host asks other zones' hosts, too."""
+
+UNKNOWN_AGE = 1e9
 
 
 class Heartbeat:
@@ -56,28 +61,37 @@
             "zone": me.zone,
             "incarnation": me.incarnation,
             "config_version": self.config.version,
+            "config_fresh_age": min(self.config.fresh_age(), UNKNOWN_AGE),
             "state": me.state.value,
         }
 
     def _run(self) -> None:
         while not self._stop.wait(PERIOD_SECONDS):
-            for row in self.membership.neighbours():
+            rows = self.membership.neighbours()
+            if self.config.fresh_age() > OWN_ZONE_SECONDS:
+                rows += self.membership.hosts_elsewhere()
+            for row in rows:
                 try:
                     self._beat(row)
                 except (msgspec.MsgspecError, KeyError):
                     log.exception("a heartbeat's answer can't be read")
 
     def _beat(self, row: HostRow) -> None:
+        sent_at = time.monotonic()
         answer = self.peers.call(
             row.peer_url, "POST", "/peer/v1/heartbeat", self.message()
         )
         if answer.is_error():
             return
-        if answer.ok["config_version"] > self.config.version:
+        version = answer.ok["config_version"]
+        if version > self.config.version:
             self._pull(row)
+        age = answer.ok["config_fresh_age"]
+        self.config.confirm_fresh(version, sent_at - age)
 
     def _pull(self, row: HostRow) -> None:
         path = f"/peer/v1/config?after={self.config.version}"
         answer = self.peers.call(row.peer_url, "GET", path)
         if answer.is_ok():
-            self.config.learn(msgspec.convert(answer.ok["changes"], list[Change]))
+            changes = msgspec.convert(answer.ok["changes"], list[Change])
+            self.config.learn_from_peer(answer.ok["version"], changes)
--- a/packages/swifttide_daemon/src/swifttide_daemon/retention/_program_judge.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/retention/_program_judge.py
@@ -17,6 +17,11 @@
 LOOK_SECONDS = 1.5
 """A program's row is read at most this often for all engines that list it."""
 
+OWN_LOOK_SECONDS = 15.0
+"""The same for programs that are served here: this host knows when they last ran, and
+the row only tells that another host has ended them. At 12,000 programs, reads at the
+shorter interval are twice what the platform takes."""
+
 FORGET_SECONDS = 60.0
 
 
@@ -59,11 +64,12 @@
 
     def _judge(self, name: str, now: float) -> Judgement | None:
         customer, root, program = name.split("/", 2)
-        seen = self._look(name, customer, program, now)
+        active = self.book.active_since(customer, root, program)
+        pause = LOOK_SECONDS if active is None else OWN_LOOK_SECONDS
+        seen = self._look(name, customer, program, now, pause)
         if seen is None:
             return None
         row = seen.row
-        active = self.book.active_since(customer, root, program)
         last = max(seen.since, active or 0.0)
         version = row.version if row else 0
         if row is not None and row.state is ProgramState.ENDED:
@@ -84,10 +90,12 @@
         )
         return Judgement(name, version, paused=paused, paused_seconds=now - last)
 
-    def _look(self, name: str, customer: str, program: str, now: float) -> _Seen | None:
+    def _look(
+        self, name: str, customer: str, program: str, now: float, pause: float
+    ) -> _Seen | None:
         with self._lock:
             seen = self._seen.get(name)
-        if seen is not None and now - seen.looked_at < LOOK_SECONDS:
+        if seen is not None and now - seen.looked_at < pause:
             return seen
         read = self.book.store.read(customer, program)
         if read.is_error():
--- a/packages/swifttide_daemon/src/swifttide_daemon/settings/_checks.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/settings/_checks.py
@@ -25,6 +25,7 @@
 MAX_PORT = 65_535
 MAX_SLOTS = 65_536
 HOUR_SECONDS = 3600.0
+DAY_SECONDS = 24 * HOUR_SECONDS
 SHORTEST_SECONDS = 0.01
 RENEWALS_IN_A_LEASE = 2
 """One renewal may be lost without the lease lapsing."""
@@ -48,6 +49,9 @@
         *check_between(
             "config.poll_seconds", cfg.config.poll_seconds, SHORTEST_SECONDS, 60
         ),
+        *check_between(
+            "config.max_stale_seconds", cfg.config.max_stale_seconds, 1, DAY_SECONDS
+        ),
         *_check_limits(cfg.limits),
         *_check_timeouts(cfg.timeouts),
         *check_one_of("log.level", cfg.log.level, LOG_LEVELS),
