MAINT Take out decisions whose removal changed no figure

Change: all three are gone, with their settings and TargetView.back_since (which the daemon does not set). Calls under way still don't wait behind first calls. Outcome keeps first_token_seconds and uncached_tokens, which the daemon fills; admission reads neither. The test of the ramp-up is replaced by one of what made it needless: programs stay with their prefix when an empty target comes back.

--- a/packages/swifttide_core/src/swifttide_core/admission/_concurrency_limit.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_concurrency_limit.py
@@ -6,9 +6,9 @@
 back; with a fixed limit, a slow engine is flooded and a fast one idles.
 
 The limit starts at the operators' bound, shrinks by a factor on congestion (calls that
-wait inside the engine, a first token far beyond the time for the prompt, failures) and
-grows by one for a full round of calls while it is used up. Two decreases are kept a
-cooldown apart, because the signs of one congestion arrive late and many.
+wait inside the engine, failures) and grows by one for a full round of calls while it is
+used up. Two decreases are kept a cooldown apart, because the signs of one congestion
+arrive late and many.
 
 Grounds: docs/design/admission.md. A limit that started low and felt its way up, and one
 that held the first token at 0.76 s or the token gap at 0.072 s, made whole programs
@@ -19,12 +19,9 @@
 from swifttide_core.admission._load_report import LoadReport
 from swifttide_core.admission._outcome import Outcome, OutcomeStatus
 
-SMOOTHING = 0.2
-"""Share of the newest call in the smoothed congestion."""
-
 
 class ConcurrencyLimit:
-    """Additive increase, multiplicative decrease by first token and late load.
+    """Additive increase, multiplicative decrease by late load and failures.
 
     Parameters
     ----------
@@ -38,7 +35,6 @@
         self._cfg = cfg
         self._max = max(max_limit, cfg.min_limit)
         self._limit = float(self._max)
-        self._congestion = 0.0
         self._decreased_at = float("-inf")
         self._held = False
 
@@ -74,11 +70,7 @@
                 return
             case OutcomeStatus.CANCELLED | OutcomeStatus.NOT_SENT:
                 return
-        sample = self._congestion_of(outcome)
-        self._congestion += SMOOTHING * (sample - self._congestion)
-        if self._congestion > 1.0:
-            self._decrease(now)
-        elif saturated and not self._held:
+        if saturated and not self._held:
             self._increase()
 
     def reported(self, now: float, report: LoadReport) -> None:
@@ -106,10 +98,3 @@
         self._limit = max(
             float(self._cfg.min_limit), self._limit * self._cfg.decrease_factor
         )
-
-    def _congestion_of(self, outcome: Outcome) -> float:
-        if outcome.first_token_seconds is None:
-            return 0.0
-        prefill = outcome.uncached_tokens / self._cfg.prefill_tokens_per_second
-        allowed = self._cfg.first_token_target_seconds + prefill
-        return outcome.first_token_seconds / allowed
--- a/packages/swifttide_core/src/swifttide_core/admission/_config.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_config.py
@@ -1,6 +1,5 @@
 """Settings of admission at a target."""
 
-import math
 from dataclasses import dataclass
 
 
@@ -13,19 +12,12 @@
     min_limit : int
         Lower bound of the adaptive limit; below it a target would never be
         measured again.
-    first_token_target_seconds : float
-        First-token time that counts as congestion, on top of the time for
-        computing the prompt; infinite for plain services.
-    prefill_tokens_per_second : float
-        Assumed speed of an engine at prompts, to tell a long prompt from congestion.
     decrease_factor : float
         What is left of the limit after a sign of congestion.
     cooldown_seconds : float
         Least time between two decreases; not below the lag of load reports.
     max_wait_seconds : float
-        Longest expected wait of the first call of a program.
-    under_way_wait_factor : float
-        How many times longer the later calls of a program may wait.
+        Longest expected wait of a call.
     urgency_seconds : float
         Seconds of waiting that one step of urgency is worth.
     lease_seconds : float
@@ -49,12 +41,9 @@
     """
 
     min_limit: int = 1
-    first_token_target_seconds: float = 5.0
-    prefill_tokens_per_second: float = 5_000.0
     decrease_factor: float = 0.85
     cooldown_seconds: float = 3.0
     max_wait_seconds: float = 30.0
-    under_way_wait_factor: float = 4.0
     urgency_seconds: float = 30.0
     lease_seconds: float = 150.0
     drain_window_seconds: float = 15.0
@@ -68,9 +57,8 @@
 
     @classmethod
     def for_service(cls) -> "AdmissionConfig":
-        """Return the settings of a plain service, which streams no tokens."""
+        """Return the settings of a plain service, whose calls are shorter."""
         return cls(
-            first_token_target_seconds=math.inf,
             initial_service_seconds=0.5,
         )
 
--- a/packages/swifttide_core/src/swifttide_core/admission/_outcome.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_outcome.py
@@ -25,9 +25,9 @@
         Tokens computed, in the units of ``Ticket.expected_tokens``; None when
         unknown.
     first_token_seconds : float or None
-        From dispatch to the first token.
+        From dispatch to the first token; for traces, admission does not use it.
     uncached_tokens : float
-        Part of the prompt that the engine had to compute.
+        Part of the prompt that the engine had to compute; for traces.
     """
 
     status: OutcomeStatus = OutcomeStatus.FINISHED
--- a/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_target_queue.py
@@ -9,8 +9,8 @@
 The holder of the target's slot therefore keeps the queue outside the engine, orders
 it by customer and program, and refuses at once what would wait too long. A refusal is
 final and says when to come back, from the measured drain rate. Calls of programs that
-are under way may wait longer than first calls: refusing them would waste what the
-program has used so far, while a refused first call costs nothing.
+are under way don't wait behind first calls: refusing them would waste what the program
+has used so far, while a refused first call costs nothing.
 
 Grounds: figures in docs/measurements.md, choices in docs/design/admission.md.
 """
@@ -374,10 +374,7 @@
         return ticket.deadline_at - needed
 
     def _longest_wait(self, now: float, ticket: Ticket) -> float:
-        longest = self._cfg.max_wait_seconds
-        if ticket.under_way:
-            longest *= self._cfg.under_way_wait_factor
-        return min(longest, self._latest_start(ticket) - now)
+        return min(self._cfg.max_wait_seconds, self._latest_start(ticket) - now)
 
     def _expected_wait(self, ticket: Ticket) -> float:
         ahead = self._queue.tokens_ahead(ticket)
--- a/packages/swifttide_core/src/swifttide_core/routing/_config.py
+++ b/packages/swifttide_core/src/swifttide_core/routing/_config.py
@@ -16,8 +16,6 @@
         engine's speed, since the others of its batch wait for each prompt too.
     other_zone_seconds : float
         What a target of another zone must be faster by.
-    ramp_seconds : float
-        Time in which a target that is back gets its full share again.
     view_stale_seconds : float
         Age from which reported load is not believed any more.
     default_retry_seconds : float
@@ -27,7 +25,6 @@
     n_choices: int = 2
     prefill_tokens_per_second: float = 1_000.0
     other_zone_seconds: float = 0.05
-    ramp_seconds: float = 20.0
     view_stale_seconds: float = 15.0
     default_retry_seconds: float = 2.0
 
--- a/packages/swifttide_core/src/swifttide_core/routing/_router.py
+++ b/packages/swifttide_core/src/swifttide_core/routing/_router.py
@@ -3,9 +3,11 @@
 Load pattern: many hosts route at once by load reports that are seconds old, calls of a
 program share a long prefix that one target holds, and targets slow down, leave, die
 and come back. Without this module every host sends its calls to the target that
-looked idle seconds ago (it is flooded, then the next one is), programs compute their
-history again at each turn or all wait for the one target that holds it, and a target
-that is back gets everyone's calls with an empty cache.
+looked idle seconds ago (it is flooded, then the next one is), and programs compute
+their history again at each turn or all wait for the one target that holds it.
+
+A target that is back needs no rule of its own: programs stay with their prefixes, so
+only new ones come, and its queue shows them to the other hosts.
 
 The targets that hold a prefix and a few others drawn at random are compared by
 expected time to the first token: the queue as reported, plus what this host has sent
@@ -153,15 +155,14 @@
         return min(req.prompt_tokens, max(held, default=0))
 
     def _wait_seconds(self, now: float, view: TargetView) -> float:
-        ramp = self._ramp(now, view)
-        limit = max(view.limit * ramp, 1.0)
+        limit = max(view.limit, 1)
         load = view.running + view.queued
         local = self._local.get(view.name)
         if local is not None:
             load = self._corrected_load(now, view, local, load)
         rate = limit / view.service_seconds
         if view.drain_per_second > 0:
-            rate = view.drain_per_second * ramp
+            rate = view.drain_per_second
         queued = max(0.0, load + 1.0 - limit)
         busy = min(load, limit) / limit
         return queued / max(rate, 1e-3) + busy * view.service_seconds / limit
@@ -176,12 +177,6 @@
             return local.outstanding
         return max(reported + local.change_since_report, local.outstanding)
 
-    def _ramp(self, now: float, view: TargetView) -> float:
-        age = now - view.back_since
-        if age >= self._cfg.ramp_seconds:
-            return 1.0
-        return max(age / self._cfg.ramp_seconds, 0.05)
-
     def _no_target(self, req: RouteRequest) -> NoTarget:
         detail = f"no target that serves {req.serves!r} takes work"
         if req.avoid:
--- a/packages/swifttide_core/src/swifttide_core/routing/_target_view.py
+++ b/packages/swifttide_core/src/swifttide_core/routing/_target_view.py
@@ -19,9 +19,6 @@
         False while it is taken for dead.
     leaving : bool
         Whether it must get no new work.
-    back_since : float
-        Time since which it is up without a break; minus infinity when it was up
-        before this host was.
     measured_at : float
         Time of the reported load below.
     running, queued : int
@@ -41,7 +38,6 @@
     serves: tuple[str, ...]
     alive: bool = True
     leaving: bool = False
-    back_since: float = float("-inf")
     measured_at: float = 0.0
     running: int = 0
     queued: int = 0
