FIX Count a withdrawn key as refused when no answer follows any more

The check was wrong. In a run of 8 withdrawals with each answer's detail, the early refusals through a host were the HOLDER's ("the key was withdrawn"), who learned of the edit first; the host itself refused ("expected a granted key") 0.1 to 0.3 s later, and answered nothing after that. Ruled out: a host that goes back to an older configuration.

In its place, as strict and partly stricter: the seconds now run to the refusal that no answer follows, where they ran to the first one (0.12 s reported where the key worked up to 0.3 s); the limit stays 5 s; and whether a host answers after it refused is asked by a call that the host answers alone (GET of a program), so that 0 such answers is a promise of that host.

--- a/packages/swifttide_standins/src/swifttide_standins/demo/_check.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_check.py
@@ -111,7 +111,7 @@
     in_time = slowest <= MAX_WITHDRAWAL_SECONDS
     holds = worked and in_time and found.answered_after_refusal == 0
     seen = (
-        f"{slowest:.2f} s until the last of {len(found.withdrawn)} hosts refused it, "
+        f"{slowest:.2f} s until all {len(found.withdrawn)} hosts only refused it, "
         f"{found.answered_after_refusal} answered afterwards; before, each host had "
         f"answered {found.answered_before} or more"
     )
--- a/packages/swifttide_standins/src/swifttide_standins/demo/_demo_run.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_demo_run.py
@@ -129,7 +129,7 @@
     def _withdraw(self, balancer: Balancer) -> tuple[WithdrawalProbe, float]:
         live = [e for e in self._endpoints.values() if e.host != KILLED_HOST]
         client = Client(balancer, WITHDRAWN_KEY, PROFILE, "zb")
-        probe = WithdrawalProbe(client, live)
+        probe = WithdrawalProbe(client, WITHDRAWN_KEY, live)
         time.sleep(1.0)
         logger.info("withdrawing a key")
         self._grant(WITHDRAWN_KEY, CUSTOMERS["zb"], withdrawn=True)
--- a/packages/swifttide_standins/src/swifttide_standins/demo/_findings.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_findings.py
@@ -18,13 +18,14 @@
     effects : dict of str to int
         Effects at the service by idempotency key.
     withdrawn : dict of str to float
-        Seconds from the accepted edit to the first refusal, by host; infinite for
-        a host that never refused.
+        Seconds from the accepted edit to the first refusal that no answer followed,
+        by host; infinite for a host whose last call was answered.
     answered_before : int
-        Fewest calls that a host answered with the key before it refused one; a key
-        that never worked would prove nothing.
+        Fewest calls that a host answered with the key; a key that never worked
+        would prove nothing.
     answered_after_refusal : int
-        Calls with the withdrawn key that a host answered after it had refused one.
+        Calls with the withdrawn key that a host answered after it had itself
+        refused it.
     stop_status : int or None
         Exit status of the host that was stopped gracefully.
     stop_seconds : float
--- a/packages/swifttide_standins/src/swifttide_standins/demo/_withdrawal_probe.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_withdrawal_probe.py
@@ -1,8 +1,11 @@
 """Calls with the key that gets withdrawn, at every host."""
 
 import threading
+import time
 from collections.abc import Iterable
 
+import urllib3
+
 from swifttide_standins.loadgen import (
     Answered,
     Attempt,
@@ -13,7 +16,9 @@
 )
 
 PROBE_SECONDS = 0.05
+CALL_SECONDS = 5.0
 REFUSED_STATUSES = (401, 403)
+NEVER = float("inf")
 
 
 class WithdrawalProbe:
@@ -23,14 +28,26 @@
     ----------
     client : Client
         Holds the key.
+    key : str
+        The key.
     endpoints : iterable of Endpoint
         Hosts to call.
+
+    Notes
+    -----
+    A host passes on what the holder of a program says, who may know of the withdrawal
+    earlier. What the host itself knows is asked apart, by a call that it answers
+    alone; from its own first refusal on, it must answer nothing with the key.
     """
 
-    def __init__(self, client: Client, endpoints: Iterable[Endpoint]) -> None:
+    def __init__(self, client: Client, key: str, endpoints: Iterable[Endpoint]) -> None:
         self._client = client
+        self._headers = {"Authorization": f"Bearer {key}"}
+        self._pool = urllib3.PoolManager(retries=False, maxsize=8)
         self._stop = threading.Event()
+        endpoints = tuple(endpoints)
         self._attempts: dict[str, list[Attempt]] = {e.host: [] for e in endpoints}
+        self._own_refusal = {e.host: NEVER for e in endpoints}
         self._threads = [
             threading.Thread(target=self._run, args=(e,)) for e in endpoints
         ]
@@ -44,21 +61,24 @@
             thread.join()
 
     def seconds_to_refusal(self, since: float) -> dict[str, float]:
-        """Return the seconds from `since` to the first refusal, by host."""
+        """Return the seconds from `since` to where only refusals follow, by host."""
         return {
-            host: _first_refusal(attempts) - since
+            host: settled_refusal(attempts) - since
             for host, attempts in self._attempts.items()
         }
 
     def fewest_answered_before(self) -> int:
-        """Return the fewest calls that a host answered before it refused one."""
-        return min(_n_before_refusal(a) for a in self._attempts.values())
+        """Return the fewest calls that a host answered."""
+        return min(
+            sum(isinstance(a.outcome, Answered) for a in attempts)
+            for attempts in self._attempts.values()
+        )
 
     def n_answered_after_refusal(self) -> int:
-        """Return how many calls a host answered after it had refused one."""
+        """Return how many calls a host answered after it had refused the key itself."""
         return sum(
-            isinstance(a.outcome, Answered) and a.started > _first_refusal(attempts)
-            for attempts in self._attempts.values()
+            isinstance(a.outcome, Answered) and a.started > self._own_refusal[host]
+            for host, attempts in self._attempts.items()
             for a in attempts
         )
 
@@ -66,27 +86,29 @@
         turn = 0
         while not self._stop.wait(PROBE_SECONDS):
             turn += 1
+            if self._own_refusal[endpoint.host] == NEVER:
+                self._ask_host(endpoint)
             program = f"probe-{endpoint.host}-{turn}"
             spec = CallSpec.from_turn(program, "", 1, "probe", 1)
             attempt = self._client.attempt(spec, endpoint)
             self._attempts[endpoint.host].append(attempt)
 
-
-def _first_refusal(attempts: list[Attempt]) -> float:
-    refusals = (a.ended for a in attempts if _is_refusal(a))
-    return next(refusals, float("inf"))
-
-
-def _n_before_refusal(attempts: list[Attempt]) -> int:
-    refused_at = _first_refusal(attempts)
-    return sum(
-        isinstance(a.outcome, Answered) and a.ended < refused_at for a in attempts
-    )
-
-
-def _is_refusal(attempt: Attempt) -> bool:
-    match attempt.outcome:
-        case Refused(status=status):
-            return status in REFUSED_STATUSES
-        case _:
-            return False
+    def _ask_host(self, endpoint: Endpoint) -> None:
+        url = f"{endpoint.url}/v1/programs/none"
+        answer = self._pool.request(
+            "GET", url, headers=self._headers, timeout=CALL_SECONDS
+        )
+        if answer.status in REFUSED_STATUSES:
+            self._own_refusal[endpoint.host] = time.monotonic()
+
+
+def settled_refusal(attempts: list[Attempt]) -> float:
+    """Return when the first refusal ended that no answer followed, else infinity."""
+    settled = NEVER
+    for attempt in attempts:
+        match attempt.outcome:
+            case Answered():
+                settled = NEVER
+            case Refused(status=status) if status in REFUSED_STATUSES:
+                settled = min(settled, attempt.ended)
+    return settled
