FIX Withdraw the demo's key only after every host has served it

One run in 8 failed: a host had answered 0 calls with the key when it was withdrawn. Its probe's call waited for the takeover after the kill 3 s before, longer than the fixed second that the demo allowed. The demo now waits until each host has answered 5 calls (15 s at most); fewer still fail the check as before.

--- a/packages/swifttide_standins/src/swifttide_standins/demo/_demo_run.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_demo_run.py
@@ -31,6 +31,7 @@
 SECONDS_BEFORE_KILL = 2.5
 SECONDS_BEFORE_WITHDRAWAL = 3.0
 SECONDS_OF_PROBING = 5.0
+ANSWERED_BEFORE = 5
 WITHDRAWN_KEY = "butcher-desk-second-key"
 KILLED_HOST = "za-h0"
 STOPPED_HOST = "zb-h1"
@@ -130,7 +131,7 @@
         live = [e for e in self._endpoints.values() if e.host != KILLED_HOST]
         client = Client(balancer, WITHDRAWN_KEY, PROFILE, "zb")
         probe = WithdrawalProbe(client, WITHDRAWN_KEY, live)
-        time.sleep(1.0)
+        probe.wait_answered(ANSWERED_BEFORE)
         logger.info("withdrawing a key")
         self._grant(WITHDRAWN_KEY, CUSTOMERS["zb"], withdrawn=True)
         withdrawn_at = time.monotonic()
--- a/packages/swifttide_standins/src/swifttide_standins/demo/_withdrawal_probe.py
+++ b/packages/swifttide_standins/src/swifttide_standins/demo/_withdrawal_probe.py
@@ -17,6 +17,7 @@
 
 PROBE_SECONDS = 0.05
 CALL_SECONDS = 5.0
+ANSWERED_SECONDS = 15.0
 REFUSED_STATUSES = (401, 403)
 NEVER = float("inf")
 
@@ -54,6 +55,16 @@
         for thread in self._threads:
             thread.start()
 
+    def wait_answered(self, n_calls: int) -> None:
+        """Wait until every host has answered so many calls, or long enough.
+
+        After a kill, a call may wait for the takeover of its program's slot; a key
+        withdrawn meanwhile would be refused at a host where it was never seen to work.
+        """
+        ends_at = time.monotonic() + ANSWERED_SECONDS
+        while self.fewest_answered_before() < n_calls and time.monotonic() < ends_at:
+            time.sleep(PROBE_SECONDS)
+
     def stop(self) -> None:
         """Stop calling."""
         self._stop.set()
