ENH Tell the queues of sub-agents' first calls; grants of 15 s, renewed every 5

Cause: a sub-agent's first call passed for one of a program that is under way and had memory, so that one program with many sub-agents could flood a target; a host that died held up its places at targets for 150 s. The first-token figures of Outcome, which admission no longer reads, are gone.

--- a/benchmarks/policies/swifttide.py
+++ b/benchmarks/policies/swifttide.py
@@ -488,15 +488,9 @@
                 self.queues[name].renew(self.sim.now, call.policy_data["ticket"])
 
     def _outcome(self, call: Call) -> Outcome:
-        now = self.sim.now
-        first = call.first_token_at - call.started_at
         if call.is_service:
-            return Outcome(tokens=1.0, first_token_seconds=now - call.started_at)
-        return Outcome(
-            tokens=call_cost(call.uncached_tokens, call.output_tokens),
-            first_token_seconds=first,
-            uncached_tokens=call.uncached_tokens,
-        )
+            return Outcome(tokens=1.0)
+        return Outcome(tokens=call_cost(call.uncached_tokens, call.output_tokens))
 
     def _learn(self, call: Call) -> None:
         if call.is_service:
--- a/packages/swifttide_core/src/swifttide_core/admission/_outcome.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_outcome.py
@@ -24,13 +24,7 @@
     tokens : float or None
         Tokens computed, in the units of ``Ticket.expected_tokens``; None when
         unknown.
-    first_token_seconds : float or None
-        From dispatch to the first token; for traces, admission does not use it.
-    uncached_tokens : float
-        Part of the prompt that the engine had to compute; for traces.
     """
 
     status: OutcomeStatus = OutcomeStatus.FINISHED
     tokens: float | None = None
-    first_token_seconds: float | None = None
-    uncached_tokens: float = 0.0
--- a/packages/swifttide_daemon/src/swifttide_daemon/calls/_call.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/calls/_call.py
@@ -67,6 +67,11 @@
         """Key whose slot decides for the call."""
         return f"{self.customer}/{self.root or self.request_id}"
 
+    @property
+    def is_sub_agent(self) -> bool:
+        """Whether another program has started this one."""
+        return self.program != self.root
+
     @property
     def program_path(self) -> str:
         """Name under which an engine caches the program; empty for a single call."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
@@ -6,7 +6,7 @@
 
 from expression import Ok, Result
 
-from swifttide_core.admission import ProfileEstimates
+from swifttide_core.admission import ProfileEstimates, call_cost
 from swifttide_core.documents import Profile
 from swifttide_core.programs import ProgramRow, check_limits
 from swifttide_core.retention import PauseEstimator
@@ -123,6 +123,14 @@
             tokens, tree.unrecorded_tokens = tree.unrecorded_tokens, 0
             return tokens
 
+    def attained_cost(self, call: Call) -> float:
+        """Return what a tree was served, or a lower bound after a takeover."""
+        tree = self.tree(call)
+        with tree.lock:
+            served = sum(entry.attained_cost for entry in tree.programs.values())
+            history = sum(row.total_tokens for row in tree.rows.values())
+        return max(served, call_cost(history, 0))
+
     def count_call(self, call: Call, profile: Profile) -> Refusal | None:
         """Count a call of a plain service, or say why it is one too many."""
         tree = self.tree(call)
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_generator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_generator.py
@@ -124,6 +124,7 @@
             expected_remaining_seconds=(
                 estimates.program_seconds(profile) if starts else 0.0
             ),
+            new_history=prompt.new_history,
             prefixes=tuple(
                 CachedPrefix(t, prompt.former_tokens) for t in prompt.targets
             ),
@@ -221,8 +222,6 @@
         outcome = Outcome(
             OutcomeStatus.FINISHED,
             tokens=call_cost(uncached, usage.completion_tokens),
-            first_token_seconds=clock.first_seconds,
-            uncached_tokens=uncached,
         )
         self.placer.finish(placement, outcome, ok=True)
         profile = permit.profile.name
@@ -280,10 +279,6 @@
             self.longest_gap = max(self.longest_gap, now - self.last_at)
         self.last_at = now
 
-    @property
-    def first_seconds(self) -> float | None:
-        return None if self.first_at is None else self.first_at - self.sent_at
-
 
 def _message(permit: Permit, prompt: Prompt) -> dict[str, object]:
     call = permit.call
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_placement.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_placement.py
@@ -41,6 +41,8 @@
         Length that it is expected to reach.
     expected_remaining_seconds : float
         Time until the program's expected end; 0 when unknown.
+    new_history : bool
+        Whether it is the first call of a sub-agent.
     prefixes : tuple of CachedPrefix
         Targets that may hold its cache.
     """
@@ -52,6 +54,7 @@
     context_tokens: float = 0.0
     expected_context_tokens: float = 0.0
     expected_remaining_seconds: float = 0.0
+    new_history: bool = False
     prefixes: tuple[CachedPrefix, ...] = ()
 
 
@@ -164,6 +167,7 @@
             context_tokens=demand.context_tokens,
             expected_context_tokens=demand.expected_context_tokens,
             expected_remaining_seconds=demand.expected_remaining_seconds,
+            new_history=demand.new_history,
             waited_seconds=asked_at - permit.started_at,
             wait_seconds=POLL_SECONDS,
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_prompt.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_prompt.py
@@ -18,7 +18,10 @@
     fingerprint : str
         By which the request is known if it crashes targets.
     attained_cost : float
-        Cost that the program was served so far, in the queue's units.
+        Cost that the root program and its sub-agents were served so far, in the
+        queue's units.
+    new_history : bool
+        Whether it is the first call of a sub-agent.
     former_tokens : int
         Tokens of the history before the new messages.
     targets : tuple of str
@@ -35,6 +38,7 @@
     fingerprint: str
     former_tokens: int = 0
     attained_cost: float = 0.0
+    new_history: bool = False
     targets: tuple[str, ...] = ()
     exported: tuple[str, int] | None = None
     fencing: int = 0
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
@@ -3,7 +3,6 @@
 import time
 from dataclasses import replace
 
-from swifttide_core.admission import call_cost
 from swifttide_core.documents import HistoryMode
 from swifttide_core.programs import (
     ChunkStored,
@@ -196,16 +195,13 @@
             max_tokens=self.max_tokens,
             fingerprint=self.generator.fingerprint(self.permit, messages),
             former_tokens=row.total_tokens,
-            attained_cost=self._attained_cost(row),
+            attained_cost=self.book.attained_cost(self.permit.call),
+            new_history=self.permit.call.is_sub_agent and row.turns == 0,
             targets=row.targets,
             exported=exported,
             fencing=row.version,
         )
 
-    def _attained_cost(self, row: ProgramRow) -> float:
-        """Return what the program was served, or a lower bound after a takeover."""
-        return max(self.entry.attained_cost, call_cost(row.total_tokens, 0))
-
     def _store(self, name: str) -> TurnEvent:
         number = int(name.rpartition("/")[2].partition("-")[0])
         self.chunk = Chunk(
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_grant_book.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_grant_book.py
@@ -23,8 +23,8 @@
 )
 from swifttide_daemon.targets._queue_service import QueueService
 
-RENEW_SECONDS = 20.0
-"""Grants live for minutes; renewing well before that survives lost messages."""
+RENEW_SECONDS = 5.0
+"""A third of a grant's life: two renewals may be lost."""
 
 POLL_SECONDS = 2.0
 """How long a holder may hold an answer back: a connection that has gone silent is
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_messages.py
@@ -22,6 +22,8 @@
     expected_tokens, attained_tokens : float
     context_tokens, expected_context_tokens : float
     expected_remaining_seconds : float
+    new_history : bool
+        Whether it is the first call of a sub-agent.
     waited_seconds : float
         Since the call entered the system.
     wait_seconds : float
@@ -39,6 +41,7 @@
     context_tokens: float
     expected_context_tokens: float
     expected_remaining_seconds: float
+    new_history: bool
     waited_seconds: float
     wait_seconds: float
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_queue_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_queue_keeper.py
@@ -21,6 +21,10 @@
     ReleaseRequest,
 )
 
+GRANT_SECONDS = 15.0
+"""Life of a grant that isn't renewed: a host that dies holds up its places at a target
+for so long. Grants are renewed three times within it."""
+
 
 class QueueKeeper:
     """A `TargetQueue` shared by threads.
@@ -40,9 +44,10 @@
         """Return an empty queue with the settings of the target's kind."""
         match target.kind:
             case TargetKind.ENGINE:
-                cfg = AdmissionConfig()
+                cfg = AdmissionConfig(lease_seconds=GRANT_SECONDS)
             case TargetKind.SERVICE:
-                cfg = AdmissionConfig.for_service()
+                service = AdmissionConfig.for_service()
+                cfg = replace(service, lease_seconds=GRANT_SECONDS)
         keeper = cls(TargetQueue.from_config(cfg, target.max_concurrency))
         if target.leaving:
             keeper.queue.set_leaving(time.monotonic())
@@ -142,5 +147,6 @@
         context_tokens=req.context_tokens,
         expected_context_tokens=req.expected_context_tokens,
         expected_remaining_seconds=req.expected_remaining_seconds,
+        new_history=req.new_history,
         offered_at=now - req.waited_seconds,
     )
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/tests/test_queue_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/tests/test_queue_keeper.py
@@ -20,6 +20,7 @@
         context_tokens=0.0,
         expected_context_tokens=0.0,
         expected_remaining_seconds=0.0,
+        new_history=False,
         waited_seconds=0.0,
         wait_seconds=0.0,
     )
