FIX Write the head that a host knows, also when its zone is to be read again

Cause: look_again reset the view's head to -1, and a renewal in that moment wrote knows_head 0; had the host died then, watchers would have waited limit_seconds (an hour) for its slots. A newcomer also claimed before its row said what it knew. Change: the head of the last full read is kept apart; a newcomer renews at once and claims after that.

--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -81,6 +81,7 @@
         self.watch = LeaseWatch.from_times(times)
         self.view = ZoneView()
         self._others: dict[str, ZoneView] = {}
+        self._known_head = 0
         self._known_zones: set[str] = set()
         self._held: dict[int, int] = {}
         self._held_since: dict[int, float] = {}
@@ -255,7 +256,7 @@
         renew_at = 0.0
         while not self._stop.is_set():
             try:
-                if time.monotonic() >= renew_at:
+                if time.monotonic() >= renew_at or self._must_tell_head():
                     renew_at = time.monotonic() + self.times.renew_seconds
                     self._keep_lease()
                 self._look()
@@ -265,9 +266,16 @@
             self._wake.wait(self.times.renew_seconds / 2)
             self._wake.clear()
 
+    def _must_tell_head(self) -> bool:
+        """Return whether the own row doesn't tell yet that the own join was seen."""
+        joined = self.keeper.registered_head
+        return self.me.knows_head < joined <= self._known_head
+
     def _keep_lease(self) -> None:
         incarnation = self.me.incarnation
-        confirmed = self.keeper.keep(self.view.head_version)
+        # Not the view's head, which is forgotten when the zone must be read again: a
+        # host that dies with too old a head in its row isn't deposed for an hour.
+        confirmed = self.keeper.keep(self._known_head)
         if not confirmed and self.platform.failing:
             others = [r for r in self.zone_hosts() if r.host != self.me.host]
             self.outages.extend(others)
@@ -292,7 +300,8 @@
             self._watch_at = time.monotonic() + self.times.renew_seconds
             self._watch_neighbours()
         if self.keeper.holds():
-            if self.outages.may_depose():
+            is_known = self.me.knows_head >= self.keeper.registered_head
+            if is_known and self.outages.may_depose():
                 self._claim_slots()
             self._hand_over_slots()
         self._refresh_others()
@@ -302,6 +311,7 @@
         if read.is_error():
             return
         self.view = read.ok
+        self._known_head = read.ok.head_version
         mine = {
             row.slot: row.epoch
             for row in read.ok.slots
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_service.py
@@ -0,0 +1,41 @@
+"""What a host's lease row says of what the host knew."""
+
+from types import SimpleNamespace
+
+from expression import Ok
+
+from swifttide_core.membership import HostRow, LeaseTimes
+from swifttide_daemon.membership import MembershipService, ZoneView
+
+
+class Keeper:
+    """Notes the head version that each renewal writes."""
+
+    def __init__(self):
+        self.row = HostRow("h1", "z", "i", "", "")
+        self.written = []
+
+    def keep(self, knows_head):
+        self.written.append(knows_head)
+        return True
+
+
+def service():
+    view = ZoneView(head_version=7)
+    reader = SimpleNamespace(read=lambda zone: Ok(view))
+    outages = SimpleNamespace(may_depose=lambda: True)
+    platform = SimpleNamespace(failing=False, available=True)
+    return MembershipService(Keeper(), reader, platform, LeaseTimes(), 4, outages)
+
+
+class TestMembershipService:
+    def test_row_keeps_the_known_head_when_the_zone_is_read_again(self):
+        """A call misses its holder, so the zone is to be read again, and the host dies
+        just then. Its row would say that it knew nobody; the others would wait an
+        hour before they take its slots, and its programs would stand still.
+        """
+        membership = service()
+        membership._read_zone()
+        membership.look_again()
+        membership._keep_lease()
+        assert membership.keeper.written == [7]
