FIX Refuse nobody while a customer's slot moves; answer not_holder with 503

And clients don't come back on 421 by themselves, while Retry-After with 503 is understood. Change: such a draw answers not_holder, and an entry host asks again for up to two seconds while nobody counts the rate; a used-up rate is still refused at once.

--- a/packages/swifttide_cli/src/swifttide_cli/api/_problem.py
+++ b/packages/swifttide_cli/src/swifttide_cli/api/_problem.py
@@ -18,7 +18,6 @@
     409: ExitCode.CONFLICT,
     413: ExitCode.INVALID,
     422: ExitCode.INVALID,
-    421: ExitCode.UNAVAILABLE,
     429: ExitCode.UNAVAILABLE,
     503: ExitCode.UNAVAILABLE,
     504: ExitCode.UNAVAILABLE,
--- a/packages/swifttide_core/src/swifttide_core/verdicts/_refusal.py
+++ b/packages/swifttide_core/src/swifttide_core/verdicts/_refusal.py
@@ -23,7 +23,7 @@
     Reason.NO_TARGET: 503,
     Reason.TARGET_FAILED: 502,
     Reason.PLATFORM_UNAVAILABLE: 503,
-    Reason.NOT_HOLDER: 421,
+    Reason.NOT_HOLDER: 503,
     Reason.STOPPING: 503,
     Reason.TIMEOUT: 504,
     Reason.INTERNAL: 500,
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_rate_limiter.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_rate_limiter.py
@@ -23,6 +23,8 @@
 from swifttide_daemon.peers import PeerClient
 
 RETURN_SECONDS = 0.1
+MOVE_SECONDS = 2.0
+MOVE_PAUSE_SECONDS = 0.25
 
 
 class RateLimiter:
@@ -58,7 +60,21 @@
         self._stop.set()
 
     def admit(self, customer: Customer) -> Refusal | None:
-        """Take a token; return why the request is refused, or None."""
+        """Take a token; return why the request is refused, or None.
+
+        While the customer's slot moves to another host nobody counts its rate. A
+        refusal then would be a wrongful one, and a planned move takes less than
+        `MOVE_SECONDS`.
+        """
+        ends_at = time.monotonic() + MOVE_SECONDS
+        while True:
+            refusal = self._try(customer)
+            uncounted = refusal is not None and refusal.reason is Reason.NOT_HOLDER
+            if not uncounted or time.monotonic() >= ends_at:
+                return refusal
+            time.sleep(MOVE_PAUSE_SECONDS)
+
+    def _try(self, customer: Customer) -> Refusal | None:
         with self._lock:
             allowance = self._current()
             answer = allowance.take(time.monotonic(), customer)
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_service.py
@@ -117,6 +117,11 @@
                 returned=req.returned,
             )
             pulls = held.share.next_pulls(now, self.holder_id, others)
+            moved = self._held.get(customer) is not held
+        if moved and isinstance(answer, RateRefused):
+            # The bucket was handed over in the meantime. It refuses everything, which
+            # says nothing of the customer's rate.
+            return Error(not_holder("customer"))
         for pull in pulls:
             # The caller's request doesn't wait for another zone's answer.
             args = (customer, held, pull)
