--- a/tests/e2e/test_keys_and_configuration.py
+++ b/tests/e2e/test_keys_and_configuration.py
@@ -7,7 +7,7 @@
 import urllib3
 
 from swifttide_standins.launcher import hash_key
-from tests.e2e._world import PROFILE, profile
+from tests.e2e._world import CUSTOMER, PROFILE, profile
 
 SECOND_KEY = "club-second-key"
 OPERATOR_KEY = "operator-of-the-test-fleet"
@@ -47,7 +47,8 @@
         url = f"{world.fleet.hosts[host].url}/v1/operator/documents/{kind}/{name}"
         headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
         got = urllib3.request("GET", url, headers=headers, timeout=20)
-        values.add(json.loads(got.data)["document"][member])
+        # A host that hasn't learned of the document yet has none to show.
+        values.add(json.loads(got.data).get("document", {}).get(member))
     return values
 
 
@@ -122,6 +123,38 @@
         for _ in range(5):
             assert in_force(world, "profile", PROFILE, "max_turns") == set(won)
 
+    def test_operators_race_on_a_key(self, world):
+        """One operator withdraws a key while another grants it anew from the version
+        that both saw. If both were told "accepted", a key that is believed to be
+        withdrawn would go on working.
+        """
+        name = hash_key("contested")
+        grant = {"key_hash": name, "customer": CUSTOMER}
+        version = put_key(world, "za-h0", name, 0, grant)[1]["version"]
+        hosts = world.hosts
+        edits = [{**grant, "withdrawn": i % 2 == 0} for i in range(8)]
+        with ThreadPoolExecutor(8) as pool:
+            answers = list(
+                pool.map(
+                    lambda i: put_key(world, hosts[i % 4], name, version, edits[i]),
+                    range(8),
+                )
+            )
+        won = [i for i, (status, _) in enumerate(answers) if status < 300]
+        assert len(won) == 1
+        assert [status for status, _ in answers].count(409) == 7
+        wanted = {edits[won[0]]["withdrawn"]}
+        world.until(lambda: in_force(world, "key", name, "withdrawn") == wanted)
+
+
+def put_key(world, host, name, base_version, document):
+    """Edit a key at a host and return the status and the body."""
+    url = f"{world.fleet.hosts[host].url}/v1/operator/documents/key/{name}"
+    body = {"document": document, "base_version": base_version}
+    headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+    got = urllib3.request("PUT", url, json=body, headers=headers, timeout=20)
+    return got.status, json.loads(got.data)
+
 
 def running_streams(world):
     engines = world.fleet.engines.values()
