--- a/benchmarks/ablations.py
+++ b/benchmarks/ablations.py
@@ -6,7 +6,7 @@
 import numpy as np
 
 from benchmarks.outcome import RunOutcome
-from benchmarks.policies.swifttide import Features
+from benchmarks.policies.features import Features
 from benchmarks.runner import Job, run_jobs, with_worst_shares
 from benchmarks.scenario import SCENARIOS
 from benchmarks.site import SITES
--- a/benchmarks/policies/__init__.py
+++ b/benchmarks/policies/__init__.py
@@ -7,7 +7,8 @@
     RandomTarget,
 )
 from benchmarks.policies.ideal import Ideal
-from benchmarks.policies.swifttide import Features, Swifttide
+from benchmarks.policies.features import Features
+from benchmarks.policies.swifttide import Swifttide
 
 BASELINES = {
     "fcfs": FirstComeFirstServed,
--- a/benchmarks/runner.py
+++ b/benchmarks/runner.py
@@ -7,7 +7,8 @@
 
 from benchmarks.outcome import RunOutcome, measure, worst_share
 from benchmarks.policies import POLICIES
-from benchmarks.policies.swifttide import Features, Swifttide
+from benchmarks.policies.features import Features
+from benchmarks.policies.swifttide import Swifttide
 from benchmarks.scenario import SCENARIOS, Scenario
 from benchmarks.site import SITES, Site
 from benchmarks.work import ProgramPlan, walk_steps
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -1,7 +1,6 @@
 """Who is in the zone, which slots this host holds, and who holds the others."""
 
 import logging
-import random
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -21,6 +20,7 @@
 from swifttide_core.slots import SlotKind, slot_of
 from swifttide_daemon.membership._lease_keeper import LeaseKeeper
 from swifttide_daemon.membership._moved_slots import MovedSlots
+from swifttide_daemon.membership._other_zones import OtherZones
 from swifttide_daemon.membership._outage_service import OutageService
 from swifttide_daemon.membership._rows import (
     HOSTS,
@@ -43,9 +43,6 @@
 
 log = logging.getLogger(__name__)
 
-OTHER_ZONE_SECONDS = 5.0
-"""How long the view of another zone is used before it is read again."""
-
 FULL_READ_SECONDS = 30.0
 """The zone is read whole this often even when its head seems unchanged."""
 
@@ -80,7 +77,7 @@
         self.n_slots = n_slots
         self.watch = LeaseWatch.from_times(times)
         self.view = ZoneView()
-        self._others: dict[str, ZoneView] = {}
+        self.others = OtherZones(reader)
         self._known_head = 0
         self._known_zones: set[str] = set()
         self._held: dict[int, int] = {}
@@ -88,7 +85,6 @@
         self._given_up: set[int] = set()
         self._moved_listeners: list[Callable[[MovedSlots], None]] = []
         self._lock = threading.Lock()
-        self._wanted_zones: set[str] = set()
         self._leaving = False
         self._watch_at = 0.0
         self._stop = threading.Event()
@@ -187,20 +183,12 @@
         return [hosts[h] for h in ring_neighbours(self.me.host, hosts)]
 
     def hosts_elsewhere(self) -> list[HostRow]:
-        """Return one live host of each other zone, another one each time."""
-        chosen = []
-        for zone, view in list(self._others.items()):
-            rows = [r for r in view.hosts.values() if r.state is HostState.LIVE]
-            if zone != self.me.zone and rows:
-                chosen.append(random.choice(rows))
-        return chosen
+        """Return one live host of each other zone."""
+        return self.others.one_host_each()
 
     def look_again(self) -> None:
         """Read the zone soon: a holder wasn't where the view has it."""
-        self._others = {
-            zone: replace(view, head_version=-1, read_at=0.0)
-            for zone, view in self._others.items()
-        }
+        self.others.look_again()
         self.view = replace(self.view, head_version=-1)
         self._wake.set()
 
@@ -217,40 +205,7 @@
             return dict(self._held)
 
     def _view_of(self, zone: str) -> ZoneView:
-        """Return the view of a zone; other zones' are kept current on the thread.
-
-        Read on a request's path, a platform that hangs would hold up each request
-        for its timeout.
-        """
-        if zone == self.me.zone:
-            return self.view
-        self._wanted_zones.add(zone)
-        known = self._others.get(zone)
-        if known is None:
-            known = self._others[zone] = self.reader.read(zone).default_value(
-                ZoneView()
-            )
-        return known
-
-    def _refresh_others(self) -> None:
-        now = time.monotonic()
-        for zone in set(self.zones()) - {self.me.zone}:
-            known = self._others.get(zone) or ZoneView()
-            wanted = zone in self._wanted_zones
-            pause = OTHER_ZONE_SECONDS if wanted else FULL_READ_SECONDS
-            if known.read_at and now - known.read_at < pause:
-                continue
-            if self._is_unchanged(zone, known):
-                self._others[zone] = replace(known, read_at=now)
-                continue
-            read = self.reader.read(zone)
-            if read.is_ok():
-                self._others[zone] = read.ok
-
-    def _is_unchanged(self, zone: str, known: ZoneView) -> bool:
-        """Return whether a zone's head stands still, or can't be read now."""
-        head = self.reader.head_version(zone)
-        return head.is_error() or head.ok == known.head_version
+        return self.view if zone == self.me.zone else self.others.view(zone)
 
     def _run(self) -> None:
         renew_at = 0.0
@@ -304,7 +259,7 @@
             if is_known and self.outages.may_depose():
                 self._claim_slots()
             self._hand_over_slots()
-        self._refresh_others()
+        self.others.refresh(set(self.zones()) - {self.me.zone})
 
     def _read_zone(self) -> None:
         read = self.reader.read(self.me.zone)
