--- a/benchmarks/policies/__init__.py
+++ b/benchmarks/policies/__init__.py
@@ -6,8 +6,8 @@
     PerCallFairness,
     RandomTarget,
 )
-from benchmarks.policies.ideal import Ideal
 from benchmarks.policies.features import Features
+from benchmarks.policies.ideal import Ideal
 from benchmarks.policies.swifttide import Swifttide
 
 BASELINES = {
