MAINT Judge broken connections by the core's CrashWatch

Cause: the daemon told a crash from a cut by a rule of its own while the core's stood unused beside it; requests that broke together with the one that noticed the crash were never judged. Change: CrashDetector keeps a CrashWatch for each target and concludes with each load report that it sees; a target that stays away still counts as dead at once.

--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_crash_detector.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_crash_detector.py
@@ -1,9 +1,10 @@
 """Finding out whether a target died under a request."""
 
+import threading
 import time
 
 from swifttide_core.documents import Target
-from swifttide_core.strikes import Strike
+from swifttide_core.strikes import CrashWatch, Strike
 from swifttide_daemon.strikes import StrikeService
 from swifttide_daemon.targets import EngineClient
 
@@ -23,11 +24,19 @@
     def __init__(self, engines: EngineClient, strikes: StrikeService) -> None:
         self.engines = engines
         self.strikes = strikes
+        self._watches: dict[str, CrashWatch] = {}
+        self._lock = threading.Lock()
 
     def incarnation(self, target: Target) -> str:
-        """Return the engine's present incarnation, or an empty string."""
+        """Return the engine's present incarnation, or an empty string.
+
+        A request that broke while the target answered nothing is judged now.
+        """
         load = self.engines.load(target)
-        return load["incarnation"] if load else ""
+        if load is None:
+            return ""
+        self._conclude(target, load["incarnation"])
+        return load["incarnation"]
 
     def broke(self, target: Target, fingerprint: str, incarnation: str) -> bool:
         """Report a strike if the target died; return whether it did.
@@ -35,12 +44,22 @@
         A cut leaves the incarnation as it was. A target that answers under another
         one, or that answers nothing at all several times in a row, has died.
         """
+        with self._lock:
+            watch = self._watches.setdefault(target.name, CrashWatch(target.name))
+            watch.broke(fingerprint, incarnation)
         for _ in range(N_LOOKS):
             time.sleep(LOOK_PAUSE_SECONDS)
             seen = self.incarnation(target)
-            if seen and seen == incarnation:
-                return False
             if seen:
-                break
+                return seen != incarnation
+        # Told again when the target is back; the same crash counts once.
         self.strikes.report(Strike(fingerprint, target.name, incarnation))
         return True
+
+    def _conclude(self, target: Target, incarnation: str) -> None:
+        """Report the strikes of all requests that broke before this answer."""
+        with self._lock:
+            watch = self._watches.get(target.name)
+            found = watch.seen(incarnation) if watch else ()
+        for strike in found:
+            self.strikes.report(strike)
