--- a/packages/swifttide_cli/src/swifttide_cli/commands/_profile.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_profile.py
@@ -6,16 +6,13 @@
 import cappa
 from expression import Result
 
-from swifttide_cli.api import NO_VERSION
 from swifttide_cli.commands._documents import (
     history_report,
     list_documents,
-    put_document,
-    read_document,
     show_document,
 )
 from swifttide_cli.commands._options import Options
-from swifttide_cli.commands._wait import WaitOptions
+from swifttide_cli.commands._put_options import PutOptions
 from swifttide_cli.output import Failure, Report
 from swifttide_core.documents import DocumentKind
 
@@ -66,31 +63,12 @@
     "and both versions are shown.",
 )
 @dataclass(frozen=True)
-class ProfilePut(WaitOptions):
-    """Store a profile.
-
-    Parameters
-    ----------
-    file : str
-        The profile, JSON with comments.
-    base : int
-        Version that was edited.
-    """
-
-    file: Annotated[str, cappa.Arg(help="The profile, JSON with comments.")]
-    base: Annotated[
-        int,
-        cappa.Arg(long="--base", value_name="VERSION", help="Version that you edited."),
-    ] = NO_VERSION
+class ProfilePut(PutOptions):
+    """Store a profile."""
 
     def __call__(self, options: Options) -> Result[Report, Failure]:
         """Run the command."""
-        kind = DocumentKind.PROFILE
-        return read_document(kind, self.file).bind(
-            lambda document: options.client().bind(
-                lambda c: put_document(c, kind, document, self.base, self)
-            )
-        )
+        return self.put(DocumentKind.PROFILE, options)
 
 
 @cappa.command(
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_target.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_target.py
@@ -6,14 +6,12 @@
 import cappa
 from expression import Result
 
-from swifttide_cli.api import NO_VERSION
 from swifttide_cli.commands._documents import (
     change_document,
     list_documents,
-    put_document,
-    read_document,
 )
 from swifttide_cli.commands._options import Options
+from swifttide_cli.commands._put_options import PutOptions
 from swifttide_cli.commands._wait import WaitOptions
 from swifttide_cli.output import Failure, Report
 from swifttide_core.documents import DocumentKind
@@ -39,31 +37,12 @@
     description="For a target that exists, give the version that you edited.",
 )
 @dataclass(frozen=True)
-class TargetPut(WaitOptions):
-    """Store a target.
-
-    Parameters
-    ----------
-    file : str
-        The target, JSON with comments.
-    base : int
-        Version that was edited.
-    """
-
-    file: Annotated[str, cappa.Arg(help="The target, JSON with comments.")]
-    base: Annotated[
-        int,
-        cappa.Arg(long="--base", value_name="VERSION", help="Version that you edited."),
-    ] = NO_VERSION
+class TargetPut(PutOptions):
+    """Store a target."""
 
     def __call__(self, options: Options) -> Result[Report, Failure]:
         """Run the command."""
-        kind = DocumentKind.TARGET
-        return read_document(kind, self.file).bind(
-            lambda document: options.client().bind(
-                lambda c: put_document(c, kind, document, self.base, self)
-            )
-        )
+        return self.put(DocumentKind.TARGET, options)
 
 
 @cappa.command(
