ENH Order a model that an engine hasn't loaded; FIX may_have_run of turns never sent

Cause: an engine that was restarted refuses each call for a model that it has forgotten, and nobody told it. Found by the new test: after a try that was certainly not run, the refusal for want of another target was told as may_have_run, since tries were counted and not what became of them. Change: ModelLoader orders a missing model once at a time, with the configuration's version as the fencing number; a refusal covers only tries that may have run.

--- a/packages/swifttide_daemon/src/swifttide_daemon/_builder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_builder.py
@@ -30,6 +30,7 @@
     ChatRunner,
     CrashDetector,
     Generator,
+    ModelLoader,
     Placer,
     RetryAccount,
     ServiceRunner,
@@ -156,6 +157,7 @@
             self.strikes,
             crashes,
             self.telemetry,
+            ModelLoader(self.engines, lambda: self.config.version),
             self.book.estimates,
         )
         recorder = Recorder(self.settings.recording.path)
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/__init__.py
@@ -5,6 +5,7 @@
 from swifttide_daemon.runners._chat_runner import ChatRunner
 from swifttide_daemon.runners._crash_detector import CrashDetector
 from swifttide_daemon.runners._generator import Generator
+from swifttide_daemon.runners._model_loader import ModelLoader
 from swifttide_daemon.runners._placement import Placer
 from swifttide_daemon.runners._retry_account import RetryAccount
 from swifttide_daemon.runners._service_runner import ServiceRunner, must_not_repeat
@@ -17,6 +18,7 @@
     "ChatRunner",
     "CrashDetector",
     "Generator",
+    "ModelLoader",
     "Placer",
     "RetryAccount",
     "ServiceRunner",
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_generator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_generator.py
@@ -13,6 +13,7 @@
 from swifttide_daemon.calls import Content, Reset, RunningCall, Started
 from swifttide_daemon.programs import Message
 from swifttide_daemon.runners._crash_detector import CrashDetector
+from swifttide_daemon.runners._model_loader import ModelLoader
 from swifttide_daemon.runners._permit import Permit
 from swifttide_daemon.runners._placement import Demand, Placement, Placer
 from swifttide_daemon.runners._prompt import Generated, Prompt
@@ -35,6 +36,7 @@
     strikes : StrikeService
     crashes : CrashDetector
     telemetry : Telemetry
+    loader : ModelLoader
     estimates : ProfileEstimates
         What programs of each profile usually need.
     """
@@ -47,8 +49,10 @@
         strikes: StrikeService,
         crashes: CrashDetector,
         telemetry: Telemetry,
+        loader: ModelLoader,
         estimates: ProfileEstimates,
     ) -> None:
+        self.loader = loader
         self.estimates = estimates
         self.placer = placer
         self.engines = engines
@@ -68,21 +72,22 @@
         call = permit.call
         avoid: frozenset[str] = frozenset()
         n_tries = 0
+        may_have_run = False
         while True:
             put_aside = self.strikes.check(prompt.fingerprint)
             if put_aside is not None:
-                return Error(_after(n_tries, put_aside))
+                return Error(_covering(may_have_run, put_aside))
             n_tries += 1
             ticket_id = f"{call.request_id}-{n_tries}"
             demand = self._demand(permit, prompt)
             placed = self.placer.place(permit, demand, ticket_id, avoid)
             if placed.is_error():
-                return Error(_after(n_tries - 1, placed.error))
+                return Error(_covering(may_have_run, placed.error))
             placement = placed.ok
             refusal = permit.refusal()
             if refusal is not None:
                 self.placer.drop(placement)
-                return Error(_after(n_tries - 1, refusal))
+                return Error(_covering(may_have_run, refusal))
             if n_tries == 1:
                 self.retries.first_try(placement.target.name, call.customer)
             else:
@@ -91,8 +96,9 @@
                 return Ok(self._stream(permit, prompt, placement, running, traceparent))
             except TargetFailure as failure:
                 decision = self._failed(permit, placement, failure, n_tries)
+                may_have_run |= failure.verdict is not Verdict.NOT_RUN
                 if isinstance(decision, GiveUp):
-                    return Error(_after(n_tries - 1, _refusal_of(failure)))
+                    return Error(_covering(may_have_run, _refusal_of(failure)))
                 avoid |= {placement.target.name}
                 time.sleep(decision.after_seconds)
 
@@ -244,6 +250,8 @@
         status = OutcomeStatus.FAILED if sent else OutcomeStatus.NOT_SENT
         self.placer.finish(placement, Outcome(status), ok=False)
         self.telemetry.metrics.retry("target")
+        if failure.not_loaded:
+            self.loader.want(placement.target, permit.profile.model)
         log.info(
             "target_failed",
             extra={
@@ -298,9 +306,9 @@
     return headers
 
 
-def _after(n_sent: int, refusal: Refusal) -> Refusal:
-    """Return a refusal that also covers the tries before it."""
-    if n_sent == 0 or refusal.verdict is not Verdict.NOT_RUN:
+def _covering(may_have_run: bool, refusal: Refusal) -> Refusal:
+    """Return a refusal whose verdict also covers the tries before it."""
+    if not may_have_run or refusal.verdict is not Verdict.NOT_RUN:
         return refusal
     return refusal.with_verdict(Verdict.MAY_HAVE_RUN)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
@@ -23,6 +23,8 @@
 """Connections tried in a row without a new event before the target is given up."""
 
 SHORT_SECONDS = 2.0
+NOT_LOADED_STATUS = 404
+"""What an engine answers to a request for a model that it hasn't loaded."""
 
 
 class EngineClient:
@@ -131,6 +133,12 @@
         status = self._order("DELETE", target, path, {"X-Fencing": str(fencing)})
         return status in (200, 204, 404)
 
+    def load_model(self, target: Target, model: str, fencing: int) -> bool:
+        """Order the engine to load a model; return whether it has."""
+        body = msgspec.json.encode({"model": model})
+        headers = {"X-Fencing": str(fencing), "Content-Type": "application/json"}
+        return self._order("POST", target, "/v1/models", headers, body) == 200
+
     def export(self, target: Target, program: str, name: str, fencing: int) -> bool:
         """Order the engine to write a program's cache to an object."""
         return self._move(target, program, "export", name, fencing)
@@ -207,6 +215,7 @@
             Reason.TARGET_FAILED,
             detail,
             Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN,
+            not_loaded=method == "POST" and answer.status == NOT_LOADED_STATUS,
         )
 
     def _reopen(
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_events.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_events.py
@@ -41,6 +41,8 @@
     broke : bool
         Whether the connection broke while the request ran, which a crash of the
         target would explain.
+    not_loaded : bool
+        Whether the engine hasn't loaded the model that its document says it serves.
     """
 
     def __init__(
@@ -49,9 +51,11 @@
         detail: str,
         verdict: Verdict,
         broke: bool = False,
+        not_loaded: bool = False,
     ) -> None:
         super().__init__(detail)
         self.reason = reason
         self.detail = detail
         self.verdict = verdict
         self.broke = broke
+        self.not_loaded = not_loaded
--- a/tests/e2e/test_targets.py
+++ b/tests/e2e/test_targets.py
@@ -47,6 +47,30 @@
         assert answers[-1].verdict == "not_run"
         assert Story(world, "healthy").say(world.hosts[0], "hello").status == 200
 
+    def test_model_that_no_engine_has_loaded(self, world):
+        """Operators say that an engine serves another model; the engine has never
+        heard of it, as after a restart. Nobody is awake to load it by hand.
+        """
+        engine = world.fleet.engines["za-e0"]
+        target = {
+            "name": "za-e0-night",
+            "kind": "engine",
+            "zone": "za",
+            "url": engine.url,
+            "serves": "night-model",
+        }
+        world.fleet.operator.put("target", target["name"], target)
+        world.put_profile(model="night-model")
+        answers = []
+
+        def served():
+            answers.append(world.chat("za-h0", None, None, "hello"))
+            return answers[-1].status == 200 and "night-model" in models(world, engine)
+
+        world.until(served)
+        refused = [answer for answer in answers if answer.status != 200]
+        assert all(answer.verdict == "not_run" for answer in refused)
+
     def test_tool_that_hangs(self, world):
         """A booking service never answers one call. Its caller must be told in time
         that the call may have run, and other calls go on meanwhile.
@@ -137,3 +161,7 @@
 
 def runs(world, engine):
     return sum(world.fleet.counters(engine)["requests"].values())
+
+
+def models(world, engine):
+    return world.fleet.call("GET", f"{engine.url}/v1/load").json()["models"]
