--- a/packages/swifttide_standins/src/swifttide_standins/loadgen/_client.py
+++ b/packages/swifttide_standins/src/swifttide_standins/loadgen/_client.py
@@ -69,7 +69,7 @@
         give_up = time.monotonic() + GIVE_UP_SECONDS
         attempts = [self.attempt(spec, first)]
         while True:
-            pause = _pause(attempts[-1].outcome)
+            pause = _pause(spec, attempts[-1].outcome)
             if pause is None or time.monotonic() + pause > give_up:
                 return CallRecord(spec, tuple(attempts))
             if self._stopped.wait(pause):
@@ -168,15 +168,15 @@
     )
 
 
-def _pause(outcome: Outcome) -> float | None:
+def _pause(spec: CallSpec, outcome: Outcome) -> float | None:
     """Return after how many seconds to send again, None for not at all."""
     match outcome:
         case Answered():
             return None
-        case Refused(
-            verdict="not_run" | "may_have_run", retry_after_seconds=float() as pause
-        ):
-            # The SAME call: a turn by its number, a charge by its key.
+        case Refused(verdict="not_run", retry_after_seconds=float() as pause):
+            return pause
+        case Refused(retry_after_seconds=float() as pause) if spec.turn:
+            # The SAME turn: it is answered from the history, or run.
             return pause
         case Refused():
             return None
