--- a/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_daemon.py
@@ -29,7 +29,7 @@
 from swifttide_daemon.peers import PeerClient, PeerProof
 from swifttide_daemon.platform import PlatformClient, new_id
 from swifttide_daemon.programs import ProgramBook, ProgramStore
-from swifttide_daemon.retention import CacheKeeper
+from swifttide_daemon.retention import CacheKeeper, ProgramJudge
 from swifttide_daemon.runners import (
     CallRunner,
     ChatRunner,
@@ -222,7 +222,12 @@
         self.strikes = StrikeService(self.membership, self.peer_client)
         self.book = ProgramBook(ProgramStore(self.platform))
         self.caches = CacheKeeper(
-            self.membership, self.config, self.book, self.engines, self.peer_client
+            self.membership,
+            self.config,
+            self.book,
+            ProgramJudge(self.config, self.book),
+            self.engines,
+            self.peer_client,
         )
 
     def _build_runners(self) -> None:
--- a/packages/swifttide_daemon/src/swifttide_daemon/calls/_call.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/calls/_call.py
@@ -66,3 +66,10 @@
     def placement_key(self) -> str:
         """Key whose slot decides for the call."""
         return f"{self.customer}/{self.root or self.request_id}"
+
+    @property
+    def program_path(self) -> str:
+        """Name under which an engine caches the program; empty for a single call."""
+        if not self.program:
+            return ""
+        return f"{self.customer}/{self.root}/{self.program}"
--- a/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
@@ -19,7 +19,12 @@
 )
 from swifttide_daemon.membership import MembershipService
 from swifttide_daemon.peering._heartbeat import Heartbeat
-from swifttide_daemon.retention import CacheKeeper
+from swifttide_daemon.retention import (
+    CacheKeeper,
+    ExportedCache,
+    Judgements,
+    ListedPrograms,
+)
 from swifttide_daemon.strikes import StrikeService, strike_of
 from swifttide_daemon.targets import (
     AcquireRequest,
@@ -86,7 +91,8 @@
             Route("POST", "/peer/v1/targets/{target}/{verb}", self.target),
             Route("GET", "/peer/v1/fingerprints/{fingerprint}", self.standing),
             Route("POST", "/peer/v1/fingerprints/{fingerprint}/{verb}", self.strike),
-            Route("POST", "/peer/v1/programs/gone", self.gone),
+            Route("POST", "/peer/v1/programs/judge", self.judge_programs),
+            Route("POST", "/peer/v1/programs/exported", self.exported),
         ]
 
     def beat(self, req: Request) -> Response:
@@ -170,13 +176,21 @@
                 return _bad(f"got verb {verb!r}")
         return Response.from_json({})
 
-    def gone(self, req: Request) -> Response:
-        """Say which of the programs that a target lists are gone."""
-        listed = _decode(req, dict[str, list[str]])
+    def judge_programs(self, req: Request) -> Response:
+        """Say which of the programs that a target lists are gone or pause."""
+        listed = _decode(req, ListedPrograms)
         if listed.is_error():
             return Response.from_refusal(listed.error)
-        gone = self.caches.gone(listed.ok.get("programs", []))
-        return Response.from_json({"gone": gone})
+        judgements = self.caches.judge.judge(listed.ok.programs)
+        return Response.from_json(Judgements(judgements))
+
+    def exported(self, req: Request) -> Response:
+        """Note that a target's holder has moved a program's cache."""
+        exported = _decode(req, ExportedCache)
+        if exported.is_error():
+            return Response.from_refusal(exported.error)
+        self.caches.note_exported(exported.ok)
+        return Response.from_json({})
 
 
 def _lines(events: Iterator[Any]) -> Iterator[bytes]:
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_client.py
@@ -23,6 +23,7 @@
 """A lost answer is settled by sending the same transaction id again."""
 
 RETRY_PAUSE_SECONDS = 0.05
+OUTAGE_SECONDS = 2.0
 
 
 class PlatformClient:
@@ -51,8 +52,8 @@
         self.base_url = base_url.rstrip("/")
         self.headers = headers
         self.timeout = timeout
-        self.last_answer_at = time.monotonic()
-        self.available = True
+        self._answered_at = time.monotonic()
+        self._failing = False
 
     @classmethod
     def from_settings(cls, settings: Settings) -> "PlatformClient":
@@ -67,6 +68,16 @@
             ),
         )
 
+    @property
+    def available(self) -> bool:
+        """Whether a call is worth trying.
+
+        One lost answer is no outage: only when nothing has been answered for a
+        while are requests refused before they are sent.
+        """
+        silent = time.monotonic() - self._answered_at
+        return not self._failing or silent < OUTAGE_SECONDS
+
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         """Read one row; None when there is none."""
         answer = self._exchange("GET", f"/v1/rows/{table}/{quote(key, safe='')}")
@@ -159,14 +170,12 @@
                 timeout=self.timeout,
             )
         except (urllib3.exceptions.HTTPError, OSError) as exc:
-            self.available = False
+            self._failing = True
             sent = verdict_of(exc) is not Verdict.NOT_RUN
             return Error(PlatformError(type(exc).__name__, may_have_committed=sent))
-        if answer.status >= 500:
-            self.available = False
-        else:
-            self.available = True
-            self.last_answer_at = time.monotonic()
+        self._failing = answer.status >= 500
+        if not self._failing:
+            self._answered_at = time.monotonic()
         return Ok((answer.status, answer.data))
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_book.py
@@ -6,6 +6,7 @@
 from expression import Ok, Result
 
 from swifttide_core.programs import ProgramRow
+from swifttide_core.retention import PauseEstimator
 from swifttide_core.verdicts import Refusal
 from swifttide_daemon.calls import Call
 from swifttide_daemon.programs._chunk import Chunk, Message
@@ -34,6 +35,7 @@
 
     def __init__(self, store: ProgramStore) -> None:
         self.store = store
+        self.pauses = PauseEstimator()
         self._trees: dict[str, ProgramTree] = {}
         self._lock = threading.Lock()
 
@@ -47,7 +49,10 @@
         tree = self.tree(call)
         with tree.lock:
             entry = tree.programs.setdefault(call.program, ProgramEntry())
-            entry.active_at = time.monotonic()
+            now = time.monotonic()
+            if entry.active_at and entry.order.idle:
+                self.pauses.observe(call.profile, now - entry.active_at)
+            entry.active_at = now
             return entry
 
     def known_rows(
@@ -131,6 +136,15 @@
             return None
         return entry.active_at if entry.order.idle else time.monotonic()
 
+    def note_exported(
+        self, customer: str, root: str, program: str, cache: tuple[str, int]
+    ) -> None:
+        """Note where a paused program's cache was moved."""
+        tree = self._trees.get(f"{customer}/{root}")
+        entry = tree.programs.get(program) if tree else None
+        if entry is not None:
+            entry.exported = cache
+
     def trim(self) -> None:
         """Drop trees that are silent, and histories beyond what may be kept."""
         now = time.monotonic()
--- a/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/programs/_program_tree.py
@@ -40,12 +40,15 @@
         Conversation of these turns.
     active_at : float
         Monotonic seconds of the last call.
+    exported : tuple of (str, int) or None
+        Object that holds its cache, and the cache's tokens.
     """
 
     order: FifoLock = field(default_factory=FifoLock)
     chunks: tuple[str, ...] = ()
     messages: tuple[Message, ...] = ()
     active_at: float = 0.0
+    exported: tuple[str, int] | None = None
 
 
 @dataclass(slots=True)
--- a/packages/swifttide_daemon/src/swifttide_daemon/retention/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/retention/__init__.py
@@ -1,5 +1,19 @@
-"""Engine memory: what programs that are gone still hold."""
+"""Engine memory: what programs that are gone or pause still hold."""
 
 from swifttide_daemon.retention._cache_keeper import CacheKeeper
+from swifttide_daemon.retention._messages import (
+    ExportedCache,
+    Judgement,
+    Judgements,
+    ListedPrograms,
+)
+from swifttide_daemon.retention._program_judge import ProgramJudge
 
-__all__ = ["CacheKeeper"]
+__all__ = [
+    "CacheKeeper",
+    "ExportedCache",
+    "Judgement",
+    "Judgements",
+    "ListedPrograms",
+    "ProgramJudge",
+]
--- a/packages/swifttide_daemon/src/swifttide_daemon/retention/_cache_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/retention/_cache_keeper.py
@@ -1,9 +1,9 @@
-"""Engine memory of programs that are gone.
+"""Engine memory of programs that are gone or pause.
 
 An engine's cache events are late and have gaps, hosts die between a program's end and
 the release of its cache, and silent programs say nothing at all. What holds is the
 engine's own listing: the holder of a target reads it now and then, asks the
-holders of the listed programs which of them are gone, and orders the release again
+holders of the listed programs what became of them, and orders the release again
 and again until the listing shows it. Nothing has to be remembered for that, so a
 successor needs nothing from its predecessor.
 """
@@ -11,32 +11,40 @@
 import logging
 import threading
 import time
-from dataclasses import dataclass
 
-from swifttide_core.documents import DocumentKind, Profile, Target, TargetKind
-from swifttide_core.programs import ProgramRow, ProgramState
-from swifttide_core.slots import SlotKind
+import msgspec
+
+from swifttide_core.documents import Target, TargetKind
+from swifttide_core.retention import (
+    Drop,
+    EnginePressure,
+    Export,
+    HeldCache,
+    Keep,
+    RetentionConfig,
+    decide,
+    release_order,
+)
+from swifttide_core.slots import SlotKind, ranked_zones
 from swifttide_daemon.configuration import ConfigService
 from swifttide_daemon.membership import MembershipService
 from swifttide_daemon.peers import PeerClient
 from swifttide_daemon.programs import ProgramBook
+from swifttide_daemon.retention._messages import (
+    ExportedCache,
+    Judgement,
+    Judgements,
+    ListedPrograms,
+)
+from swifttide_daemon.retention._program_judge import ProgramJudge
 from swifttide_daemon.targets import EngineClient
 
 log = logging.getLogger(__name__)
 
 RECONCILE_SECONDS = 3.0
-DEFAULT_IDLE_SECONDS = 300.0
-"""For programs whose profile is gone."""
-
-
-@dataclass(frozen=True, slots=True)
-class _Seen:
-    """A program whose row this host has read, and since when it is unchanged."""
-
-    row_version: int
-    since: float
-    looked_at: float
-    profile: str = ""
+MAX_RELEASES = 200
+"""Orders to one engine in one round, so that a host that takes over slots with
+thousands of silent programs doesn't hold up the other engines."""
 
 
 class CacheKeeper:
@@ -47,6 +55,8 @@
     membership : MembershipService
     config : ConfigService
     book : ProgramBook
+    judge : ProgramJudge
+        For programs whose slots are held here.
     engines : EngineClient
     peers : PeerClient
     """
@@ -56,16 +66,18 @@
         membership: MembershipService,
         config: ConfigService,
         book: ProgramBook,
+        judge: ProgramJudge,
         engines: EngineClient,
         peers: PeerClient,
     ) -> None:
         self.membership = membership
         self.config = config
         self.book = book
+        self.judge = judge
         self.engines = engines
         self.peers = peers
+        self.cfg = RetentionConfig()
         self.held_bytes: dict[str, int] = {}
-        self._seen: dict[str, _Seen] = {}
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -77,21 +89,11 @@
         """Reconcile no more."""
         self._stop.set()
 
-    def gone(self, programs: list[str]) -> dict[str, int]:
-        """Return which of these programs are gone, with their fencing numbers.
-
-        Parameters
-        ----------
-        programs : list of str
-            ``customer/root/program``, of roots whose slots this host holds.
-        """
-        now = time.monotonic()
-        found = {}
-        for name in programs:
-            fencing = self._gone_since(name, now)
-            if fencing is not None:
-                found[name] = fencing
-        return found
+    def note_exported(self, exported: ExportedCache) -> None:
+        """Keep in mind, as a program's holder, where its cache was moved."""
+        customer, root, program = exported.program.split("/", 2)
+        cache = (exported.name, exported.tokens)
+        self.book.note_exported(customer, root, program, cache)
 
     def _run(self) -> None:
         while not self._stop.wait(RECONCILE_SECONDS):
@@ -105,7 +107,7 @@
                 except Exception:
                     # One odd listing must not keep the memory of other engines.
                     log.exception("reconciling failed", extra={"target": target.name})
-            self._forget_old()
+            self.judge.forget_old()
             self.book.trim()
 
     def _reconcile(self, target: Target) -> None:
@@ -113,69 +115,91 @@
         if listing is None:
             return
         self.held_bytes[target.name] = sum(listing.values())
+        judgements = self._judgements(tuple(listing))
+        self._release_gone(target, listing, judgements)
+        load = self.engines.load(target)
+        if load is not None:
+            capacity = load["cache_capacity_bytes"]
+            pressure = EnginePressure(sum(listing.values()), capacity)
+            self._thin_out(target, pressure, judgements)
+
+    def _release_gone(
+        self,
+        target: Target,
+        listing: dict[str, int],
+        judgements: list[Judgement],
+    ) -> None:
+        gone = {j.program: j for j in judgements if j.gone}
+        now = time.monotonic()
+        held = (HeldCache(p, target.name, listing[p], True, now) for p in gone)
+        for cache in release_order(held)[:MAX_RELEASES]:
+            fencing = gone[cache.program].fencing
+            self.engines.release(target, cache.program, fencing)
+
+    def _thin_out(
+        self, target: Target, pressure: EnginePressure, judgements: list[Judgement]
+    ) -> None:
+        """Take caches of paused programs out of a crowded engine."""
+        for judgement in judgements:
+            if judgement.gone or judgement.paused is None:
+                continue
+            match decide(time.monotonic(), self.cfg, judgement.paused, pressure):
+                case Keep():
+                    continue
+                case Export():
+                    self._export(target, judgement)
+                case Drop():
+                    self.engines.release(target, judgement.program, judgement.fencing)
+
+    def _export(self, target: Target, judgement: Judgement) -> None:
+        name = f"cache/{judgement.program}/{judgement.fencing}"
+        program, fencing = judgement.program, judgement.fencing
+        if not self.engines.export(target, program, name, fencing):
+            return
+        exported = ExportedCache(program, name, judgement.paused.cached_tokens)
+        for zone in self._zones_of(program):
+            holder = self.membership.holder(SlotKind.PROGRAM, _key(program), zone)
+            if holder is None:
+                continue
+            if holder.host == self.membership.me.host:
+                self.note_exported(exported)
+            else:
+                url = holder.peer_url
+                self.peers.call(url, "POST", "/peer/v1/programs/exported", exported)
+            break
+        self.engines.release(target, program, fencing)
+
+    def _judgements(self, programs: tuple[str, ...]) -> list[Judgement]:
         by_holder: dict[str, list[str]] = {}
-        for program in listing:
-            customer, _, rest = program.partition("/")
-            root, _, leaf = rest.partition("/")
-            if not leaf:
+        mine: list[str] = []
+        for program in programs:
+            if program.count("/") < 2:
                 continue
-            holder = self.membership.holder(SlotKind.PROGRAM, f"{customer}/{root}")
+            url = self._holder_url(program)
+            if url == self.membership.me.peer_url:
+                mine.append(program)
+            elif url:
+                by_holder.setdefault(url, []).append(program)
+        found = list(self.judge.judge(tuple(mine)))
+        for url, listed in by_holder.items():
+            message = ListedPrograms(tuple(listed))
+            answer = self.peers.call(url, "POST", "/peer/v1/programs/judge", message)
+            if answer.is_ok():
+                found.extend(msgspec.convert(answer.ok, Judgements).judgements)
+        return found
+
+    def _holder_url(self, program: str) -> str:
+        """Return the peers' URL of the program's holder, the home zone's first."""
+        for zone in self._zones_of(program):
+            holder = self.membership.holder(SlotKind.PROGRAM, _key(program), zone)
             if holder is not None:
-                by_holder.setdefault(holder.host, []).append(program)
-        for host, programs in by_holder.items():
-            for program, fencing in self._ask(host, programs).items():
-                self.engines.release(target, program, fencing)
-
-    def _ask(self, host: str, programs: list[str]) -> dict[str, int]:
-        if host == self.membership.me.host:
-            return self.gone(programs)
-        row = self.membership.view.hosts.get(host)
-        if row is None:
-            return {}
-        answer = self.peers.call(
-            row.peer_url, "POST", "/peer/v1/programs/gone", {"programs": programs}
-        )
-        return answer.ok["gone"] if answer.is_ok() else {}
-
-    def _gone_since(self, name: str, now: float) -> int | None:
-        """Return a program's fencing number if it is gone, else None."""
-        customer, root, program = name.split("/", 2)
-        active = self.book.active_since(customer, root, program)
-        seen = self._seen.get(name)
-        if seen is None or now - seen.looked_at >= RECONCILE_SECONDS / 2:
-            row = self.book.store.read(customer, program)
-            if row.is_error():
-                return None
-            if row.ok is None:
-                return self._without_row(name, active, now)
-            if row.ok.state is ProgramState.ENDED:
-                return row.ok.version
-            seen = self._note(name, row.ok, seen, now)
-        idle = self._idle_seconds(seen.profile)
-        last = max(seen.since, active or 0.0)
-        return seen.row_version if now - last >= idle else None
-
-    def _without_row(self, name: str, active: float | None, now: float) -> int | None:
-        """Judge a first turn that hasn't been committed, or that never will be."""
-        seen = self._seen.setdefault(name, _Seen(0, now, now))
-        last = max(seen.since, active or 0.0)
-        return 0 if now - last >= DEFAULT_IDLE_SECONDS else None
-
-    def _note(
-        self, name: str, row: ProgramRow, seen: _Seen | None, now: float
-    ) -> _Seen:
-        """Note the row's version; a change shows that the program ran, here or not."""
-        unchanged = seen is not None and seen.row_version == row.version
-        since = seen.since if unchanged else now
-        self._seen[name] = _Seen(row.version, since, now, row.profile)
-        return self._seen[name]
-
-    def _idle_seconds(self, profile_name: str) -> float:
-        profile = self.config.state.get(DocumentKind.PROFILE, profile_name)
-        if isinstance(profile, Profile):
-            return profile.idle_seconds
-        return DEFAULT_IDLE_SECONDS
-
-    def _forget_old(self) -> None:
-        limit = time.monotonic() - 10 * RECONCILE_SECONDS
-        self._seen = {n: s for n, s in self._seen.items() if s.looked_at > limit}
+                return holder.peer_url
+        return ""
+
+    def _zones_of(self, program: str) -> list[str]:
+        return ranked_zones(_key(program), self.membership.zones())
+
+
+def _key(program: str) -> str:
+    """Return the placement key of ``customer/root/program``."""
+    return program.rpartition("/")[0]
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/retention/_program_judge.py
@@ -0,0 +1,114 @@
+"""Which programs are gone, and which are paused, at their holder."""
+
+import threading
+import time
+from dataclasses import dataclass
+
+from swifttide_core.documents import DocumentKind, Profile
+from swifttide_core.programs import ProgramRow, ProgramState
+from swifttide_core.retention import PausedProgram
+from swifttide_daemon.configuration import ConfigService
+from swifttide_daemon.programs import ProgramBook
+from swifttide_daemon.retention._messages import Judgement
+
+DEFAULT_PROFILE = Profile("")
+"""For programs whose profile is gone."""
+
+LOOK_SECONDS = 1.5
+"""A program's row is read at most this often for all engines that list it."""
+
+FORGET_SECONDS = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """A program's row as last read, and since when its version stands still."""
+
+    row: ProgramRow | None
+    since: float
+    looked_at: float
+
+
+class ProgramJudge:
+    """Judges programs by their rows and by the calls that run here.
+
+    Parameters
+    ----------
+    config : ConfigService
+    book : ProgramBook
+    """
+
+    def __init__(self, config: ConfigService, book: ProgramBook) -> None:
+        self.config = config
+        self.book = book
+        self._seen: dict[str, _Seen] = {}
+        self._lock = threading.Lock()
+
+    def judge(self, programs: tuple[str, ...]) -> tuple[Judgement, ...]:
+        """Return what is known of programs whose slots this host holds."""
+        now = time.monotonic()
+        found = (self._judge(name, now) for name in programs)
+        return tuple(judgement for judgement in found if judgement is not None)
+
+    def forget_old(self) -> None:
+        """Drop what no engine has listed for a while."""
+        limit = time.monotonic() - FORGET_SECONDS
+        with self._lock:
+            seen = self._seen
+            self._seen = {n: s for n, s in seen.items() if s.looked_at > limit}
+
+    def _judge(self, name: str, now: float) -> Judgement | None:
+        customer, root, program = name.split("/", 2)
+        seen = self._look(name, customer, program, now)
+        if seen is None:
+            return None
+        row = seen.row
+        active = self.book.active_since(customer, root, program)
+        last = max(seen.since, active or 0.0)
+        version = row.version if row else 0
+        if row is not None and row.state is ProgramState.ENDED:
+            return Judgement(name, version, gone=True)
+        profile = self._profile(row)
+        if now - last >= profile.idle_seconds:
+            return Judgement(name, version, gone=True)
+        if row is None or last >= now - LOOK_SECONDS:
+            return Judgement(name, version)
+        return Judgement(name, version, paused=self._pause(row, profile, now - last))
+
+    def _pause(
+        self, row: ProgramRow, profile: Profile, paused_seconds: float
+    ) -> PausedProgram:
+        pauses = self.book.pauses
+        expected = pauses.expected(profile.name, profile.tool_pause_seconds)
+        upper = pauses.upper(profile.name, profile.tool_pause_seconds)
+        return PausedProgram(
+            cached_tokens=row.total_tokens,
+            expected_pause_seconds=max(0.0, expected - paused_seconds),
+            upper_pause_seconds=max(0.0, upper - paused_seconds),
+            idle_limit_seconds=max(0.0, profile.idle_seconds - paused_seconds),
+        )
+
+    def _look(self, name: str, customer: str, program: str, now: float) -> _Seen | None:
+        with self._lock:
+            seen = self._seen.get(name)
+        if seen is not None and now - seen.looked_at < LOOK_SECONDS:
+            return seen
+        read = self.book.store.read(customer, program)
+        if read.is_error():
+            return None
+        # A row whose version changes shows that the program ran, here or elsewhere. A
+        # first turn that was never committed has no row and counts from now.
+        unchanged = seen is not None and _version(seen.row) == _version(read.ok)
+        fresh = _Seen(read.ok, seen.since if unchanged else now, now)
+        with self._lock:
+            self._seen[name] = fresh
+        return fresh
+
+    def _profile(self, row: ProgramRow | None) -> Profile:
+        name = row.profile if row else ""
+        profile = self.config.state.get(DocumentKind.PROFILE, name)
+        return profile if isinstance(profile, Profile) else DEFAULT_PROFILE
+
+
+def _version(row: ProgramRow | None) -> int:
+    return row.version if row else 0
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_generator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_generator.py
@@ -113,6 +113,7 @@
     ) -> Generated:
         target = placement.target
         incarnation = self.crashes.incarnation(target)
+        self._import_cache(permit, prompt, placement)
         running.append(Started(target.name))
         with self.telemetry.span(
             "target",
@@ -130,6 +131,19 @@
                     self.engines.cancel(target, placement.ticket_id)
                 raise
 
+    def _import_cache(
+        self, permit: Permit, prompt: Prompt, placement: Placement
+    ) -> None:
+        """Give the engine a cache that was exported during a pause.
+
+        If it fails the engine computes the prompt anew.
+        """
+        if prompt.exported is None:
+            return
+        name, _tokens = prompt.exported
+        program = permit.call.program_path
+        self.engines.fetch(placement.target, program, name, prompt.fencing)
+
     def _read(
         self,
         permit: Permit,
@@ -261,13 +275,12 @@
 
 def _message(permit: Permit, prompt: Prompt) -> dict[str, object]:
     call = permit.call
-    program = "/".join((call.customer, call.root, call.program))
     return {
         "model": permit.profile.model,
         "messages": prompt.messages,
         "max_tokens": prompt.max_tokens,
         "stream": True,
-        "program": program if call.program else "",
+        "program": call.program_path,
     }
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_prompt.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_prompt.py
@@ -20,6 +20,8 @@
         Tokens of the history before the new messages.
     targets : tuple of str
         Engines that may hold the history's cache.
+    exported : tuple of (str, int) or None
+        Object that holds the history's cache, and its tokens.
     fencing : int
         Version of the program's row: an engine that checks it refuses a holder that
         was paused while another went on.
@@ -30,6 +32,7 @@
     fingerprint: str
     former_tokens: int = 0
     targets: tuple[str, ...] = ()
+    exported: tuple[str, int] | None = None
     fencing: int = 0
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/runners/_turn_runner.py
@@ -182,12 +182,14 @@
             messages = (*history.ok, *messages)
         rows = self.book.known_rows(self.permit.call, self.turn.keys[:1])
         row = rows[0] if rows else self.turn.new_program
+        exported, self.entry.exported = self.entry.exported, None
         return Prompt(
             messages=messages,
             max_tokens=self.max_tokens,
             fingerprint=self.generator.fingerprint(self.permit, messages),
             former_tokens=row.total_tokens,
             targets=row.targets,
+            exported=exported,
             fencing=row.version,
         )
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
@@ -131,6 +131,22 @@
         status = self._order("DELETE", target, path, {"X-Fencing": str(fencing)})
         return status in (200, 204, 404)
 
+    def export(self, target: Target, program: str, name: str, fencing: int) -> bool:
+        """Order the engine to write a program's cache to an object."""
+        return self._move(target, program, "export", name, fencing)
+
+    def fetch(self, target: Target, program: str, name: str, fencing: int) -> bool:
+        """Order the engine to read a program's cache from an object."""
+        return self._move(target, program, "import", name, fencing)
+
+    def _move(
+        self, target: Target, program: str, verb: str, name: str, fencing: int
+    ) -> bool:
+        path = f"/v1/cache/{quote(program, safe='')}/{verb}"
+        body = msgspec.json.encode({"object": name})
+        headers = {"X-Fencing": str(fencing), "Content-Type": "application/json"}
+        return self._order("POST", target, path, headers, body) == 200
+
     def _resume(
         self,
         target: Target,
@@ -211,12 +227,18 @@
             return None
 
     def _order(
-        self, method: str, target: Target, path: str, headers: dict[str, str]
+        self,
+        method: str,
+        target: Target,
+        path: str,
+        headers: dict[str, str],
+        body: bytes | None = None,
     ) -> int:
         try:
             answer = self.pool.request(
                 method,
                 target.url + path,
+                body=body,
                 headers=headers,
                 timeout=self._short_timeout(),
             )
