ENH Share customers' rates, tokens of budgets and crash marks among hosts

Shares stand in one conditional row and add up to one; tokens move by datagram from one host to another. Requests of programs under way wait for their customer's rate, new programs are refused at once. Hosts relay store calls for one that is turned away.

--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beacon.py
@@ -0,0 +1,56 @@
+"""What each host tells all others several times a second."""
+
+import msgspec
+
+
+class Beacon(msgspec.Struct, omit_defaults=True, tag="beacon"):
+    """One host's news.
+
+    Parameters
+    ----------
+    ip : str
+        Of the sender.
+    boot : str
+        Drawn anew at each start of its process.
+    number : int
+        Grows with each beacon of a boot; an older one that comes late is dropped.
+    store_up : bool
+        Whether it reaches the store.
+    config_version : int
+    outstanding : dict of str to int
+        Its requests under way, by target.
+    strikes : list of (str, str, str)
+        Fingerprint, target and incarnation of crashes it saw lately.
+    """
+
+    ip: str
+    boot: str
+    number: int
+    store_up: bool = True
+    config_version: int = 0
+    outstanding: dict[str, int] = {}
+    strikes: list[tuple[str, str, str]] = []
+
+
+class AskRate(msgspec.Struct, tag="ask_rate"):
+    """Ask for tokens of a customer's rate.
+
+    Parameters
+    ----------
+    customer : str
+    tokens : float
+        Most that are of use.
+    """
+
+    customer: str
+    tokens: float
+
+
+class LendRate(msgspec.Struct, tag="lend_rate"):
+    """Hand over tokens; they are no longer the lender's when this is sent."""
+
+    customer: str
+    tokens: float
+
+
+Datagram = Beacon | AskRate | LendRate
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import uuid
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -88,12 +89,22 @@
     store : SharedStore
     host : str
         Address of this host, under which others ask for tokens back.
+    ask_holders : callable
+        Asks other hosts, by address, to give a program's free tokens back; returns
+        whether one did.
     log : EventLog
     """
 
-    def __init__(self, store: SharedStore, host: str, log: EventLog):
+    def __init__(
+        self,
+        store: SharedStore,
+        host: str,
+        ask_holders: Callable[[tuple[str, ...], str], Awaitable[bool]],
+        log: EventLog,
+    ):
         self._store = store
         self._host = host
+        self._ask_holders = ask_holders
         self._log = log
         self._programs: dict[str, _Program] = {}
 
@@ -118,6 +129,10 @@
                 known.pool.reserve(most)
         return Reservation(known, most)
 
+    def knows(self, customer: str, program: str) -> bool:
+        """Whether turns of a program have been served here."""
+        return program_key(customer, program) in self._programs
+
     def settle(self, reservation: Reservation, generated: int) -> None:
         """Return what a turn didn't generate."""
         reservation.program.pool.settle(reservation.most, generated)
@@ -151,6 +166,7 @@
             return False
 
     async def _fetch(self, request_id, key, known, budget, most):
+        asked = False
         for _ in range(MAX_TRIES):
             account = known.account or ProgramAccount(budget)
             missing = most - known.pool.free
@@ -171,6 +187,14 @@
                     before = known.version
                     if not await self._read(key, known):
                         raise Refusal(503, "store_unavailable", RETRY_AFTER_SECONDS)
+                    if known.version == before and not asked:
+                        # A line of turns that moved here has left tokens where it
+                        # was: without them a program in good order would be stopped.
+                        asked = True
+                        others = tuple(h for h in account.holders if h != self._host)
+                        if others and await self._ask_holders(others, key):
+                            await self._read(key, known)
+                            continue
                     if known.version == before:
                         self._log.info(
                             "budget_spent",
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_datagrams.py
@@ -0,0 +1,94 @@
+"""Short messages between hosts.
+
+Datagrams of JSON: a lost one is followed by the next, and a stalled connection would
+hold back all that come after it.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from swifttide_daemon.gateway._beacon import AskRate, Beacon, Datagram, LendRate
+from swifttide_daemon.gateway._fleet import Fleet
+from swifttide_daemon.gateway._peer import Peer
+from swifttide_daemon.telemetry import EventLog
+
+INTERVAL_SECONDS = 0.2
+"""Between beacons; a fifth of a turn's usual time, so counts are fresh enough."""
+
+MAX_STRIKES = 8
+"""Crashes told in one beacon: some 100 bytes each, in a datagram of one packet."""
+
+_decoder = msgspec.json.Decoder(Datagram)
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Sends this host's beacon and carries other short messages.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    log : EventLog
+    """
+
+    def __init__(self, fleet: Fleet, log: EventLog):
+        self._fleet = fleet
+        self._log = log
+        self._transport = None
+        self._newest: dict[str, tuple[str, int]] = {}
+        self.compose: Callable[[int], Beacon] | None = None
+        self.on_beacon: Callable[[Beacon], None] = lambda beacon: None
+        self.on_ask: Callable[[AskRate], LendRate | None] = lambda ask: None
+        self.on_lend: Callable[[LendRate], None] = lambda lend: None
+
+    async def listen(self, ip: str, port: int) -> None:
+        """Open the port."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(ip, port)
+        )
+
+    async def run(self) -> None:
+        """Send beacons until cancelled."""
+        number = 0
+        while True:
+            number += 1
+            message = msgspec.json.encode(self.compose(number))
+            for peer in self._fleet.all():
+                self._transport.sendto(message, (peer.ip, peer.port))
+            self._fleet.note_silent()
+            await asyncio.sleep(INTERVAL_SECONDS * random.uniform(0.9, 1.1))
+
+    def send(self, peer: Peer, message: Datagram) -> None:
+        """Send a message; it may be lost."""
+        self._transport.sendto(msgspec.json.encode(message), (peer.ip, peer.port))
+
+    def datagram_received(self, data: bytes, addr) -> None:
+        """Take a datagram."""
+        try:
+            message = _decoder.decode(data)
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            self._log.warning("datagram_unreadable", peer=addr[0])
+            return
+        match message:
+            case Beacon():
+                self._take_beacon(message)
+            case AskRate():
+                answer = self.on_ask(message)
+                if answer is not None:
+                    self._transport.sendto(msgspec.json.encode(answer), addr)
+            case LendRate():
+                self.on_lend(message)
+
+    def error_received(self, exc: OSError) -> None:
+        """Ignore that a peer's port is closed: its silence says as much."""
+
+    def _take_beacon(self, beacon):
+        boot, number = self._newest.get(beacon.ip, ("", 0))
+        if beacon.boot == boot and beacon.number <= number:
+            return
+        self._newest[beacon.ip] = (beacon.boot, beacon.number)
+        self._fleet.heard(beacon.ip, beacon.store_up)
+        self.on_beacon(beacon)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
@@ -0,0 +1,146 @@
+"""The other hosts, and which of them are heard."""
+
+import asyncio
+import random
+
+import msgspec
+
+from swifttide_daemon.gateway._peer import Peer
+from swifttide_daemon.gateway._shared_store import (
+    Applied,
+    Put,
+    RowKey,
+    SharedStore,
+    StoredRow,
+    Transaction,
+)
+from swifttide_daemon.telemetry import EventLog
+
+TABLE = "fleet"
+HOST_PREFIX = "host/"
+
+HEARD_SECONDS = 1.0
+"""A host not heard for four beacons counts as out of reach."""
+
+REGISTER_RETRY_SECONDS = 0.3
+
+
+class Fleet:
+    """Hosts that registered in the store, and when each was last heard.
+
+    Being wrong here costs service, never a promise: what must not be wrong is decided
+    by rows under a condition.
+
+    Parameters
+    ----------
+    own : Peer
+    log : EventLog
+    """
+
+    def __init__(self, own: Peer, log: EventLog):
+        self.own = own
+        self._log = log
+        self._peers: dict[str, Peer] = {}
+        self._heard_at: dict[str, float] = {}
+        self._store_up: dict[str, bool] = {}
+        self._lost: set[str] = set()
+
+    async def register(self, store: SharedStore) -> None:
+        """Write this host's row, however long it takes."""
+        value = msgspec.json.encode(msgspec.structs.asdict(_HostRow.of(self.own)))
+        key = RowKey(TABLE, "", HOST_PREFIX + self.own.ip)
+        tx = Transaction(puts=(Put(key, value),))
+        while not isinstance(await store.commit(tx), Applied):
+            await asyncio.sleep(REGISTER_RETRY_SECONDS)
+
+    async def leave(self, store: SharedStore) -> None:
+        """Remove this host's row."""
+        key = RowKey(TABLE, "", HOST_PREFIX + self.own.ip)
+        await store.commit(Transaction(removes=(key,)))
+
+    def take_row(self, row: StoredRow) -> None:
+        """Take a row of the fleet's table."""
+        ip = row.key.key.removeprefix(HOST_PREFIX)
+        if ip == self.own.ip:
+            return
+        peer = _decode(row.value)
+        if peer is not None:
+            self._peers[ip] = peer
+        else:
+            self._peers.pop(ip, None)
+
+    def take_all(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take all rows; hosts that aren't among them have left."""
+        ips = {r.key.key.removeprefix(HOST_PREFIX) for r in rows}
+        for ip in set(self._peers) - ips:
+            del self._peers[ip]
+        for row in rows:
+            self.take_row(row)
+
+    def heard(self, ip: str, store_up: bool) -> None:
+        """Note a sign of life.
+
+        Parameters
+        ----------
+        ip : str
+        store_up : bool
+            Whether the peer reaches the store.
+        """
+        self._heard_at[ip] = asyncio.get_running_loop().time()
+        self._store_up[ip] = store_up
+        if ip in self._lost:
+            self._lost.discard(ip)
+            self._log.info("peer_regained", peer=ip)
+
+    def note_silent(self) -> None:
+        """Log peers that have fallen silent."""
+        alive = {p.ip for p in self.alive()}
+        for ip in set(self._heard_at) & set(self._peers) - alive - self._lost:
+            self._lost.add(ip)
+            self._log.warning("peer_lost", peer=ip)
+
+    def all(self) -> list[Peer]:
+        """Return every other host that registered."""
+        return list(self._peers.values())
+
+    def alive(self) -> list[Peer]:
+        """Return the hosts heard lately, those of the own zone first."""
+        now = asyncio.get_running_loop().time()
+        never = float("-inf")
+        found = [
+            p
+            for p in self._peers.values()
+            if now - self._heard_at.get(p.ip, never) < HEARD_SECONDS
+        ]
+        random.shuffle(found)
+        found.sort(key=lambda p: p.zone != self.own.zone)
+        return found
+
+    def by_ip(self, ip: str) -> Peer | None:
+        """Return a host by its address."""
+        return self._peers.get(ip)
+
+    def with_store(self) -> list[Peer]:
+        """Return the hosts heard lately that reach the store."""
+        return [p for p in self.alive() if self._store_up.get(p.ip)]
+
+
+class _HostRow(msgspec.Struct):
+    ip: str
+    port: int
+    zone: str
+    boot: str
+
+    @classmethod
+    def of(cls, peer: Peer):
+        return cls(peer.ip, peer.port, peer.zone, peer.boot)
+
+
+def _decode(value) -> Peer | None:
+    if value is None:
+        return None
+    try:
+        row = msgspec.json.decode(value, type=_HostRow)
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None
+    return Peer(row.ip, row.port, row.zone, row.boot)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -13,6 +13,7 @@
     TargetEntry,
     choose_target,
 )
+from swifttide_core.strikes import Refused, fingerprint_of
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._budget_keeper import BudgetKeeper, Reservation
 from swifttide_daemon.gateway._caller_channel import CallerChannel
@@ -21,6 +22,7 @@
 from swifttide_daemon.gateway._event_reader import EventReader
 from swifttide_daemon.gateway._rate_keeper import RateKeeper
 from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway._target_answer import (
     MayHaveRun,
     NotRun,
@@ -41,6 +43,14 @@
 KEEP_RETRY_SECONDS = 0.2
 """Pause between tries to store a turn while the store is away."""
 
+MAX_RATE_WAIT_SECONDS = 1.5
+"""Longest wait for a customer's rate: a turn of a program is sent again twice, and
+what waited longer would mostly be late."""
+
+RATE_WAIT_PART = 0.5
+"""Part of a request's time that it may spend waiting for its customer's rate; the rest
+is for the work."""
+
 DEFAULT_PATIENCE_SECONDS = 60.0
 """For a request whose caller and route name no time."""
 
@@ -57,21 +67,23 @@
     body: bytes
     reservation: Reservation | None
     channel: CallerChannel
+    fingerprint: str
 
-    def may_repeat(self, stream: "_Stream") -> bool:
+    def may_repeat(self, progress: "_Progress") -> bool:
         """Whether it may be sent again though it may have run.
 
         A stream without numbered events has no place at which to go on.
         """
-        if stream.n_events:
-            return self.route.resumable and stream.last_id is not None
+        if progress.n_events:
+            return self.route.resumable and progress.last_id is not None
         return self.route.repeatable or self.route.resumable
 
 
-class _Stream:
-    """What has been passed on of a stream."""
+class _Progress:
+    """What has become of a job so far."""
 
     def __init__(self):
+        self.sent: list[str] = []
         self.last_id: int | None = None
         self.n_events = 0
         self.output: list[bytes] = []
@@ -90,6 +102,7 @@
     budgets : BudgetKeeper
     turns : TurnKeeper
     rates : RateKeeper
+    strikes : StrikeKeeper
     log : EventLog
     """
 
@@ -103,6 +116,7 @@
         budgets: BudgetKeeper,
         turns: TurnKeeper,
         rates: RateKeeper,
+        strikes: StrikeKeeper,
         log: EventLog,
     ):
         self._zone = cfg.zone
@@ -113,6 +127,7 @@
         self._budgets = budgets
         self._turns = turns
         self._rates = rates
+        self._strikes = strikes
         self._log = log
 
     async def handle(self, req: CallerRequest, channel: CallerChannel) -> None:
@@ -150,22 +165,32 @@
         route, terms = self._check(req)
         patience = req.patience_seconds or DEFAULT_PATIENCE_SECONDS
         expires_at = req.received_at + min(patience, route.timeout_seconds)
-        service = self._beliefs.config.service(self._pick_service(route, req))
+        service = self._beliefs.config.service(self._pick_service(route))
         customer = terms.name if terms else ""
+        fingerprint = self._check_strikes(req, customer)
         if terms:
-            self._rates.take(terms, asyncio.get_running_loop().time())
-        body = await self._whole_input(req, route, customer)
-        reservation = await self._reserve(req, route, customer)
-        job = _Job(
-            req, route, service, customer, expires_at, body, reservation, channel
-        )
-        stream = _Stream()
+            wait = self._rate_wait(req, customer, expires_at)
+            await self._rates.take(req.id, terms, wait)
+        progress = _Progress()
         try:
-            await self._run_in_time(job, stream)
-        finally:
-            if reservation is not None:
-                used = stream.n_events * service.tokens_per_event
-                self._budgets.settle(reservation, used)
+            body = await self._whole_input(req, route, customer)
+            reservation = await self._reserve(req, route, customer)
+            job = _Job(
+                req,
+                route,
+                service,
+                customer,
+                expires_at,
+                body,
+                reservation,
+                channel,
+                fingerprint,
+            )
+            await self._run_in_time(job, progress)
+        except Refusal:
+            if terms and not progress.sent:
+                self._rates.refund(terms)
+            raise
 
     def _check(self, req) -> tuple[Route, CustomerTerms | None]:
         """Find route and customer; raises `Refusal`."""
@@ -180,7 +205,31 @@
             raise Refusal(401, "unknown_key")
         return route, terms
 
-    def _pick_service(self, route, req):
+    def _rate_wait(self, req, customer, expires_at) -> float:
+        """Return how long a request may wait for its customer's rate.
+
+        A program that is refused its next call is lost with all that was spent on
+        it; a new one has cost nothing yet.
+        """
+        turn = req.turn
+        if not turn.program:
+            return 0.0
+        known = self._budgets.knows(customer, turn.program)
+        if turn.budget_tokens and not turn.previous and not known:
+            return 0.0
+        left = expires_at - asyncio.get_running_loop().time()
+        return min(MAX_RATE_WAIT_SECONDS, left * RATE_WAIT_PART)
+
+    def _check_strikes(self, req, customer):
+        """Refuse a request that crashes whatever runs it; return its fingerprint."""
+        kind = f"{customer} {req.method} {req.path}"
+        fingerprint = fingerprint_of(req.body, kind)
+        match self._strikes.standing(fingerprint):
+            case Refused(seconds):
+                raise Refusal(503, "crashes_targets", seconds)
+        return fingerprint
+
+    def _pick_service(self, route):
         if len(route.services) == 1:
             return route.services[0].service
         weights = [w.weight for w in route.services]
@@ -204,18 +253,21 @@
             req.id, customer, turn.program, turn.budget_tokens, turn.most_tokens
         )
 
-    async def _run_in_time(self, job, stream):
+    async def _run_in_time(self, job, progress):
         """Run a job; end it with an answer when its time is up."""
-        sent = []
         try:
             async with asyncio.timeout_at(job.expires_at):
-                await self._run(job, stream, sent)
+                await self._run(job, progress)
         except TimeoutError:
-            if not sent:
+            if not progress.sent:
                 raise Refusal(503, "no_target_in_time", 0.2) from None
             raise Refusal(504, "target_too_slow") from None
+        finally:
+            if job.reservation is not None:
+                used = progress.n_events * job.service.tokens_per_event
+                self._budgets.settle(job.reservation, used)
 
-    async def _run(self, job, stream, sent):
+    async def _run(self, job, progress):
         """Send a job to targets until one answers it."""
         tried: set[str] = set()
         may_have_run: list[str] = []
@@ -224,9 +276,9 @@
             target = self._choose(job, tried, may_have_run)
             if target is None:
                 break
-            sent.append(target.id)
+            progress.sent.append(target.id)
             try:
-                await self._run_at(job, stream, target)
+                await self._run_at(job, progress, target)
                 return
             except TargetFailure as failure:
                 reason = failure.outcome.reason
@@ -236,9 +288,9 @@
                         tried.add(target.id)
                     case MayHaveRun():
                         may_have_run.append(target.id)
-                        if not job.may_repeat(stream):
+                        if not job.may_repeat(progress):
                             break
-        if may_have_run or stream.n_events:
+        if may_have_run or progress.n_events:
             raise Refusal(502, reason)
         raise Refusal(503, reason, random.uniform(0.1, 0.4))
 
@@ -251,6 +303,11 @@
             reason=outcome.reason,
         )
         self._health.failed(target.id, outcome)
+        match outcome:
+            case MayHaveRun(broken=True):
+                self._strikes.broke(job.fingerprint, target)
+            case NotRun(reached=False):
+                self._strikes.unreachable(target.id)
 
     def _choose(self, job, tried, may_have_run) -> TargetEntry | None:
         """Return the target to send to next, None when none is left.
@@ -269,7 +326,7 @@
         candidates = [Candidate(t, self._health.outstanding(t.id)) for t in healthy]
         return choose_target(candidates, self._zone, job.req.subject)
 
-    async def _run_at(self, job, stream, target):
+    async def _run_at(self, job, progress, target):
         loop = asyncio.get_running_loop()
         req = job.req
         fields = self._dialect.target_fields(
@@ -277,7 +334,7 @@
             job.customer,
             target.id,
             job.expires_at - loop.time(),
-            stream.last_id,
+            progress.last_id,
             len(job.body),
         )
         exchange = None
@@ -291,20 +348,21 @@
                 fields,
                 job.body,
             )
-            await self._pass_on(job, stream, exchange)
+            await self._pass_on(job, progress, exchange)
             self._health.answered(target.id)
+            self._strikes.ran(job.fingerprint)
         finally:
             self._health.ended_request(target.id)
             if exchange is not None and not exchange.complete:
                 exchange.cancel()
 
-    async def _pass_on(self, job, stream, exchange: TargetExchange):
+    async def _pass_on(self, job, progress, exchange: TargetExchange):
         head = exchange.head
         is_stream = job.route.kind is RequestKind.STREAMING and head.status == 200
         if is_stream:
-            await self._pass_on_events(job, stream, exchange)
+            await self._pass_on_events(job, progress, exchange)
             return
-        if stream.n_events or job.channel.started:
+        if progress.n_events or job.channel.started:
             exchange.cancel()
             raise TargetFailure(MayHaveRun(f"answered {head.status} to a resumption"))
         body = await exchange.read_body()
@@ -314,7 +372,7 @@
         await job.channel.answer(head.status, self._dialect.answer_fields(head), body)
         self._log_served(job, exchange.target, head.status, 0)
 
-    async def _pass_on_events(self, job, stream, exchange):
+    async def _pass_on_events(self, job, progress, exchange):
         head = exchange.head
         if not job.channel.started:
             fields = self._dialect.answer_fields(head)
@@ -322,12 +380,12 @@
         reader = EventReader()
         while (piece := await exchange.read_piece()) is not None:
             for event in self._whole_events(reader, piece, exchange):
-                await self._pass_on_event(job, stream, event)
+                await self._pass_on_event(job, progress, event)
         if reader.within_event:
             raise TargetFailure(MayHaveRun("ended within an event"))
-        await self._keep_turn(job, stream)
+        await self._keep_turn(job, progress)
         await job.channel.finish()
-        self._log_served(job, exchange.target, head.status, stream.n_events)
+        self._log_served(job, exchange.target, head.status, progress.n_events)
 
     def _whole_events(self, reader, piece, exchange):
         try:
@@ -336,18 +394,18 @@
             exchange.cancel()
             raise TargetFailure(MayHaveRun(str(exc))) from exc
 
-    async def _pass_on_event(self, job, stream, event):
+    async def _pass_on_event(self, job, progress, event):
         if event.id is not None:
-            if stream.last_id is not None and event.id <= stream.last_id:
+            if progress.last_id is not None and event.id <= progress.last_id:
                 # Passed on before the stream was resumed.
                 return
-            stream.last_id = event.id
-        stream.n_events += 1
+            progress.last_id = event.id
+        progress.n_events += 1
         if job.route.keeps_turns and event.has_data:
-            stream.output.append(event.data + b"\n")
+            progress.output.append(event.data + b"\n")
         await job.channel.write(event.raw)
 
-    async def _keep_turn(self, job, stream):
+    async def _keep_turn(self, job, progress):
         """Store the turn before its answer ends.
 
         From the end of its answer on a caller may name the turn, at any host. Stored
@@ -355,7 +413,7 @@
         """
         if not job.route.keeps_turns:
             return
-        transcript = job.body + b"".join(stream.output)
+        transcript = job.body + b"".join(progress.output)
         while not await self._turns.keep(job.customer, job.req.id, transcript):
             await asyncio.sleep(KEEP_RETRY_SECONDS)
 
@@ -364,6 +422,7 @@
         self._log.info(
             "request_served",
             request_id=job.req.id,
+            customer=job.customer,
             target=target.id,
             status=status,
             n_events=n_events,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -1,20 +1,42 @@
 """One gateway: its parts, its start and its stop."""
 
 import asyncio
+import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from swifttide_core.forwarding import RequestLimits, RoutingConfig, TargetEntry
+from swifttide_daemon.gateway._beacon import Beacon
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway._connection_pool import ConnectionPool
+from swifttide_daemon.gateway._datagrams import MAX_STRIKES, Datagrams
 from swifttide_daemon.gateway._dialect import Dialect
+from swifttide_daemon.gateway._fleet import HOST_PREFIX, Fleet
+from swifttide_daemon.gateway._fleet import TABLE as FLEET_TABLE
 from swifttide_daemon.gateway._forwarder import Forwarder
 from swifttide_daemon.gateway._frontend import Frontend
+from swifttide_daemon.gateway._peer import Peer
+from swifttide_daemon.gateway._peer_client import PeerClient
+from swifttide_daemon.gateway._peer_messages import (
+    Done,
+    GiveBackTokens,
+    PeerAnswer,
+    PeerRequest,
+    RelayChanges,
+    RelayCommit,
+    RelayRead,
+    StoreOutcome,
+)
+from swifttide_daemon.gateway._peer_server import PeerServer
 from swifttide_daemon.gateway._rate_keeper import RateKeeper
 from swifttide_daemon.gateway._ready_server import ReadyServer
+from swifttide_daemon.gateway._relayed_store import RelayedStore
 from swifttide_daemon.gateway._settings import GatewaySettings
+from swifttide_daemon.gateway._share_keeper import KEY as SHARES_KEY
+from swifttide_daemon.gateway._share_keeper import ShareKeeper
 from swifttide_daemon.gateway._shared_store import SharedStore, StoredRow
+from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway._table_watch import TableWatch
 from swifttide_daemon.gateway._target_client import TargetClient
 from swifttide_daemon.gateway._target_health import TargetHealth
@@ -28,6 +50,12 @@
 STOP_MARGIN_SECONDS = 1.0
 """The process ends this long before it would be killed."""
 
+SHARE_WAIT_SECONDS = 4.0
+"""Longest time that a new host waits for its share of the rates."""
+
+GIVE_BACK_SECONDS = 0.15
+"""Time for another host to write a program's free tokens back."""
+
 HOUSEKEEPING_SECONDS = 0.5
 """Between looks at idle connections and lapsed targets."""
 
@@ -85,21 +113,25 @@
         self._decoders = decoders
         self._log = log
         self.beliefs = Beliefs(log)
+        self._health = TargetHealth()
+        self._strikes = StrikeKeeper(log)
+        self._connect_fleet(store)
         self._forwarder = Forwarder(
             cfg,
             self.beliefs,
             dialect,
             TargetClient(dialect, pool),
-            TargetHealth(),
-            BudgetKeeper(store, cfg.ip, log),
-            TurnKeeper(store, cfg.row_bytes, log),
-            RateKeeper(1.0),
+            self._health,
+            self._budgets,
+            TurnKeeper(self._store, cfg.row_bytes, log),
+            self._rates,
+            self._strikes,
             log,
         )
         self._front = Frontend(dialect, self._limits, self._forwarder.handle, log)
         self._ready = ReadyServer(decoders.ready_path, self._is_ready)
         self._config_watch = TableWatch(
-            store,
+            self._store,
             decoders.config_table,
             self._take_config_rows,
             self._take_config_rows,
@@ -107,23 +139,55 @@
             log,
         )
         self._targets_watch = TableWatch(
-            store,
+            self._store,
             decoders.targets_table,
             self._take_all_targets,
             self._take_changed_targets,
             self._note_store,
             log,
         )
+        self._fleet_watch = TableWatch(
+            self._store,
+            FLEET_TABLE,
+            self._take_all_hosts,
+            self._take_changed_hosts,
+            lambda up: None,
+            log,
+        )
         self._store_up = True
 
+    def _connect_fleet(self, store):
+        cfg, log = self._cfg, self._log
+        own = Peer(cfg.ip, cfg.peer_port, cfg.zone, uuid.uuid4().hex[:12])
+        self._fleet = Fleet(own, log)
+        self._peers = PeerClient(self._pool)
+        self._direct_store = store
+        self._store = RelayedStore(store, self._fleet, self._peers, log)
+        self._datagrams = Datagrams(self._fleet, log)
+        self._rates = RateKeeper(cfg, self._fleet, self._datagrams.send, log)
+        self._shares = ShareKeeper(self._store, cfg.ip, self._rates, log)
+        self._budgets = BudgetKeeper(self._store, cfg.ip, self._ask_holders, log)
+        self._peer_server = PeerServer(self._answer_peer, log)
+        self._datagrams.compose = self._compose_beacon
+        self._datagrams.on_beacon = self._take_beacon
+        self._datagrams.on_ask = self._rates.lend
+        self._datagrams.on_lend = self._rates.receive
+
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then leave without cutting a request."""
         cfg = self._cfg
         self._log.info("start", ip=cfg.ip, port=cfg.caller_port)
+        self._started_at = asyncio.get_running_loop().time()
+        await self._datagrams.listen(cfg.ip, cfg.peer_port)
+        await self._peer_server.listen(cfg.ip, cfg.peer_port)
         async with asyncio.TaskGroup() as tasks:
             background = [
                 tasks.create_task(self._config_watch.run()),
                 tasks.create_task(self._targets_watch.run()),
+                tasks.create_task(self._fleet_watch.run()),
+                tasks.create_task(self._fleet.register(self._store)),
+                tasks.create_task(self._shares.run()),
+                tasks.create_task(self._datagrams.run()),
                 tasks.create_task(self._keep_house()),
             ]
             await self._front.listen(cfg.ip, cfg.caller_port)
@@ -151,9 +215,17 @@
         while self._front.n_busy and loop.time() < ends:
             await asyncio.sleep(0.05)
         self._log.info("left", busy=self._front.n_busy)
+        await self._fleet.leave(self._store)
 
     def _is_ready(self) -> bool:
-        return self.beliefs.complete and not self._front.stopping
+        """Whether new connections are welcome.
+
+        Without a share of the customers' rates a host would refuse what the others
+        could serve; it waits for one, but not for long.
+        """
+        waited = asyncio.get_running_loop().time() - self._started_at
+        has_share = self._rates.share > 0 or waited > SHARE_WAIT_SECONDS
+        return self.beliefs.complete and has_share and not self._front.stopping
 
     def _limits(self) -> RequestLimits:
         cfg = self.beliefs.config
@@ -165,6 +237,57 @@
             self._pool.close_expired()
             self.beliefs.drop_lapsed()
 
+    async def _answer_peer(self, request: PeerRequest) -> PeerAnswer:
+        """Carry out another host's call."""
+        store = self._direct_store
+        match request:
+            case GiveBackTokens(program):
+                return Done(await self._budgets.give_back(program))
+            case RelayCommit(tx):
+                return StoreOutcome.of(await store.commit(tx))
+            case RelayRead(table, part, start, end):
+                return StoreOutcome.of(await store.read(table, part, start, end))
+            case RelayChanges(table, after, seconds):
+                return StoreOutcome.of(await store.changes(table, after, seconds))
+
+    async def _ask_holders(self, ips: tuple[str, ...], program: str) -> bool:
+        """Ask hosts to give a program's free tokens back; whether one did."""
+        peers = [p for ip in ips if (p := self._fleet.by_ip(ip)) is not None]
+        calls = [
+            self._peers.call(p, GiveBackTokens(program), GIVE_BACK_SECONDS)
+            for p in peers
+        ]
+        answers = await asyncio.gather(*calls)
+        return any(isinstance(a, Done) and a.ok for a in answers)
+
+    def _compose_beacon(self, number: int) -> Beacon:
+        return Beacon(
+            ip=self._cfg.ip,
+            boot=self._fleet.own.boot,
+            number=number,
+            store_up=self._store.direct_up,
+            config_version=self.beliefs.config.version if self.beliefs.config else 0,
+            outstanding=self._health.own_counts(),
+            strikes=self._strikes.news()[:MAX_STRIKES],
+        )
+
+    def _take_beacon(self, beacon: Beacon) -> None:
+        self._health.told(beacon.ip, beacon.outstanding)
+        self._strikes.take(beacon.strikes)
+
+    def _take_all_hosts(self, rows: tuple[StoredRow, ...]) -> None:
+        self._fleet.take_all(
+            tuple(r for r in rows if r.key.key.startswith(HOST_PREFIX))
+        )
+        self._take_changed_hosts(rows)
+
+    def _take_changed_hosts(self, rows: tuple[StoredRow, ...]) -> None:
+        for row in rows:
+            if row.key.key.startswith(HOST_PREFIX):
+                self._fleet.take_row(row)
+            elif row.key.key == SHARES_KEY:
+                self._shares.take_row(row)
+
     def _note_store(self, up: bool) -> None:
         if up and not self._store_up:
             self.beliefs.store_returned()
@@ -180,6 +303,7 @@
                 self._log.error("configuration_unreadable", detail=str(exc))
                 continue
             self.beliefs.take_config(cfg, "store")
+            self._rates.follow(cfg.customers)
 
     def _take_all_targets(self, rows: tuple[StoredRow, ...]) -> None:
         entries = {}
@@ -187,14 +311,17 @@
             entry = self._decode_target(row)
             if entry is not None:
                 entries[entry.id] = entry
+                self._strikes.seen(entry)
         self.beliefs.replace_targets(entries)
 
     def _take_changed_targets(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
             entry = self._decode_target(row)
             if entry is not None:
+                self._strikes.seen(entry)
                 self.beliefs.put_target(entry)
             else:
+                self._strikes.left(row.key.key)
                 self.beliefs.remove_target(row.key.key)
 
     def _decode_target(self, row):
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer.py
@@ -0,0 +1,23 @@
+"""Another host of the fleet."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A host as it registered itself.
+
+    Parameters
+    ----------
+    ip : str
+    port : int
+        For calls and beacons from other hosts.
+    zone : str
+    boot : str
+        Drawn anew at each start of its process.
+    """
+
+    ip: str
+    port: int
+    zone: str
+    boot: str
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_client.py
@@ -0,0 +1,66 @@
+"""Calls to other hosts."""
+
+import asyncio
+
+import h11
+import msgspec
+
+from swifttide_daemon.gateway._connection_pool import ConnectionPool
+from swifttide_daemon.gateway._peer import Peer
+from swifttide_daemon.gateway._peer_messages import (
+    PeerAnswer,
+    PeerRequest,
+    decode_answer,
+    encode,
+)
+from swifttide_daemon.gateway._peer_server import MAX_BODY_BYTES, PATH
+
+
+class PeerClient:
+    """Calls other hosts.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+    """
+
+    def __init__(self, pool: ConnectionPool):
+        self._pool = pool
+
+    async def call(
+        self, peer: Peer, request: PeerRequest, seconds: float
+    ) -> PeerAnswer | None:
+        """Make a call; None when there was no answer in time.
+
+        Whether the call was carried out isn't known then.
+        """
+        body = encode(request)
+        fields = [
+            (b"Host", f"{peer.ip}:{peer.port}".encode()),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(body)).encode()),
+        ]
+        conn = None
+        try:
+            async with asyncio.timeout(seconds):
+                conn, _ = await self._pool.take(peer.ip, peer.port)
+                conn.send("POST", PATH, fields, body)
+                await conn.read_head()
+                raw = await conn.read_body(MAX_BODY_BYTES)
+                answer = decode_answer(raw)
+        except (
+            OSError,
+            EOFError,
+            h11.RemoteProtocolError,
+            msgspec.DecodeError,
+            msgspec.ValidationError,
+        ):
+            if conn is not None:
+                conn.close()
+            return None
+        except BaseException:
+            if conn is not None:
+                conn.close()
+            raise
+        self._pool.give_back(peer.ip, peer.port, conn, None)
+        return answer
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_server.py
@@ -0,0 +1,94 @@
+"""Answers calls of other hosts."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import h11
+import msgspec
+
+from swifttide_daemon.gateway._peer_messages import (
+    PeerAnswer,
+    PeerRequest,
+    decode_request,
+    encode,
+)
+from swifttide_daemon.gateway._sockets import tune
+from swifttide_daemon.telemetry import EventLog
+
+PATH = "/peer"
+READ_BYTES = 65_536
+IDLE_SECONDS = 30.0
+MAX_BODY_BYTES = 4_194_304
+
+
+class PeerServer:
+    """A port for the other hosts: JSON over HTTP, one task a connection.
+
+    Parameters
+    ----------
+    handle : callable
+        Carries out a call.
+    log : EventLog
+    """
+
+    def __init__(
+        self, handle: Callable[[PeerRequest], Awaitable[PeerAnswer]], log: EventLog
+    ):
+        self._handle = handle
+        self._log = log
+        self._server = None
+
+    async def listen(self, ip: str, port: int) -> int:
+        """Accept connections; return the port."""
+        self._server = await asyncio.start_server(self._serve, ip, port)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        http = h11.Connection(h11.SERVER)
+        try:
+            tune(writer.get_extra_info("socket"))
+            while await self._serve_one(http, reader, writer):
+                http.start_next_cycle()
+        except (OSError, EOFError, h11.ProtocolError) as exc:
+            self._log.debug("peer_connection_lost", detail=type(exc).__name__)
+        finally:
+            writer.close()
+
+    async def _serve_one(self, http, reader, writer) -> bool:
+        body = await self._read(http, reader)
+        if body is None:
+            return False
+        try:
+            answer = encode(await self._handle(decode_request(body)))
+            status = 200
+        except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+            self._log.warning("peer_call_unreadable", detail=str(exc))
+            answer, status = b"", 400
+        fields = [
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(answer)).encode()),
+        ]
+        data = http.send(h11.Response(status_code=status, headers=fields))
+        data += http.send(h11.Data(data=answer))
+        data += http.send(h11.EndOfMessage())
+        writer.write(data)
+        await writer.drain()
+        return http.our_state is h11.DONE and http.their_state is h11.DONE
+
+    async def _read(self, http, reader) -> bytes | None:
+        body = bytearray()
+        while True:
+            match http.next_event():
+                case h11.Data(data=data):
+                    body += data
+                    if len(body) > MAX_BODY_BYTES:
+                        return None
+                case h11.EndOfMessage():
+                    return bytes(body)
+                case h11.ConnectionClosed():
+                    return None
+                case h11.Request():
+                    continue
+                case _:
+                    async with asyncio.timeout(IDLE_SECONDS):
+                        http.receive_data(await reader.read(READ_BYTES))
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_strike_keeper.py
@@ -0,0 +1,92 @@
+"""Requests that crash targets, known at all hosts."""
+
+import asyncio
+from collections import deque
+
+from swifttide_core.forwarding import TargetEntry
+from swifttide_core.strikes import (
+    Clear,
+    CrashWatch,
+    Refused,
+    Strike,
+    StrikeBook,
+    Suspect,
+)
+from swifttide_daemon.telemetry import EventLog
+
+TELL_SECONDS = 2.0
+"""How long a strike stands in this host's beacons: ten of them."""
+
+GONE = "gone"
+"""Stands for the unknown next incarnation of a target that refuses connections."""
+
+
+class StrikeKeeper:
+    """Tells crashes from cuts, and remembers who was running.
+
+    Parameters
+    ----------
+    log : EventLog
+    """
+
+    def __init__(self, log: EventLog):
+        self._log = log
+        self._book = StrikeBook()
+        self._watches: dict[str, CrashWatch] = {}
+        self._news: deque[tuple[float, Strike]] = deque()
+
+    def broke(self, fingerprint: str, target: TargetEntry) -> None:
+        """Note a request whose connection broke."""
+        watch = self._watches.setdefault(target.id, CrashWatch(target.id))
+        watch.broke(fingerprint, str(target.started_ms))
+
+    def unreachable(self, target_id: str) -> None:
+        """Note that nothing listens at a target's address any longer."""
+        self._conclude(target_id, GONE)
+
+    def seen(self, target: TargetEntry) -> None:
+        """Note a target's entry: another start means that it had ended."""
+        self._conclude(target.id, str(target.started_ms))
+
+    def left(self, target_id: str) -> None:
+        """Note that a target's entry is gone."""
+        self._conclude(target_id, GONE)
+        self._watches.pop(target_id, None)
+
+    def ran(self, fingerprint: str) -> None:
+        """Note that a target ran a request to its end."""
+        self._book.ran(self._now(), fingerprint)
+
+    def standing(self, fingerprint: str) -> Clear | Suspect | Refused:
+        """Return what is held against a request."""
+        return self._book.standing(self._now(), fingerprint)
+
+    def take(self, strikes: list[tuple[str, str, str]]) -> None:
+        """Take strikes that another host tells."""
+        for fingerprint, target, incarnation in strikes:
+            self._book.strike(self._now(), Strike(fingerprint, target, incarnation))
+
+    def news(self) -> list[tuple[str, str, str]]:
+        """Return the strikes to tell other hosts."""
+        now = self._now()
+        while self._news and now - self._news[0][0] > TELL_SECONDS:
+            self._news.popleft()
+        return [(s.fingerprint, s.target, s.incarnation) for _, s in self._news]
+
+    def _conclude(self, target_id, incarnation):
+        watch = self._watches.get(target_id)
+        if watch is None:
+            return
+        for strike in watch.seen(incarnation):
+            self._add(strike)
+
+    def _add(self, strike):
+        now = self._now()
+        self._book.strike(now, strike)
+        self._news.append((now, strike))
+        self._log.warning(
+            "strike", fingerprint=strike.fingerprint, target=strike.target
+        )
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_table_watch.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_table_watch.py
@@ -13,8 +13,9 @@
 )
 from swifttide_daemon.telemetry import EventLog
 
-WAIT_SECONDS = 10.0
-"""How long one question for changes waits; long against the price of a call."""
+WAIT_SECONDS = 2.0
+"""How long one question for changes waits. A store that has fallen silent is noticed
+a second later; each question costs a call."""
 
 MIN_PAUSE_SECONDS = 0.1
 """Pause after changes, so that a busy table costs ten calls a second at most."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_answer.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_answer.py
@@ -53,9 +53,18 @@
 
 @dataclass(frozen=True, slots=True)
 class MayHaveRun:
-    """Nothing is known: the request may have run."""
+    """Nothing is known: the request may have run.
+
+    Parameters
+    ----------
+    reason : str
+        For the log.
+    broken : bool
+        Whether the connection broke while the request was at the target.
+    """
 
     reason: str
+    broken: bool = False
 
 
 class TargetFailure(Exception):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_client.py
@@ -53,7 +53,8 @@
             piece = await self._conn.read_data()
         except (OSError, h11.RemoteProtocolError, EOFError) as exc:
             self.cancel()
-            raise TargetFailure(MayHaveRun(f"broke off: {describe(exc)}")) from exc
+            reason = f"broke off: {describe(exc)}"
+            raise TargetFailure(MayHaveRun(reason, broken=True)) from exc
         if piece is None:
             self.complete = True
             self._pool.give_back(
@@ -124,7 +125,7 @@
         except (OSError, h11.RemoteProtocolError, EOFError) as exc:
             conn.close()
             reason = f"no answer: {describe(exc)}"
-            raise TargetFailure(MayHaveRun(reason)) from exc
+            raise TargetFailure(MayHaveRun(reason, broken=True)) from exc
         except BaseException:
             # The caller has left or time is up: the target is to stop its work.
             conn.close()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_health.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_health.py
@@ -9,6 +9,9 @@
 """How long a target is left alone after a failure; it is tried again when no other
 is usable."""
 
+TOLD_SECONDS = 1.0
+"""Another host's counts hold for so long: five beacons."""
+
 
 @dataclass(slots=True)
 class _State:
@@ -22,7 +25,7 @@
 
     def __init__(self):
         self._states: dict[str, _State] = {}
-        self.elsewhere: dict[str, float] = {}
+        self._elsewhere: dict[str, tuple[float, dict[str, int]]] = {}
 
     def sent(self, target_id: str) -> None:
         """Count a request that goes to a target."""
@@ -61,8 +64,27 @@
 
     def outstanding(self, target_id: str) -> float:
         """Return the requests under way at a target, from all hosts."""
-        own = self._state(target_id).outstanding
-        return own + self.elsewhere.get(target_id, 0.0)
+        now = asyncio.get_running_loop().time()
+        elsewhere = sum(
+            counts.get(target_id, 0)
+            for told_at, counts in self._elsewhere.values()
+            if now - told_at < TOLD_SECONDS
+        )
+        return self._state(target_id).outstanding + elsewhere
+
+    def told(self, host: str, counts: dict[str, int]) -> None:
+        """Take another host's requests under way, by target."""
+        self._elsewhere[host] = (asyncio.get_running_loop().time(), counts)
+
+    def own_counts(self) -> dict[str, int]:
+        """Return this host's requests under way, by target."""
+        return {t: s.outstanding for t, s in self._states.items() if s.outstanding > 0}
+
+    def forget(self, target_id: str) -> None:
+        """Drop what is known of a target that has left."""
+        state = self._states.get(target_id)
+        if state is not None and not state.outstanding:
+            del self._states[target_id]
 
     def _state(self, target_id):
         state = self._states.get(target_id)
