--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -113,6 +113,7 @@
         self._decoders = decoders
         self._log = log
         self.beliefs = Beliefs(log)
+        self._started_at = float("inf")
         self._health = TargetHealth()
         self._strikes = StrikeKeeper(log)
         self._connect_fleet(store)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
@@ -220,11 +220,17 @@
             if not account.queue:
                 break
             if account.borrowed <= before:
-                await asyncio.sleep(PAUSE_SECONDS)
+                await asyncio.sleep(min(PAUSE_SECONDS, self._until_refilled(account)))
                 self._serve_queue(account)
         if self._missing(account) > 0:
             account.empty_until = self._now() + PAUSE_SECONDS
 
+    def _until_refilled(self, account) -> float:
+        """Return the seconds until this host's own share yields a token."""
+        rate = account.bucket.rate
+        short = 1.0 - account.borrowed - account.bucket.level
+        return max(ROUND_SECONDS, short / rate) if rate else PAUSE_SECONDS
+
     def _missing(self, account) -> float:
         held = account.borrowed + account.bucket.level
         return len(account.queue) + min(1.0, self._kept(account)) - held
@@ -247,7 +253,10 @@
         bucket = account.bucket
         if bucket.rate != rate or bucket.burst != burst:
             bucket.refill(now)
+            had_no_share = bucket.burst == 0
             bucket.level = min(bucket.level, burst)
+            if had_no_share:
+                bucket.level = burst * START_LEVEL
             bucket.rate, bucket.burst = rate, burst
         account.terms = terms
         return account
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_share_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_share_keeper.py
@@ -39,6 +39,9 @@
 CHECK_SECONDS = 1.0
 """Between looks at the shares."""
 
+SPREAD_SECONDS = 0.3
+"""Over which the hosts of a fleet that starts write their first entries."""
+
 READ_RETRY_SECONDS = 0.2
 """Pause before the row is read again while the store is away."""
 
@@ -89,7 +92,7 @@
         await self._read()
         # All hosts of a fleet start together: spread out, they conflict less.
         if self._ip not in self._entries:
-            await asyncio.sleep(random.uniform(0.0, CHECK_SECONDS))
+            await asyncio.sleep(random.uniform(0.0, SPREAD_SECONDS))
         while True:
             for _ in range(4):
                 if await self._adjust():
