ENH Notice silent targets, and send callers of a cut-off zone elsewhere

Cause: in the cut of a zone its hosts refused every new program for six seconds, though callers reach hosts of other zones; and what was under way at targets across the cut stayed silent until its deadline. Ruled out: the targets' own work (their runs ended well, their answers were lost), and the restart after the last fault (ready in 0.4 s).

A host that reaches neither store nor other zones says that it isn't ready and closes callers' connections after their answers. After 0.4 s of silence a target is tried with a new connection; out of reach, its requests end or go on elsewhere, and it gets no work until a connection succeeds.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
@@ -119,6 +119,14 @@
         found.sort(key=lambda p: p.zone != self.own.zone)
         return found
 
+    def is_alone(self) -> bool:
+        """Whether all hosts of other zones, or all hosts at all, have fallen silent."""
+        zones = {p.zone for p in self._peers.values()} - {self.own.zone}
+        heard = {p.zone for p in self.alive()}
+        if zones:
+            return not heard & zones
+        return bool(self._peers) and not heard
+
     def by_ip(self, ip: str) -> Peer | None:
         """Return a host by its address."""
         return self._peers.get(ip)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from swifttide_core.forwarding import (
@@ -40,9 +41,16 @@
 MAX_SENDS = 5
 """Targets asked for one request, those that refused it unrun included."""
 
+KEEP_SECONDS = 1.8
+"""Longest time that a turn's end waits for the store: callers leave after two seconds
+without an event, and then send the turn again."""
+
 KEEP_RETRY_SECONDS = 0.2
 """Pause between tries to store a turn while the store is away."""
 
+ELSEWHERE_SECONDS = 0.2
+"""When to come back to another host."""
+
 MAX_RATE_WAIT_SECONDS = 1.5
 """Longest wait for a customer's rate: a turn of a program is sent again twice, and
 what waited longer would mostly be late."""
@@ -102,6 +110,8 @@
     health : TargetHealth
     budgets : BudgetKeeper
     turns : TurnKeeper
+    is_isolated : callable
+        Tells whether this host is cut off from the store and from other zones.
     rates : RateKeeper
     strikes : StrikeKeeper
     log : EventLog
@@ -116,6 +126,7 @@
         health: TargetHealth,
         budgets: BudgetKeeper,
         turns: TurnKeeper,
+        is_isolated: Callable[[], bool],
         rates: RateKeeper,
         strikes: StrikeKeeper,
         log: EventLog,
@@ -127,6 +138,7 @@
         self._health = health
         self._budgets = budgets
         self._turns = turns
+        self._is_isolated = is_isolated
         self._rates = rates
         self._strikes = strikes
         self._log = log
@@ -149,17 +161,21 @@
             await self._refuse(req, channel, Refusal(502, "internal"))
 
     async def _refuse(self, req, channel, refusal):
+        retry_after = refusal.retry_after
+        if retry_after is not None and self._is_isolated():
+            # The next try finds a host that isn't cut off.
+            retry_after = min(retry_after, ELSEWHERE_SECONDS)
         self._log.info(
             "request_refused",
             request_id=req.id,
             status=refusal.status,
             reason=refusal.reason,
-            retry_after=refusal.retry_after,
+            retry_after=retry_after,
         )
         if channel.started:
             channel.break_off()
             return
-        fields = self._dialect.refusal_fields(req.id, refusal.retry_after)
+        fields = self._dialect.refusal_fields(req.id, retry_after)
         await channel.answer(refusal.status, fields, refusal.reason.encode())
 
     async def _admit_and_run(self, req, channel):
@@ -418,7 +434,11 @@
         if not job.route.keeps_turns:
             return
         transcript = job.body + b"".join(progress.output)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + KEEP_SECONDS
         while not await self._turns.keep(job.customer, job.req.id, transcript):
+            if self._is_isolated() or loop.time() > until:
+                raise Refusal(502, "turn_not_stored")
             await asyncio.sleep(KEEP_RETRY_SECONDS)
 
     def _log_served(self, job, target, status, n_events):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_frontend.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_frontend.py
@@ -50,6 +50,8 @@
     dialect : Dialect
     limits : callable
         Returns the limits in force.
+    may_keep : callable
+        Tells whether connections may be used again.
     handle : callable
         Answers one request.
     log : EventLog
@@ -59,11 +61,13 @@
         self,
         dialect: Dialect,
         limits: Callable[[], RequestLimits],
+        may_keep: Callable[[], bool],
         handle: Handler,
         log: EventLog,
     ):
         self._dialect = dialect
         self._limits = limits
+        self._may_keep = may_keep
         self._handle = handle
         self._log = log
         self._server = None
@@ -139,7 +143,7 @@
             except Refusal as refusal:
                 await self._refuse(refusal)
                 return
-            channel = CallerChannel(self._http, self._writer, self._may_keep)
+            channel = CallerChannel(self._http, self._writer, self._front._may_keep)
             try:
                 await self._until_gone(self._front._handle(req, channel))
             finally:
@@ -148,9 +152,6 @@
             if not self._reset():
                 return
 
-    def _may_keep(self):
-        return not self._front.stopping
-
     async def _read_head(self):
         limits = self._front._limits()
         loop = asyncio.get_running_loop()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -46,6 +46,7 @@
 from swifttide_daemon.gateway._table_watch import TableWatch
 from swifttide_daemon.gateway._target_client import TargetClient
 from swifttide_daemon.gateway._target_health import TargetHealth
+from swifttide_daemon.gateway._target_prober import TargetProber
 from swifttide_daemon.gateway._turn_keeper import TurnKeeper
 from swifttide_daemon.telemetry import EventLog
 
@@ -68,8 +69,8 @@
 GIVE_BACK_SECONDS = 0.15
 """Time for another host to write a program's free tokens back."""
 
-HOUSEKEEPING_SECONDS = 0.5
-"""Between looks at idle connections and lapsed targets."""
+HOUSEKEEPING_SECONDS = 0.25
+"""Between looks at idle connections, lapsed targets and whether it is cut off."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,22 +127,27 @@
         self._log = log
         self.beliefs = Beliefs(log)
         self._started_at = float("inf")
-        self._health = TargetHealth()
+        self._isolated = False
+        self._prober = TargetProber(pool, log)
+        self._health = TargetHealth(self._prober.is_down)
         self._strikes = StrikeKeeper(log)
         self._connect_fleet(store)
         self._forwarder = Forwarder(
             cfg,
             self.beliefs,
             dialect,
-            TargetClient(dialect, pool),
+            TargetClient(dialect, pool, self._prober),
             self._health,
             self._budgets,
             TurnKeeper(self._store, cfg.row_bytes, log),
+            lambda: self._isolated,
             self._rates,
             self._strikes,
             log,
         )
-        self._front = Frontend(dialect, self._limits, self._forwarder.handle, log)
+        self._front = Frontend(
+            dialect, self._limits, self._may_keep, self._forwarder.handle, log
+        )
         self._ready = ReadyServer(decoders.ready_path, self._is_ready)
         self._config_watch = TableWatch(
             self._store,
@@ -241,7 +247,22 @@
         """
         waited = asyncio.get_running_loop().time() - self._started_at
         has_share = self._rates.share > 0 or waited > SHARE_WAIT_SECONDS
-        return self.beliefs.complete and has_share and not self._front.stopping
+        return self.beliefs.complete and has_share and self._may_keep()
+
+    def _is_isolated(self) -> bool:
+        """Whether this host is cut off from the store and from the other zones.
+
+        Its callers reach hosts of other zones, which can serve them; this one can't
+        start programs or keep turns. In an outage of the store itself the other zones
+        are still heard, and sending callers there would gain nothing.
+        """
+        if self._store.direct_up or self._fleet.with_store():
+            return False
+        return self._fleet.is_alone()
+
+    def _may_keep(self) -> bool:
+        """Whether callers may use their connections again."""
+        return not self._front.stopping and not self._isolated
 
     def _limits(self) -> RequestLimits:
         cfg = self.beliefs.config
@@ -252,6 +273,7 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._pool.close_expired()
             self.beliefs.drop_lapsed()
+            self._note_isolation()
 
     async def _answer_peer(self, request: PeerRequest) -> PeerAnswer:
         """Carry out another host's call."""
@@ -331,6 +353,13 @@
             elif row.key.key == SHARES_KEY:
                 self._shares.take_row(row)
 
+    def _note_isolation(self):
+        isolated = self._is_isolated()
+        if isolated != self._isolated:
+            self._isolated = isolated
+            event = "isolated" if isolated else "isolation_ended"
+            self._log.warning(event, peers=len(self._fleet.alive()))
+
     def _note_store(self, up: bool) -> None:
         if up and not self._store_up:
             self.beliefs.store_returned()
@@ -365,6 +394,7 @@
                 self.beliefs.put_target(entry)
             else:
                 self._strikes.left(row.key.key)
+                self._prober.forget(row.key.key)
                 self.beliefs.remove_target(row.key.key)
 
     def _decode_target(self, row):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_client.py
@@ -6,12 +6,14 @@
 from swifttide_daemon.gateway._connection_pool import ConnectionPool
 from swifttide_daemon.gateway._dialect import Dialect
 from swifttide_daemon.gateway._http_client import ClientConnection
+from swifttide_daemon.gateway._silence_guard import SilenceGuard
 from swifttide_daemon.gateway._target_answer import (
     AnswerHead,
     MayHaveRun,
     NotRun,
     TargetFailure,
 )
+from swifttide_daemon.gateway._target_prober import TargetProber
 
 MAX_STRAY_ANSWERS = 4
 """Answers to earlier requests that are skipped on one connection."""
@@ -29,13 +31,15 @@
     Parameters
     ----------
     conn : ClientConnection
+    guard : SilenceGuard
     head : AnswerHead
     target : TargetEntry
     pool : ConnectionPool
     """
 
-    def __init__(self, conn, head, target, pool):
+    def __init__(self, conn, guard, head, target, pool):
         self.head = head
+        self._guard = guard
         self.target = target
         self.complete = False
         self._conn = conn
@@ -55,8 +59,15 @@
             self.cancel()
             reason = f"broke off: {describe(exc)}"
             raise TargetFailure(MayHaveRun(reason, broken=True)) from exc
+        self._guard.progress()
+        if piece is None and self._guard.fired:
+            # An answer without a length ends with its connection, also when that was
+            # closed here.
+            self.cancel()
+            raise TargetFailure(MayHaveRun("out of reach", broken=True))
         if piece is None:
             self.complete = True
+            self._guard.stop()
             self._pool.give_back(
                 self.target.ip, self.target.port, self._conn, self.head.idle_seconds
             )
@@ -75,6 +86,7 @@
     def cancel(self) -> None:
         """Close the connection, so that the target stops its work."""
         self.complete = True
+        self._guard.stop()
         self._conn.close()
 
 
@@ -85,17 +97,20 @@
     ----------
     dialect : Dialect
     pool : ConnectionPool
+    prober : TargetProber
     """
 
-    def __init__(self, dialect: Dialect, pool: ConnectionPool):
+    def __init__(self, dialect: Dialect, pool: ConnectionPool, prober: TargetProber):
         self._dialect = dialect
         self._pool = pool
+        self._prober = prober
 
     async def connect(self, target: TargetEntry) -> ClientConnection:
         """Return a connection to a target; raises `TargetFailure`."""
         try:
             conn, _ = await self._pool.take(target.ip, target.port)
         except OSError as exc:
+            self._prober.note_unreachable(target)
             reason = f"no connection: {describe(exc)}"
             raise TargetFailure(NotRun(reason, reached=False)) from exc
         return conn
@@ -130,18 +145,21 @@
         TargetFailure
             The target did not run it, or may have run it.
         """
+        guard = SilenceGuard(conn, target, self._prober)
         try:
             conn.send(method, path, fields, body)
             head = await self._read_own_head(conn, attempt)
         except (OSError, h11.RemoteProtocolError, EOFError) as exc:
+            guard.stop()
             conn.close()
             reason = f"no answer: {describe(exc)}"
             raise TargetFailure(MayHaveRun(reason, broken=True)) from exc
         except BaseException:
             # The caller has left or time is up: the target is to stop its work.
+            guard.stop()
             conn.close()
             raise
-        exchange = TargetExchange(conn, head, target, self._pool)
+        exchange = TargetExchange(conn, guard, head, target, self._pool)
         if head.not_run:
             await self._discard(exchange)
             wrong = head.status == 421
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_health.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_health.py
@@ -1,6 +1,7 @@
 """Which targets answer, and how much is under way at each."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from swifttide_daemon.gateway._target_answer import MayHaveRun, NotRun
@@ -21,9 +22,16 @@
 
 
 class TargetHealth:
-    """What this host has seen of each target."""
+    """What this host has seen of each target.
 
-    def __init__(self):
+    Parameters
+    ----------
+    is_down : callable
+        Takes a target's id and tells whether it is out of reach.
+    """
+
+    def __init__(self, is_down: Callable[[str], bool]):
+        self._is_down = is_down
         self._states: dict[str, _State] = {}
         self._elsewhere: dict[str, tuple[float, dict[str, int]]] = {}
 
@@ -60,7 +68,8 @@
     def usable(self, target_id: str) -> bool:
         """Whether a target isn't being left alone."""
         now = asyncio.get_running_loop().time()
-        return now >= self._state(target_id).resting_until
+        resting = now < self._state(target_id).resting_until
+        return not resting and not self._is_down(target_id)
 
     def outstanding(self, target_id: str) -> float:
         """Return the requests under way at a target, from all hosts."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
@@ -90,12 +90,12 @@
         self.ports = []
         self._tasks = []
 
-    async def start(self, routes=ROUTES, n_gateways=1, **more):
+    async def start(self, routes=ROUTES, n_gateways=1, zones=("zone-a",), **more):
         """Start the store, write a configuration and start gateways."""
         await self.store.server.start()
         self.configure(document(1, routes, **more))
-        for _ in range(n_gateways):
-            await self.add_gateway()
+        for i in range(n_gateways):
+            await self.add_gateway(zones[i % len(zones)])
 
     def configure(self, config):
         """Write the operator's document."""
@@ -109,13 +109,14 @@
         self.store.rows.put("servers", id, runner.entry())
         return runner
 
-    async def add_gateway(self):
+    async def add_gateway(self, zone="zone-a"):
         """Start a gateway and wait until it is ready."""
-        ports = free_ports(3)
+        # Ports are the same on all machines, as the platform has it.
+        ports = self.ports[0][1:] if self.ports else free_ports(3)
         number = len(self.gateways) + 1
         cfg = GatewaySettings(
             host=f"edge-{number}",
-            zone="zone-a",
+            zone=zone,
             ip=f"127.0.0.{number}",
             caller_port=ports[0],
             ready_port=ports[1],
@@ -129,7 +130,7 @@
         gateway = build(cfg)
         self._tasks.append((asyncio.create_task(gateway.run(stop)), stop))
         self.gateways.append(gateway)
-        self.ports.append((cfg.ip, ports[0], ports[1]))
+        self.ports.append((cfg.ip, *ports))
         await until(gateway._is_ready)
 
     def stop(self, number=0):
@@ -138,6 +139,10 @@
         stop.set()
         return task
 
+    def kill(self, number):
+        """End a gateway without a word."""
+        self._tasks[number][0].cancel()
+
     async def close(self):
         """End everything."""
         for task, _ in self._tasks:
@@ -150,7 +155,7 @@
     async def send(self, path, body=b"", gateway=0, method="POST", **fields):
         """Send a request on a new connection and return its answer."""
         head = {"attempt_id": "a1", "deadline_ms": "2000"} | fields
-        ip, port, _ = self.ports[gateway]
+        ip, port = self.ports[gateway][:2]
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}"]
         for name, value in head.items():
             lines.append(f"{wire_name(name)}: {value}")
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_whole_path.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_whole_path.py
@@ -197,11 +197,11 @@
 class TestBadInput:
     def raw(self, play, data):
         async def scenario(site):
-            from_conftest = site.ports[0]
+            address = site.ports[0]
             runner = await site.add_runner("i-1", "app")
             runner.script = runner.body(b"x")
             await until(lambda: site.gateways[0].beliefs.targets)
-            reader, writer = await asyncio.open_connection(*from_conftest[:2])
+            reader, writer = await asyncio.open_connection(*address[:2])
             writer.write(data)
             async with asyncio.timeout(5):
                 head = await reader.read(65_536)
@@ -469,3 +469,69 @@
             return await site.send("/charge/1")
 
         assert play(scenario).status == 502
+
+    def test_silent_runner_that_is_out_of_reach(self, play):
+        """A runner loses power while it works: no reset comes, only silence.
+
+        The caller hears at once that nothing is known of its charge, and the lookup
+        is asked for at another runner, long before their time is up.
+        """
+
+        async def scenario(site):
+            lost = await site.add_runner("i-1", "app")
+            lost.run_seconds = 30.0
+            await until(lambda: site.gateways[0].beliefs.targets)
+            charge = asyncio.create_task(site.send("/charge/1", attempt_id="c"))
+            lookup = asyncio.create_task(site.send("/lookup/1", attempt_id="l"))
+            await until(lambda: len(lost.ran) == 2)
+            other = await site.add_runner("i-2", "app")
+            other.script = other.body(b"found")
+            await until(lambda: len(site.gateways[0].beliefs.targets) == 2)
+            lost.server.refuse_connections()
+            return await charge, await lookup
+
+        charge, lookup = play(scenario)
+        assert charge.status == 502
+        assert (lookup.status, lookup.body) == (200, b"found")
+
+    def test_slow_runner_is_waited_for(self, play):
+        async def scenario(site):
+            runner = await site.add_runner("i-1", "app")
+            runner.script = runner.body(b"done")
+            runner.run_seconds = 1.2
+            await until(lambda: site.gateways[0].beliefs.targets)
+            return await site.send("/charge/1"), len(runner.ran)
+
+        answer, n_ran = play(scenario)
+        assert (answer.status, n_ran) == (200, 1)
+
+
+class TestIsolation:
+    def test_host_cut_off_from_store_and_zones_sends_callers_elsewhere(self, play):
+        """A zone is cut off from the others and from the store; callers reach it.
+
+        Its hosts say that they aren't ready, so that the balancer uses other zones,
+        and close the connections that callers keep.
+        """
+
+        async def scenario(site):
+            runner = await site.add_runner("i-1", "app")
+            runner.script = runner.body(b"x")
+            cut, other = site.gateways
+            await until(lambda: cut.beliefs.targets and other.beliefs.targets)
+            await until(lambda: cut._fleet.alive())
+            site.store.refuse = True
+            await asyncio.sleep(1.5)
+            during_outage = await site.send("/lookup/1")
+            site.kill(1)
+            await until(lambda: not cut._is_ready())
+            cut_off = await site.send("/lookup/1")
+            site.store.refuse = False
+            await until(cut._is_ready)
+            return during_outage, cut_off, await site.send("/lookup/1")
+
+        answers = play(scenario, n_gateways=2, zones=("zone-a", "zone-b"))
+        during_outage, cut_off, after = answers
+        assert "connection" not in during_outage.fields
+        assert (cut_off.status, cut_off.fields["connection"]) == (200, "close")
+        assert "connection" not in after.fields
--- a/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
+++ b/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
@@ -80,6 +80,10 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def refuse_connections(self) -> None:
+        """Close the port; connections that are open stay, and stay silent."""
+        self._server.close()
+
     async def stop(self) -> None:
         """Close the port and reset all connections, as a process that dies does."""
         self._server.close()
