--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
@@ -19,8 +19,8 @@
 TABLE = "fleet"
 HOST_PREFIX = "host/"
 
-HEARD_SECONDS = 1.0
-"""A host not heard for four beacons counts as out of reach."""
+HEARD_SECONDS = 0.7
+"""A host not heard for three beacons counts as out of reach."""
 
 REGISTER_RETRY_SECONDS = 0.3
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -48,9 +48,6 @@
 KEEP_RETRY_SECONDS = 0.2
 """Pause between tries to store a turn while the store is away."""
 
-ELSEWHERE_SECONDS = 0.2
-"""When to come back to another host."""
-
 MAX_RATE_WAIT_SECONDS = 1.5
 """Longest wait for a customer's rate: a turn of a program is sent again twice, and
 what waited longer would mostly be late."""
@@ -96,6 +93,12 @@
         self.last_id: int | None = None
         self.n_events = 0
         self.output: list[bytes] = []
+        self.rate_seconds = 0.0
+        """Age of the request when its customer's rate let it in."""
+        self.sent_seconds = 0.0
+        """Age of the request when it was last sent to a target."""
+        self.first_seconds = 0.0
+        """Age of the request at the first event or the whole answer."""
 
 
 class Forwarder:
@@ -110,8 +113,9 @@
     health : TargetHealth
     budgets : BudgetKeeper
     turns : TurnKeeper
-    is_isolated : callable
-        Tells whether this host is cut off from the store and from other zones.
+    elsewhere_after : callable
+        Returns after how many seconds callers reach a host that isn't cut off from
+        the store and the other zones; None while this one isn't.
     rates : RateKeeper
     strikes : StrikeKeeper
     log : EventLog
@@ -126,7 +130,7 @@
         health: TargetHealth,
         budgets: BudgetKeeper,
         turns: TurnKeeper,
-        is_isolated: Callable[[], bool],
+        elsewhere_after: Callable[[], float | None],
         rates: RateKeeper,
         strikes: StrikeKeeper,
         log: EventLog,
@@ -138,7 +142,7 @@
         self._health = health
         self._budgets = budgets
         self._turns = turns
-        self._is_isolated = is_isolated
+        self._elsewhere_after = elsewhere_after
         self._rates = rates
         self._strikes = strikes
         self._log = log
@@ -162,9 +166,10 @@
 
     async def _refuse(self, req, channel, refusal):
         retry_after = refusal.retry_after
-        if retry_after is not None and self._is_isolated():
-            # The next try finds a host that isn't cut off.
-            retry_after = min(retry_after, ELSEWHERE_SECONDS)
+        elsewhere = self._elsewhere_after()
+        if retry_after is not None and elsewhere is not None:
+            # The next try then finds a host that isn't cut off.
+            retry_after = elsewhere
         self._log.info(
             "request_refused",
             request_id=req.id,
@@ -185,10 +190,11 @@
         service = self._beliefs.config.service(self._pick_service(route))
         customer = terms.name if terms else ""
         fingerprint = self._check_strikes(req, customer)
+        progress = _Progress()
         if terms:
             wait = self._rate_wait(req, customer, expires_at)
             await self._rates.take(req.id, terms, wait)
-        progress = _Progress()
+            progress.rate_seconds = self._age(req)
         try:
             body = await self._whole_input(req, route, customer)
             reservation = await self._reserve(req, route, customer)
@@ -359,6 +365,7 @@
             conn = await self._client.connect(target)
             # From here on nobody can say that it hasn't run.
             progress.sent.append(target.id)
+            progress.sent_seconds = self._age(req)
             exchange = await self._client.send(
                 conn,
                 target,
@@ -389,8 +396,9 @@
         if head.status in PROMISES:
             # Without its promise: the target may have run the request after all.
             raise TargetFailure(MayHaveRun(f"answered {head.status}"))
+        progress.first_seconds = self._age(job.req)
         await job.channel.answer(head.status, self._dialect.answer_fields(head), body)
-        self._log_served(job, exchange.target, head.status, 0)
+        self._log_served(job, progress, exchange.target, head.status)
 
     async def _pass_on_events(self, job, progress, exchange):
         head = exchange.head
@@ -405,7 +413,7 @@
             raise TargetFailure(MayHaveRun("ended within an event"))
         await self._keep_turn(job, progress)
         await job.channel.finish()
-        self._log_served(job, exchange.target, head.status, progress.n_events)
+        self._log_served(job, progress, exchange.target, head.status)
 
     def _whole_events(self, reader, piece, exchange):
         try:
@@ -421,6 +429,8 @@
                 return
             progress.last_id = event.id
         progress.n_events += 1
+        if progress.n_events == 1:
+            progress.first_seconds = self._age(job.req)
         if job.route.keeps_turns and event.has_data:
             progress.output.append(event.data + b"\n")
         await job.channel.write(event.raw)
@@ -437,18 +447,26 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + KEEP_SECONDS
         while not await self._turns.keep(job.customer, job.req.id, transcript):
-            if self._is_isolated() or loop.time() > until:
+            if self._elsewhere_after() is not None or loop.time() > until:
                 raise Refusal(502, "turn_not_stored")
             await asyncio.sleep(KEEP_RETRY_SECONDS)
 
-    def _log_served(self, job, target, status, n_events):
-        now = asyncio.get_running_loop().time()
+    def _log_served(self, job, progress, target, status):
         self._log.info(
             "request_served",
             request_id=job.req.id,
+            program=job.req.turn.program,
             customer=job.customer,
             target=target.id,
             status=status,
-            n_events=n_events,
-            seconds=round(now - job.req.received_at, 4),
+            n_events=progress.n_events,
+            n_sent=len(progress.sent),
+            rate_seconds=round(progress.rate_seconds, 4),
+            sent_seconds=round(progress.sent_seconds, 4),
+            first_seconds=round(progress.first_seconds, 4),
+            seconds=round(self._age(job.req), 4),
+            config_version=self._beliefs.config.version,
         )
+
+    def _age(self, req) -> float:
+        return asyncio.get_running_loop().time() - req.received_at
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -57,6 +57,13 @@
 STOP_MARGIN_SECONDS = 1.0
 """The process ends this long before it would be killed."""
 
+BALANCER_SECONDS = 2.1
+"""Time until the balancer has taken out a host that isn't ready: it asks each second
+and counts two misses."""
+
+MIN_ELSEWHERE_SECONDS = 0.15
+"""Shortest pause before a caller tries another host."""
+
 SHARE_WAIT_SECONDS = 4.0
 """Longest time that a new host waits for its share of the rates."""
 
@@ -69,7 +76,7 @@
 GIVE_BACK_SECONDS = 0.15
 """Time for another host to write a program's free tokens back."""
 
-HOUSEKEEPING_SECONDS = 0.25
+HOUSEKEEPING_SECONDS = 0.15
 """Between looks at idle connections, lapsed targets and whether it is cut off."""
 
 
@@ -128,6 +135,7 @@
         self.beliefs = Beliefs(log)
         self._started_at = float("inf")
         self._isolated = False
+        self._isolated_at = 0.0
         self._prober = TargetProber(pool, log)
         self._health = TargetHealth(self._prober.is_down)
         self._strikes = StrikeKeeper(log)
@@ -140,7 +148,7 @@
             self._health,
             self._budgets,
             TurnKeeper(self._store, cfg.row_bytes, log),
-            lambda: self._isolated,
+            self._elsewhere_after,
             self._rates,
             self._strikes,
             log,
@@ -256,9 +264,21 @@
         start programs or keep turns. In an outage of the store itself the other zones
         are still heard, and sending callers there would gain nothing.
         """
-        if self._store.direct_up or self._fleet.with_store():
+        if not self._fleet.is_alone():
             return False
-        return self._fleet.is_alone()
+        self._store.doubt()
+        return not self._store.direct_up and not self._fleet.with_store()
+
+    def _elsewhere_after(self) -> float | None:
+        """Return after how many seconds callers reach another host, None if no sooner.
+
+        From when it knows that it is cut off, the balancer still sends callers here
+        until it has asked twice.
+        """
+        if not self._isolated:
+            return None
+        since = asyncio.get_running_loop().time() - self._isolated_at
+        return max(MIN_ELSEWHERE_SECONDS, BALANCER_SECONDS - since)
 
     def _may_keep(self) -> bool:
         """Whether callers may use their connections again."""
@@ -357,6 +377,7 @@
         isolated = self._is_isolated()
         if isolated != self._isolated:
             self._isolated = isolated
+            self._isolated_at = asyncio.get_running_loop().time()
             event = "isolated" if isolated else "isolation_ended"
             self._log.warning(event, peers=len(self._fleet.alive()))
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import functools
 import random
 
 from swifttide_daemon.gateway._fleet import Fleet
@@ -32,9 +33,13 @@
 )
 from swifttide_daemon.telemetry import EventLog
 
-SECOND_TRY_SECONDS = 0.25
-"""A call without an answer is made a second time after so long, on a new connection:
-twenty times what one takes. Its answer may be lost, or its connection silent."""
+NEXT_WAY_SECONDS = 0.2
+"""A call without an answer is made once more after so long, on a new connection and
+then through another host: fifteen times what one takes. Its answer may be lost, or its
+connection silent."""
+
+CALL_SECONDS = 1.0
+"""Time for a call by all ways together."""
 
 PROBE_SECONDS = 0.2
 """Between questions to a store that didn't answer."""
@@ -43,6 +48,10 @@
 PROBE_KEY = "probe"
 """A row that doesn't exist: the answer tells that the store is there."""
 
+PROBE_TIMEOUT_SECONDS = 0.4
+"""Time for a probe: a hundred times what it takes while the store is well, and more
+than it takes while the store is slow."""
+
 MAX_PEERS = 2
 """Hosts that are asked to relay one call."""
 
@@ -101,50 +110,67 @@
         self._direct.reconnect()
 
     async def _either(self, call, relayed):
-        if self.direct_up:
-            outcome = await self._twice(call)
-            if not isinstance(outcome, Unavailable):
-                return outcome
-            self._doubt(outcome)
-        else:
+        if not self.direct_up and not self._fleet.with_store():
             # Known to be down: fail at once, rather than let callers wait in vain.
-            outcome = Unavailable("out of reach")
-        return await self._relay(relayed, RELAY_SECONDS, outcome)
+            return Unavailable("out of reach")
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                return await self._race(call, relayed)
+        except TimeoutError:
+            outcome = Unavailable("no answer", True)
+            self._doubt(outcome)
+            return outcome
 
-    async def _relay(self, relayed, seconds, outcome):
-        for peer in self._fleet.with_store()[:MAX_PEERS]:
-            match await self._peers.call(peer, relayed, seconds):
-                case StoreOutcome() as answer:
-                    found = answer.unwrap()
-                    if not isinstance(found, Unavailable):
-                        return found
-        return outcome
+    async def _race(self, call, relayed):
+        """Try one way after the other, not waiting long for any; take the first answer.
 
-    async def _twice(self, call):
-        """Make a call, and once more when its answer is long in coming."""
-        first = asyncio.ensure_future(call())
-        second = None
+        All ways may carry a transaction out: it takes effect once.
+        """
+        ways = [call, call] if self.direct_up else []
+        for peer in self._fleet.with_store()[:MAX_PEERS]:
+            ways.append(functools.partial(self._ask_peer, peer, relayed))
+        pending: set[asyncio.Task] = set()
+        outcome = Unavailable("no way to the store")
         try:
-            done, _ = await asyncio.wait((first,), timeout=SECOND_TRY_SECONDS)
-            if done:
-                return first.result()
-            self._direct.reconnect()
-            second = asyncio.ensure_future(call())
-            pending = {first, second}
-            outcome = Unavailable("no answer")
-            while pending:
+            while ways or pending:
+                if ways:
+                    pending.add(asyncio.ensure_future(ways.pop(0)()))
+                wait = NEXT_WAY_SECONDS if ways else None
                 done, pending = await asyncio.wait(
-                    pending, return_when=asyncio.FIRST_COMPLETED
+                    pending, timeout=wait, return_when=asyncio.FIRST_COMPLETED
                 )
                 for task in done:
                     outcome = task.result()
                     if not isinstance(outcome, Unavailable):
                         return outcome
+                    self._doubt(outcome)
+                if not done:
+                    # The connection may have gone silent: the next try opens another.
+                    self._direct.reconnect()
             return outcome
         finally:
-            first.cancel()
-            if second is not None:
-                second.cancel()
+            for task in pending:
+                task.cancel()
+
+    async def _ask_peer(self, peer, relayed):
+        match await self._peers.call(peer, relayed, RELAY_SECONDS):
+            case StoreOutcome() as answer:
+                return answer.unwrap()
+        return Unavailable("no answer from a peer", True)
+
+    async def _relay(self, relayed, seconds, outcome):
+        for peer in self._fleet.with_store()[:MAX_PEERS]:
+            match await self._peers.call(peer, relayed, seconds):
+                case StoreOutcome() as answer:
+                    found = answer.unwrap()
+                    if not isinstance(found, Unavailable):
+                        return found
+        return outcome
+
+    def doubt(self) -> None:
+        """Find out whether the store is there; other hosts have fallen silent."""
+        if self.direct_up:
+            self._doubt(Unavailable("other zones are silent"))
 
     def _doubt(self, outcome):
         """Ask the store whether it is there, until it answers."""
@@ -155,7 +181,7 @@
     async def _ask(self, detail):
         while True:
             self._direct.reconnect()
-            answer = await self._direct.read(PROBE_TABLE, "", PROBE_KEY, PROBE_KEY)
+            answer = await self._probe_once()
             up = not isinstance(answer, Unavailable)
             if up != self.direct_up:
                 self.direct_up = up
@@ -165,3 +191,10 @@
                 return
             detail = answer.detail
             await asyncio.sleep(PROBE_SECONDS * random.uniform(0.7, 1.3))
+
+    async def _probe_once(self):
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                return await self._direct.read(PROBE_TABLE, "", PROBE_KEY, PROBE_KEY)
+        except TimeoutError:
+            return Unavailable("no answer")
