ENH Bounded logs that never block, metrics, settings that change, rows removed in time

Lines go to standard output without waiting for a reader, at most 60 a second of one event; what doesn't fit is dropped and counted. Metrics are served at the deploy file's address. The settings file is looked at each second and on SIGHUP. Rows of programs and turns are removed after their time, unless another host wrote them since.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
@@ -16,6 +16,7 @@
     grant_tokens,
 )
 from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_daemon.gateway._shared_store import (
     Applied,
     Condition,
@@ -38,6 +39,13 @@
 MAX_PROGRAMS = 20_000
 """Programs whose pools are kept, some 500 bytes each."""
 
+KEEP_SECONDS = 600.0
+"""How long an account that one host holds is kept after its last change: a program that
+was stopped may come back within a minute, and a long one pauses for minutes."""
+
+SHARED_KEEP_SECONDS = 7_200.0
+"""Likewise for an account of several holders."""
+
 RETRY_AFTER_SECONDS = 1.2
 """When to come back while the store is away. An outage lasts seconds: who comes back
 sooner has used up its tries before the store is back."""
@@ -92,6 +100,7 @@
     ask_holders : callable
         Asks other hosts, by address, to give a program's free tokens back; returns
         whether one did.
+    reaper : RowReaper
     log : EventLog
     """
 
@@ -100,11 +109,13 @@
         store: SharedStore,
         host: str,
         ask_holders: Callable[[tuple[str, ...], str], Awaitable[bool]],
+        reaper: RowReaper,
         log: EventLog,
     ):
         self._store = store
         self._host = host
         self._ask_holders = ask_holders
+        self._reaper = reaper
         self._log = log
         self._programs: dict[str, _Program] = {}
 
@@ -226,6 +237,7 @@
         match await self._store.commit(tx):
             case Applied(version, _):
                 known.account, known.version = account, version
+                self._reaper.remove_after(place, version, _keep_seconds(account))
                 return True
             case Conflict(rows):
                 return self._take_in(known, rows, mark)
@@ -270,6 +282,14 @@
     return hashlib.blake2b(text, digest_size=16).hexdigest()
 
 
+def _keep_seconds(account):
+    """Return how long an account is kept after its last change.
+
+    Another holder may go on from its tokens without a write for long.
+    """
+    return KEEP_SECONDS if len(account.holders) <= 1 else SHARED_KEEP_SECONDS
+
+
 def _place(key):
     # 256 parts: each takes a few hundred transactions a second at most.
     return RowKey(TABLE, key[:2], key)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -1,6 +1,7 @@
 """Answering a caller's request with a target's answer."""
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,6 +22,7 @@
 from swifttide_daemon.gateway._caller_request import CallerRequest
 from swifttide_daemon.gateway._dialect import Dialect
 from swifttide_daemon.gateway._event_reader import EventReader
+from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._rate_keeper import RateKeeper
 from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
@@ -118,6 +120,7 @@
         the store and the other zones; None while this one isn't.
     rates : RateKeeper
     strikes : StrikeKeeper
+    metrics : GatewayMetrics
     log : EventLog
     """
 
@@ -133,6 +136,7 @@
         elsewhere_after: Callable[[], float | None],
         rates: RateKeeper,
         strikes: StrikeKeeper,
+        metrics: GatewayMetrics,
         log: EventLog,
     ):
         self._zone = cfg.zone
@@ -145,6 +149,7 @@
         self._elsewhere_after = elsewhere_after
         self._rates = rates
         self._strikes = strikes
+        self._metrics = metrics
         self._log = log
 
     async def handle(self, req: CallerRequest, channel: CallerChannel) -> None:
@@ -177,6 +182,7 @@
             reason=refusal.reason,
             retry_after=retry_after,
         )
+        self._metrics.answered(refusal.status, refusal.reason.partition(":")[0])
         if channel.started:
             channel.break_off()
             return
@@ -446,12 +452,24 @@
         transcript = job.body + b"".join(progress.output)
         loop = asyncio.get_running_loop()
         until = loop.time() + KEEP_SECONDS
-        while not await self._turns.keep(job.customer, job.req.id, transcript):
+        keep = functools.partial(
+            self._turns.keep,
+            job.customer,
+            job.req.id,
+            transcript,
+            job.route.keep_seconds,
+        )
+        while not await keep():
             if self._elsewhere_after() is not None or loop.time() > until:
                 raise Refusal(502, "turn_not_stored")
             await asyncio.sleep(KEEP_RETRY_SECONDS)
 
     def _log_served(self, job, progress, target, status):
+        self._metrics.answered(status, "served")
+        self._metrics.hop("rate", progress.rate_seconds)
+        self._metrics.hop("admission", progress.sent_seconds - progress.rate_seconds)
+        self._metrics.hop("target", progress.first_seconds - progress.sent_seconds)
+        self._metrics.hop("whole", self._age(job.req))
         self._log.info(
             "request_served",
             request_id=job.req.id,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -1,6 +1,7 @@
 """One gateway: its parts, its start and its stop."""
 
 import asyncio
+import dataclasses
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,6 +17,7 @@
 from swifttide_daemon.gateway._fleet import TABLE as FLEET_TABLE
 from swifttide_daemon.gateway._forwarder import Forwarder
 from swifttide_daemon.gateway._frontend import Frontend
+from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._peer import Peer
 from swifttide_daemon.gateway._peer_client import PeerClient
 from swifttide_daemon.gateway._peer_messages import (
@@ -31,9 +33,10 @@
 )
 from swifttide_daemon.gateway._peer_server import PeerServer
 from swifttide_daemon.gateway._rate_keeper import RateKeeper
-from swifttide_daemon.gateway._ready_server import ReadyServer
 from swifttide_daemon.gateway._relayed_store import RelayedStore
+from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_daemon.gateway._settings import GatewaySettings
+from swifttide_daemon.gateway._settings_watch import SettingsWatch
 from swifttide_daemon.gateway._share_keeper import KEY as SHARES_KEY
 from swifttide_daemon.gateway._share_keeper import ShareKeeper
 from swifttide_daemon.gateway._shared_store import (
@@ -42,6 +45,12 @@
     StoredRow,
     Unavailable,
 )
+from swifttide_daemon.gateway._status_server import (
+    NOT_READY,
+    OK,
+    StatusPage,
+    StatusServer,
+)
 from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway._table_watch import TableWatch
 from swifttide_daemon.gateway._target_client import TargetClient
@@ -57,6 +66,13 @@
 STOP_MARGIN_SECONDS = 1.0
 """The process ends this long before it would be killed."""
 
+CHANGEABLE = frozenset(
+    {"stop_seconds", "rate_window_seconds", "rate_excess", "rate_extra"}
+)
+"""Settings that are taken while the process runs."""
+
+METRICS_PATH = "/metrics"
+
 BALANCER_SECONDS = 2.1
 """Time until the balancer has taken out a host that isn't ready: it asks each second
 and counts two misses."""
@@ -116,6 +132,8 @@
     pool : ConnectionPool
     dialect : Dialect
     decoders : Decoders
+    read_settings : callable
+        Returns the settings as they are now; raises `ValueError`.
     log : EventLog
     """
 
@@ -126,6 +144,7 @@
         pool: ConnectionPool,
         dialect: Dialect,
         decoders: Decoders,
+        read_settings: Callable[[], GatewaySettings],
         log: EventLog,
     ):
         self._cfg = cfg
@@ -133,11 +152,13 @@
         self._decoders = decoders
         self._log = log
         self.beliefs = Beliefs(log)
+        self._settings_watch = SettingsWatch(read_settings, self._apply_settings, log)
         self._started_at = float("inf")
         self._isolated = False
         self._isolated_at = 0.0
         self._prober = TargetProber(pool, log)
         self._health = TargetHealth(self._prober.is_down)
+        self._metrics = GatewayMetrics(cfg.host, cfg.zone)
         self._strikes = StrikeKeeper(log)
         self._connect_fleet(store)
         self._forwarder = Forwarder(
@@ -147,16 +168,18 @@
             TargetClient(dialect, pool, self._prober),
             self._health,
             self._budgets,
-            TurnKeeper(self._store, cfg.row_bytes, log),
+            TurnKeeper(self._store, cfg.row_bytes, self._reaper, log),
             self._elsewhere_after,
             self._rates,
             self._strikes,
+            self._metrics,
             log,
         )
         self._front = Frontend(
             dialect, self._limits, self._may_keep, self._forwarder.handle, log
         )
-        self._ready = ReadyServer(decoders.ready_path, self._is_ready)
+        self._ready = StatusServer(decoders.ready_path, self._ready_page, log)
+        self._metrics_server = StatusServer(METRICS_PATH, self._metrics_page, log)
         self._config_watch = TableWatch(
             self._store,
             decoders.config_table,
@@ -192,11 +215,14 @@
         self._fleet = Fleet(own, log)
         self._peers = PeerClient(self._pool)
         self._direct_store = store
-        self._store = RelayedStore(store, self._fleet, self._peers, log)
+        self._store = RelayedStore(store, self._fleet, self._peers, self._metrics, log)
+        self._reaper = RowReaper(self._store, log)
         self._datagrams = Datagrams(self._fleet, log)
         self._rates = RateKeeper(cfg, self._fleet, self._datagrams.send, log)
         self._shares = ShareKeeper(self._store, cfg.ip, self._rates, log)
-        self._budgets = BudgetKeeper(self._store, cfg.ip, self._ask_holders, log)
+        self._budgets = BudgetKeeper(
+            self._store, cfg.ip, self._ask_holders, self._reaper, log
+        )
         self._peer_server = PeerServer(self._answer_peer, log)
         self._datagrams.compose = self._compose_beacon
         self._datagrams.on_beacon = self._take_beacon
@@ -217,11 +243,14 @@
                 tasks.create_task(self._fleet_watch.run()),
                 tasks.create_task(self._fleet.register(self._store)),
                 tasks.create_task(self._shares.run()),
+                tasks.create_task(self._reaper.run()),
+                tasks.create_task(self._settings_watch.run(cfg)),
                 tasks.create_task(self._datagrams.run()),
                 tasks.create_task(self._keep_house()),
             ]
             await self._front.listen(cfg.ip, cfg.caller_port)
             await self._ready.listen(cfg.ip, cfg.ready_port)
+            await self._metrics_server.listen(cfg.ip, cfg.metrics_port)
             await stop.wait()
             await self._leave()
             for task in background:
@@ -257,6 +286,21 @@
         has_share = self._rates.share > 0 or waited > SHARE_WAIT_SECONDS
         return self.beliefs.complete and has_share and self._may_keep()
 
+    def _ready_page(self) -> StatusPage:
+        return OK if self._is_ready() else NOT_READY
+
+    def _metrics_page(self) -> StatusPage:
+        believe = self._metrics.believe
+        cfg = self.beliefs.config
+        believe("config_version", cfg.version if cfg else 0)
+        believe("targets", len(self.beliefs.targets))
+        believe("peers_heard", len(self._fleet.alive()))
+        believe("rate_share", self._rates.share)
+        believe("store_up", float(self._store.direct_up))
+        believe("isolated", float(self._isolated))
+        body, content_type = self._metrics.render()
+        return StatusPage(OK.status, body, content_type)
+
     def _is_isolated(self) -> bool:
         """Whether this host is cut off from the store and from the other zones.
 
@@ -427,5 +471,19 @@
         return entry
 
     def reload(self) -> None:
-        """Take SIGHUP: the settings file may have changed."""
-        self._log.info("reload")
+        """Take SIGHUP: the settings may have changed."""
+        self._settings_watch.ask()
+
+    def _apply_settings(self, cfg: GatewaySettings) -> None:
+        """Take new settings; those that name addresses need a restart."""
+        fields = dataclasses.fields(cfg)
+        old = self._cfg
+        changed = [
+            f.name for f in fields if getattr(cfg, f.name) != getattr(old, f.name)
+        ]
+        in_force = [name for name in changed if name in CHANGEABLE]
+        new_values = {name: getattr(cfg, name) for name in in_force}
+        self._cfg = dataclasses.replace(old, **new_values)
+        self._rates.apply(self._cfg)
+        needs_restart = [name for name in changed if name not in CHANGEABLE]
+        self._log.info("settings_taken", in_force=in_force, needs_restart=needs_restart)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
@@ -97,14 +97,18 @@
         self, cfg, fleet: Fleet, send: Callable[[Peer, AskRate], None], log: EventLog
     ):
         self.share = 0.0
-        self._window = cfg.rate_window_seconds
-        self._excess = cfg.rate_excess
-        self._extra = cfg.rate_extra
+        self.apply(cfg)
         self._fleet = fleet
         self._send = send
         self._log = log
         self._accounts: dict[str, _Account] = {}
 
+    def apply(self, cfg) -> None:
+        """Take what a customer may get in a window."""
+        self._window = cfg.rate_window_seconds
+        self._excess = cfg.rate_excess
+        self._extra = cfg.rate_extra
+
     async def take(
         self, request_id: str, terms: CustomerTerms, wait_seconds: float
     ) -> None:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
@@ -15,6 +15,7 @@
 import random
 
 from swifttide_daemon.gateway._fleet import Fleet
+from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._peer_client import PeerClient
 from swifttide_daemon.gateway._peer_messages import (
     RelayChanges,
@@ -67,15 +68,22 @@
     direct : SharedStore
     fleet : Fleet
     peers : PeerClient
+    metrics : GatewayMetrics
     log : EventLog
     """
 
     def __init__(
-        self, direct: SharedStore, fleet: Fleet, peers: PeerClient, log: EventLog
+        self,
+        direct: SharedStore,
+        fleet: Fleet,
+        peers: PeerClient,
+        metrics: GatewayMetrics,
+        log: EventLog,
     ):
         self._direct = direct
         self._fleet = fleet
         self._peers = peers
+        self._metrics = metrics
         self._log = log
         self._probe: asyncio.Task | None = None
         self.direct_up = True
@@ -113,13 +121,18 @@
         if not self.direct_up and not self._fleet.with_store():
             # Known to be down: fail at once, rather than let callers wait in vain.
             return Unavailable("out of reach")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         try:
             async with asyncio.timeout(CALL_SECONDS):
-                return await self._race(call, relayed)
+                outcome = await self._race(call, relayed)
         except TimeoutError:
             outcome = Unavailable("no answer", True)
             self._doubt(outcome)
-            return outcome
+        name = type(relayed).__name__
+        seconds = loop.time() - began
+        self._metrics.store_call(name, type(outcome).__name__, seconds)
+        return outcome
 
     async def _race(self, call, relayed):
         """Try one way after the other, not waiting long for any; take the first answer.
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings_watch.py
@@ -0,0 +1,67 @@
+"""Settings that change while the process runs."""
+
+import asyncio
+from collections.abc import Callable
+
+from swifttide_daemon.gateway._settings import GatewaySettings
+from swifttide_daemon.telemetry import EventLog
+
+LOOK_SECONDS = 1.0
+"""Between looks at the file, which may change without a signal."""
+
+
+class SettingsWatch:
+    """Reads the settings again when they may have changed.
+
+    Parameters
+    ----------
+    read : callable
+        Returns the settings; raises `ValueError` naming what is wrong.
+    apply : callable
+        Takes settings that differ from the last ones.
+    log : EventLog
+    """
+
+    def __init__(
+        self,
+        read: Callable[[], GatewaySettings],
+        apply: Callable[[GatewaySettings], None],
+        log: EventLog,
+    ):
+        self._read = read
+        self._apply = apply
+        self._log = log
+        self._asked = asyncio.Event()
+        self._last: GatewaySettings | None = None
+        self._error = ""
+
+    def ask(self) -> None:
+        """Look at once: SIGHUP came."""
+        self._asked.set()
+
+    async def run(self, current: GatewaySettings) -> None:
+        """Look again and again until cancelled."""
+        self._last = current
+        while True:
+            try:
+                async with asyncio.timeout(LOOK_SECONDS):
+                    await self._asked.wait()
+                self._asked.clear()
+                self._log.info("reload")
+            except TimeoutError:
+                pass
+            self._look()
+
+    def _look(self):
+        try:
+            found = self._read()
+        except ValueError as exc:
+            # A file that is being written, or a mistake: the host goes on as it is.
+            if str(exc) != self._error:
+                self._log.error("settings_unreadable", detail=str(exc))
+            self._error = str(exc)
+            return
+        self._error = ""
+        if found != self._last:
+            self._last = found
+            self._apply(found)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_status_server.py
@@ -0,0 +1,81 @@
+"""Answers short questions about this host."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from swifttide_daemon.telemetry import EventLog
+
+REQUEST_SECONDS = 2.0
+"""Time for a question; the balancer asks every second."""
+
+MAX_REQUEST_BYTES = 8_192
+
+
+@dataclass(frozen=True, slots=True)
+class StatusPage:
+    """An answer to a question.
+
+    Parameters
+    ----------
+    status : bytes
+        Number and phrase.
+    body : bytes
+    content_type : str
+    """
+
+    status: bytes
+    body: bytes = b""
+    content_type: str = "text/plain"
+
+
+OK = StatusPage(b"200 OK")
+NOT_READY = StatusPage(b"503 Service Unavailable")
+NOT_FOUND = StatusPage(b"404 Not Found")
+
+
+class StatusServer:
+    """A port with one page.
+
+    Parameters
+    ----------
+    path : str
+    page : callable
+        Returns the page's present state.
+    log : EventLog
+    """
+
+    def __init__(self, path: str, page: Callable[[], StatusPage], log: EventLog):
+        self._path = path
+        self._page = page
+        self._log = log
+        self._server = None
+
+    async def listen(self, ip: str, port: int) -> int:
+        """Accept connections; return the port."""
+        self._server = await asyncio.start_server(
+            self._serve, ip, port, limit=MAX_REQUEST_BYTES
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        try:
+            async with asyncio.timeout(REQUEST_SECONDS):
+                head = await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._answer(head))
+            await writer.drain()
+        except (OSError, EOFError, asyncio.LimitOverrunError) as exc:
+            # Whoever asks so gets no answer, which counts as a no.
+            self._log.debug("question_unreadable", detail=type(exc).__name__)
+        finally:
+            writer.close()
+
+    def _answer(self, head: bytes) -> bytes:
+        words = head.split(b" ", 2)
+        asked = len(words) == 3 and words[1].decode("latin-1") == self._path
+        page = self._page() if asked else NOT_FOUND
+        fields = (
+            f"Content-Type: {page.content_type}\r\n"
+            f"Content-Length: {len(page.body)}\r\nConnection: close\r\n\r\n"
+        )
+        return b"HTTP/1.1 " + page.status + b"\r\n" + fields.encode() + page.body
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_keeper.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 
 from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_daemon.gateway._shared_store import (
     Applied,
     Put,
@@ -43,11 +44,15 @@
     store : SharedStore
     row_bytes : int
         Largest value of a row.
+    reaper : RowReaper
     log : EventLog
     """
 
-    def __init__(self, store: SharedStore, row_bytes: int, log: EventLog):
+    def __init__(
+        self, store: SharedStore, row_bytes: int, reaper: RowReaper, log: EventLog
+    ):
         self._store = store
+        self._reaper = reaper
         self._piece_bytes = int(row_bytes * ROOM)
         self._log = log
         self._cache: OrderedDict[str, bytes] = OrderedDict()
@@ -79,8 +84,10 @@
                 self._log.warning("turn_unread", request_id=request_id, detail=detail)
                 raise Refusal(503, "store_unavailable", RETRY_AFTER_SECONDS)
 
-    async def keep(self, customer: str, turn: str, transcript: bytes) -> bool:
-        """Store a turn that has ended; return whether it will last.
+    async def keep(
+        self, customer: str, turn: str, transcript: bytes, seconds: float
+    ) -> bool:
+        """Store a turn that has ended for some time; return whether it will last.
 
         Writing it twice changes nothing, so a write whose answer was lost is simply
         sent again.
@@ -96,8 +103,10 @@
             for i, piece in enumerate(pieces or [b""])
         )
         match await self._store.commit(Transaction(puts=puts)):
-            case Applied():
+            case Applied(version):
                 self._remember(key, transcript)
+                for put in puts:
+                    self._reaper.remove_after(put.key, version, seconds)
                 return True
             case _:
                 return False
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
@@ -7,6 +7,7 @@
 
 from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_standins.paused_clock import run_paused
 
 MOST = 30
@@ -23,7 +24,8 @@
 
     def start(self, ip):
         """Start a host's keeper; one that ran there is gone with its memory."""
-        self.keepers[ip] = BudgetKeeper(self.store, ip, self.ask, self.log)
+        reaper = RowReaper(self.store, self.log)
+        self.keepers[ip] = BudgetKeeper(self.store, ip, self.ask, reaper, self.log)
 
     async def ask(self, ips, key):
         answers = [await self.keepers[ip].give_back(key) for ip in ips]
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_relayed_store.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from swifttide_daemon.gateway._fleet import Fleet
+from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._peer import Peer
 from swifttide_daemon.gateway._peer_messages import RelayCommit, StoreOutcome
 from swifttide_daemon.gateway._relayed_store import RelayedStore
@@ -59,7 +60,7 @@
     fleet = Fleet(Peer("10.0.0.1", 1, "zone-a", "b1"), log)
     fleet.with_store = lambda: [HELPER] if helped else []
     peers = Peers(store)
-    return RelayedStore(direct, fleet, peers, log), peers
+    return RelayedStore(direct, fleet, peers, GatewayMetrics("h", "z"), log), peers
 
 
 class TestRelay:
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_row_reaper.py
@@ -0,0 +1,63 @@
+"""Removing old rows."""
+
+import asyncio
+
+from swifttide_daemon.gateway._row_reaper import MARGIN_SECONDS, RowReaper
+from swifttide_daemon.gateway._shared_store import RowKey
+from swifttide_standins.paused_clock import run_paused
+
+
+def key(number, part="p"):
+    return RowKey("t", part, f"k{number}")
+
+
+class TestRowReaper:
+    def write(self, store, reaper, number, part="p"):
+        store.rows.put("t", f"k{number}", b"v", part)
+        reaper.remove_after(key(number, part), store.rows.version, 60.0)
+
+    def test_removes_in_time_and_not_before(self, store, log):
+        async def main():
+            reaper = RowReaper(store, log)
+            task = asyncio.create_task(reaper.run())
+            for i in range(120):
+                self.write(store, reaper, i, f"p{i % 3}")
+            await asyncio.sleep(60.0 + MARGIN_SECONDS - 5.0)
+            before = len(store.rows.rows)
+            await asyncio.sleep(30.0)
+            task.cancel()
+            return before, len(store.rows.rows)
+
+        assert run_paused(main()) == (120, 0)
+
+    def test_row_that_another_host_wrote_since_stays(self, store, log):
+        """Two hosts serve one program; the one that is done removes old rows.
+
+        Removing the account would let the program spend its budget again.
+        """
+
+        async def main():
+            reaper = RowReaper(store, log)
+            task = asyncio.create_task(reaper.run())
+            self.write(store, reaper, 1)
+            self.write(store, reaper, 2)
+            store.rows.put("t", "k1", b"other", "p")
+            await asyncio.sleep(60.0 + MARGIN_SECONDS + 20.0)
+            task.cancel()
+            return [place[2] for place in store.rows.rows]
+
+        assert run_paused(main()) == ["k1"]
+
+    def test_goes_on_after_an_outage(self, store, log):
+        async def main():
+            reaper = RowReaper(store, log)
+            task = asyncio.create_task(reaper.run())
+            self.write(store, reaper, 1)
+            store.down = True
+            await asyncio.sleep(60.0 + MARGIN_SECONDS + 5.0)
+            store.down = False
+            await asyncio.sleep(MARGIN_SECONDS + 5.0)
+            task.cancel()
+            return len(store.rows.rows)
+
+        assert run_paused(main()) == 0
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/__main__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/__main__.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import sys
+from collections.abc import Callable
 
 from swifttide_daemon.gateway import ConnectionPool, GatewaySettings
 from swifttide_daemon.gateway._gateway import Decoders, Gateway
@@ -21,21 +22,23 @@
     decode_target,
     read_settings,
 )
-from swifttide_daemon.telemetry import EventLog
+from swifttide_daemon.telemetry import EventLog, NonBlockingHandler
 
 EXIT_BAD_SETTINGS = 2
 
 
-def build(cfg: GatewaySettings) -> Gateway:
-    """Put a gateway together for this platform."""
-    from swifttide_daemon.telemetry._json_formatter import JsonFormatter
+def build(
+    cfg: GatewaySettings, read: Callable[[], GatewaySettings], log: EventLog
+) -> Gateway:
+    """Put a gateway together for this platform.
 
-    handler = logging.StreamHandler(sys.stdout)
-    handler.setFormatter(JsonFormatter(cfg.host, cfg.zone))
-    root = logging.getLogger()
-    root.handlers[:] = [handler]
-    root.setLevel(logging.INFO)
-    logging.getLogger("asyncio").setLevel(logging.WARNING)
+    Parameters
+    ----------
+    cfg : GatewaySettings
+    read : callable
+        Returns the settings as they are now; raises `ValueError`.
+    log : EventLog
+    """
     pool = ConnectionPool()
     decoders = Decoders(
         CONFIG_TABLE,
@@ -45,24 +48,30 @@
         decode_target,
         READY_PATH,
     )
-    return Gateway(
-        cfg,
-        PrintOfficeStore(cfg.store_ip, cfg.store_port, pool),
-        pool,
-        PrintOfficeDialect(),
-        decoders,
-        EventLog(logging.getLogger("swifttide")),
-    )
+    store = PrintOfficeStore(cfg.store_ip, cfg.store_port, pool)
+    return Gateway(cfg, store, pool, PrintOfficeDialect(), decoders, read, log)
 
 
 def main() -> None:
     """Read the machine's settings and serve until SIGTERM."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        cfg = read_settings(os.environ.get(SETTINGS_VARIABLE, ""))
+        cfg = read_settings(path)
     except SettingsError as exc:
         print(exc, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    asyncio.run(run_gateway(lambda: build(cfg)))
+    log = open_log(cfg.host, cfg.zone)
+    asyncio.run(run_gateway(lambda: build(cfg, lambda: read_settings(path), log)))
+
+
+def open_log(host: str, zone: str) -> EventLog:
+    """Send the process's log to standard output."""
+    handler = NonBlockingHandler.for_host(host, zone, sys.stdout.fileno())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
+    logging.getLogger("asyncio").setLevel(logging.WARNING)
+    return EventLog(logging.getLogger("swifttide"))
 
 
 if __name__ == "__main__":
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_settings_file.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_settings_file.py
@@ -9,8 +9,11 @@
 SETTINGS_VARIABLE = "SWIFTTIDE_SETTINGS"
 """Environment variable that names the file."""
 
+METRICS_PORT = 9464
+"""Where the deploy file says that metrics are served."""
 
-class SettingsError(Exception):
+
+class SettingsError(ValueError):
     """The file can't be used.
 
     Parameters
@@ -44,17 +47,15 @@
     caller_ip, caller_port = _address(raw, "listen.frontend")
     _, ready_port = _address(raw, "listen.ready")
     store_ip, store_port = _address(raw, "platform.address")
-    first_port, last_port = _ports(raw)
+    first_port, _ = _ports(raw)
     return GatewaySettings(
         host=_get(raw, "node_name", str),
         zone=_get(raw, "zone", str),
         ip=caller_ip,
         caller_port=caller_port,
         ready_port=ready_port,
-        # Free ports between machines: the first for the other hosts, the last for
-        # metrics.
         peer_port=first_port,
-        metrics_port=last_port,
+        metrics_port=METRICS_PORT,
         store_ip=store_ip,
         store_port=store_port,
         row_bytes=int(_get(raw, "platform.row_bytes", int, 65_536)),
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
@@ -11,6 +11,7 @@
 
 from swifttide_daemon.gateway import GatewaySettings
 from swifttide_daemon.platform.__main__ import build
+from swifttide_daemon.telemetry import EventLog
 from swifttide_standins.print_office import RowServer, Runner
 
 HOST = "shop.example"
@@ -87,6 +88,7 @@
         self.store = RowServer()
         self.runners: dict[str, Runner] = {}
         self.gateways = []
+        self.settings = None
         self.ports = []
         self._tasks = []
 
@@ -127,7 +129,8 @@
             stop_seconds=4.0,
         )
         stop = asyncio.Event()
-        gateway = build(cfg)
+        log = EventLog(logging.getLogger("swifttide.test"))
+        gateway = build(cfg, lambda: self.settings or cfg, log)
         self._tasks.append((asyncio.create_task(gateway.run(stop)), stop))
         self.gateways.append(gateway)
         self.ports.append((cfg.ip, *ports))
@@ -247,10 +250,6 @@
             async with site() as found:
                 return await scenario(found)
 
-        handlers = logging.getLogger().handlers[:]
-        try:
-            return asyncio.run(main())
-        finally:
-            logging.getLogger().handlers[:] = handlers
+        return asyncio.run(main())
 
     return run
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_whole_path.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """Requests from callers to runners and back, over real sockets."""
 
 import asyncio
+import dataclasses
 
 from swifttide_standins.print_office import Reply
 
@@ -535,3 +536,17 @@
         assert "connection" not in during_outage.fields
         assert (cut_off.status, cut_off.fields["connection"]) == (200, "close")
         assert "connection" not in after.fields
+
+
+class TestSettings:
+    def test_changed_file_is_taken_without_a_signal(self, play):
+        async def scenario(site):
+            gateway = site.gateways[0]
+            site.settings = dataclasses.replace(gateway._cfg, stop_seconds=2.0)
+            await until(lambda: gateway._cfg.stop_seconds == 2.0)
+            site.settings = dataclasses.replace(gateway._cfg, caller_port=1)
+            gateway.reload()
+            await asyncio.sleep(0.1)
+            return gateway._cfg.caller_port
+
+        assert play(scenario) != 1
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/telemetry/tests/test_non_blocking_handler.py
@@ -0,0 +1,57 @@
+"""A log that nobody reads."""
+
+import json
+import logging
+import os
+
+from swifttide_daemon.telemetry import EventLog, NonBlockingHandler
+
+
+class TestNonBlockingHandler:
+    def logger(self, handler):
+        logger = logging.Logger("test")
+        logger.addHandler(handler)
+        return EventLog(logger)
+
+    def test_lines_are_whole_json(self):
+        reading, writing = os.pipe()
+        log = self.logger(NonBlockingHandler.for_host("h1", "z1", writing))
+        log.info("target_seen", target="t1")
+        line = json.loads(os.read(reading, 65_536))
+        assert (line["event"], line["host"], line["target"]) == (
+            "target_seen",
+            "h1",
+            "t1",
+        )
+
+    def test_reader_that_does_not_read_stops_nobody(self):
+        """The pipe behind standard output is full.
+
+        A write that waits would stop the host. Lines are dropped and counted, and
+        once there is room again the rest of a line comes before the next one.
+        """
+        reading, writing = os.pipe()
+        handler = NonBlockingHandler(writing)
+        log = self.logger(handler)
+        for i in range(5_000):
+            log.info(f"event {i} " + "x" * 90)
+        assert handler.n_dropped > 0
+        text = b""
+        os.set_blocking(reading, False)
+        for _ in range(3):
+            try:
+                while piece := os.read(reading, 65_536):
+                    text += piece
+            except BlockingIOError:
+                log.info("after")
+        lines = text.decode().splitlines()
+        assert lines[-1] == "after"
+        assert all(line.endswith("x") for line in lines[:-2])
+
+    def test_one_event_is_bounded(self):
+        reading, writing = os.pipe()
+        log = self.logger(NonBlockingHandler.for_host("h1", "z1", writing))
+        for _ in range(500):
+            log.info("request_refused")
+        lines = os.read(reading, 1_000_000).splitlines()
+        assert 0 < len(lines) <= 120
