--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
@@ -15,8 +15,6 @@
 """
 
 import asyncio
-import math
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -45,24 +43,6 @@
 """Time for a round: the way to another zone and back takes two milliseconds, and a
 host that is busy answers after some more."""
 
-PRESSURE_GAIN = 0.25
-"""Weight of one request's wait in the mean of the last few."""
-
-PRESSURE_SECONDS = 1.0
-"""Time in which a wait is forgotten by two thirds: programs take two to three seconds,
-so the next ones find what these have left."""
-
-PRESSURE_LOW = 0.02
-"""Mean wait, in seconds, below which every new program is let in: asking other hosts
-for tokens takes as long."""
-
-PRESSURE_RANGE = 0.08
-"""Further mean wait, in seconds, at which no new program is let in: a program makes a
-dozen requests, and has two tenths of a second and half its time to spare."""
-
-PRESSED_RETRY_SECONDS = 0.8
-"""When to come back to a customer's full rate."""
-
 PAUSE_SECONDS = 0.05
 """Between askings that brought nothing: a customer far over its rate would have all
 hosts ask each other all the time."""
@@ -76,8 +56,6 @@
     queue: list[asyncio.Future] = field(default_factory=list)
     asking: asyncio.Task | None = None
     empty_until: float = float("-inf")
-    pressure: float = 0.0
-    pressed_at: float = float("-inf")
 
 
 class RateKeeper:
@@ -125,19 +103,10 @@
         if terms.rate_per_second <= 0:
             return
         account = self._account(terms)
-        starts = wait_seconds <= 0.0
-        if starts and self._is_pressed(account):
-            self._refuse(request_id, account, PRESSED_RETRY_SECONDS)
         if not account.queue and self._spend(account):
             self._ask_ahead(account)
-            if not starts:
-                self._note_wait(account, 0.0)
             return
-        began = self._now()
-        granted = await self._queue_up(account, wait_seconds)
-        if not starts:
-            self._note_wait(account, self._now() - began)
-        if granted:
+        if await self._queue_up(account, wait_seconds):
             return
         wait = account.bucket.seconds_until(self._now())
         self._refuse(request_id, account, min(2.0, max(0.1, wait)))
@@ -150,28 +119,10 @@
             share=round(self.share, 4),
             held=round(account.bucket.level + account.borrowed, 2),
             queued=len(account.queue),
-            pressure=round(account.pressure, 3),
             rate=account.terms.rate_per_second,
         )
         raise Refusal(429, "rate_limited", retry_after)
 
-    def _is_pressed(self, account) -> bool:
-        """Whether a customer's programs under way already wait for its rate.
-
-        One more program would have all of them wait longer, until none is in time.
-        """
-        faded = self._now() - account.pressed_at
-        pressure = account.pressure * math.exp(-faded / PRESSURE_SECONDS)
-        return random.random() < (pressure - PRESSURE_LOW) / PRESSURE_RANGE
-
-    def _note_wait(self, account, seconds):
-        """Take the wait of a request of a program under way into account."""
-        faded = self._now() - account.pressed_at
-        kept = math.exp(-faded / PRESSURE_SECONDS)
-        account.pressed_at = self._now()
-        account.pressure = account.pressure * kept
-        account.pressure += (seconds - account.pressure) * PRESSURE_GAIN
-
     async def _queue_up(self, account, wait_seconds) -> bool:
         """Wait for a token behind those that came before; whether there was one."""
         granted = asyncio.get_running_loop().create_future()
