FIX Cuts make no request guilty; ask again when other hosts know a newer change

Only a refused connection, or another start at the address, tells a crash now. Cause two: a host whose feed had gone silent took a configuration 2 s after all others; it now asks again when a beacon names a newer change.

Also: swifttide explain joins the hosts' logs into one request's timeline.

--- /dev/null
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
@@ -0,0 +1,163 @@
+"""``swifttide explain``: one request's timeline and cause from the hosts' logs."""
+
+import json
+import sys
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import datetime
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+from expression import Error, Ok, Result
+
+from swifttide_cli.commands._causes import cause_of
+from swifttide_cli.commands._options import Options
+from swifttide_cli.exit_codes import ExitCode
+from swifttide_cli.output import Failure, Report
+
+STDIN = "-"
+
+BEFORE_SECONDS = 5.0
+"""How long before a request's first line a change of a host's state is shown: a host
+notices a lost peer, target or store within two seconds, and outages last seconds."""
+
+STATE_EVENTS = frozenset(
+    {
+        "configuration_taken",
+        "isolated",
+        "isolation_ended",
+        "peer_lost",
+        "peer_regained",
+        "rate_share",
+        "reload",
+        "rows_from_peer",
+        "settings_taken",
+        "start",
+        "stopping",
+        "store_history_lost",
+        "store_lost",
+        "store_out_of_reach",
+        "store_reached",
+        "store_regained",
+        "strike",
+        "target_left",
+        "target_reachable",
+        "target_seen",
+        "target_unreachable",
+    }
+)
+"""Events that change what a host believes."""
+
+_HIDDEN = frozenset({"time", "level", "event", "host", "zone", "request_id"})
+
+
+@cappa.command(
+    name="explain",
+    help="Tell from the hosts' logs why a request failed.",
+    description="Joins the log lines of all hosts that saw the request, with what "
+    "these hosts believed just before, and names the cause first.",
+)
+@dataclass(frozen=True)
+class Explain:
+    """Tell why a request failed.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the attempt, as the caller sent it.
+    files : list of str
+        Log files of the hosts; ``-`` or none reads standard input.
+    """
+
+    request_id: Annotated[str, cappa.Arg(help="Id of the attempt that failed.")]
+    files: Annotated[
+        list[str],
+        cappa.Arg(value_name="FILE", num_args=-1, help="Log files; - for stdin."),
+    ] = ()
+
+    def __call__(self, options: Options) -> Result[Report, Failure]:
+        """Run the command."""
+        try:
+            lines = [line for f in self.files or [STDIN] for line in _read(f)]
+        except OSError as exc:
+            message = f"{exc.filename}: can't be read ({type(exc).__name__})"
+            advice = "check the names of the files."
+            return Error(Failure(ExitCode.INVALID, message, advice))
+        own = [line for line in lines if line.get("request_id") == self.request_id]
+        if not own:
+            return Error(self._not_found())
+        return Ok(_report(self.request_id, own, lines))
+
+    def _not_found(self) -> Failure:
+        return Failure(
+            code=ExitCode.NOT_FOUND,
+            message=f"no log line of request {self.request_id}",
+            advice="give the logs of all hosts. A request that no host has logged "
+            "never reached one, or was cut off by the death of its host; under load "
+            "lines are left out, and the next line of that event counts them.",
+        )
+
+
+def _read(file: str) -> Iterable[dict[str, Any]]:
+    """Yield the lines of a log; what a collector put before the JSON is skipped."""
+    if file == STDIN:
+        yield from _decode(sys.stdin)
+        return
+    with Path(file).open(encoding="utf-8", errors="replace") as text:
+        yield from _decode(text)
+
+
+def _decode(text: Iterable[str]) -> Iterable[dict[str, Any]]:
+    for line in text:
+        try:
+            found = json.loads(line[max(0, line.find("{")) :])
+        except ValueError:
+            continue
+        if isinstance(found, dict) and "event" in found and "time" in found:
+            yield found
+
+
+def _report(request_id, own, lines) -> Report:
+    own.sort(key=_seconds)
+    first, last = _seconds(own[0]), _seconds(own[-1])
+    hosts = {line.get("host") for line in own}
+    targets = {line["target"] for line in own if "target" in line}
+    around = [
+        line
+        for line in lines
+        if line.get("host") in hosts
+        and line["event"] in STATE_EVENTS
+        and first - BEFORE_SECONDS <= _seconds(line) <= last
+        and _concerns(line, targets)
+    ]
+    timeline = sorted([*around, *own], key=_seconds)
+    rows = tuple(
+        (
+            f"{_seconds(line) - first:+.3f}",
+            line.get("host"),
+            line["event"],
+            _details(line),
+        )
+        for line in timeline
+    )
+    cause = cause_of(own, around)
+    return Report(
+        {"request_id": request_id, "cause": cause, "timeline": timeline},
+        lines=(f"cause: {cause}",),
+        columns=("SECONDS", "HOST", "EVENT", "DETAILS"),
+        rows=rows,
+    )
+
+
+def _concerns(line, targets) -> bool:
+    """Whether a state event bears on the request: other targets' don't."""
+    return "target" not in line or line["target"] in targets
+
+
+def _seconds(line) -> float:
+    return datetime.fromisoformat(line["time"]).timestamp()
+
+
+def _details(line) -> str:
+    return " ".join(f"{k}={v}" for k, v in line.items() if k not in _HIDDEN)
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_swifttide.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_swifttide.py
@@ -9,6 +9,7 @@
 from swifttide_cli.commands._check import Check
 from swifttide_cli.commands._config import Config
 from swifttide_cli.commands._customer import CustomerCommand
+from swifttide_cli.commands._explain import Explain
 from swifttide_cli.commands._hosts import Hosts
 from swifttide_cli.commands._key import Key
 from swifttide_cli.commands._options import Options
@@ -25,6 +26,7 @@
     Check
     | Config
     | CustomerCommand
+    | Explain
     | Hosts
     | Key
     | ProfileCommand
--- /dev/null
+++ b/packages/swifttide_cli/src/swifttide_cli/tests/test_explain.py
@@ -0,0 +1,58 @@
+"""``swifttide explain`` on logs as hosts write them."""
+
+import json
+
+from swifttide_cli.commands._explain import Explain
+
+
+def line(at, event, host="edge-1", **fields):
+    """Return a log line, with what a collector puts before it."""
+    stamp = f"2026-07-01T10:00:{at:06.3f}+00:00"
+    told = {"time": stamp, "level": "info", "event": event, "host": host, "zone": "a"}
+    return f"  {at} {host} " + json.dumps(told | fields) + "\n"
+
+
+class TestExplain:
+    def explain(self, tmp_path, request_id, *logs):
+        paths = []
+        for i, log in enumerate(logs):
+            path = tmp_path / f"host-{i}.log"
+            path.write_text("".join(log) + "not json\n")
+            paths.append(str(path))
+        return Explain(request_id, paths)(None)
+
+    def test_refusal_behind_a_lost_store(self, tmp_path):
+        log = [
+            line(1.0, "store_out_of_reach", detail="no answer: TimeoutError"),
+            line(2.0, "target_unreachable", target="t9"),
+            line(3.0, "request_refused", request_id="r1", status=503,
+                 reason="store_unavailable", retry_after=1.2),
+        ]  # fmt: skip
+        report = self.explain(tmp_path, "r1", log).ok
+        assert "not run" in report.lines[0]
+        assert "lost the store" in report.lines[0]
+        assert [row[2] for row in report.rows] == [
+            "store_out_of_reach",
+            "request_refused",
+        ]
+
+    def test_joins_the_hosts_of_one_request(self, tmp_path):
+        first = [line(5.0, "target_failed", request_id="r1", target="t1", reason="x")]
+        second = [
+            line(
+                5.5, "request_served", "edge-2", request_id="r1", status=200, seconds=1
+            )
+        ]
+        report = self.explain(tmp_path, "r1", second, first).ok
+        assert [row[1] for row in report.rows] == ["edge-1", "edge-2"]
+        assert "served with 200 in 1 s after 1 failed tries" in report.lines[0]
+
+    def test_request_that_nobody_logged(self, tmp_path):
+        found = self.explain(tmp_path, "r9", [line(1.0, "start")])
+        assert found.is_error()
+        assert "never reached" in found.error.advice
+
+    def test_host_that_died(self, tmp_path):
+        log = [line(5.0, "target_failed", request_id="r1", target="t1", reason="x")]
+        report = self.explain(tmp_path, "r1", log).ok
+        assert "died" in report.lines[0]
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beacon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beacon.py
@@ -20,7 +20,9 @@
         Grows with each beacon of a boot; an older one that comes late is dropped.
     store_up : bool
         Whether it reaches the store.
-    config_version : int
+    config_change, target_change : int
+        Newest changes of configuration and targets that it knows, as versions of
+        the store.
     outstanding : dict of str to int
         Its requests under way, by target.
     strikes : list of (str, str, str)
@@ -33,7 +35,8 @@
     boot: str
     number: int
     store_up: bool = True
-    config_version: int = 0
+    config_change: int = 0
+    target_change: int = 0
     outstanding: dict[str, int] = {}
     strikes: list[tuple[str, str, str]] = []
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -334,8 +334,8 @@
         match outcome:
             case MayHaveRun(broken=True):
                 self._strikes.broke(job.fingerprint, target)
-            case NotRun(reached=False):
-                self._strikes.unreachable(target.id)
+            case NotRun(refused=True):
+                self._strikes.refused(target.id)
 
     def _choose(self, job, tried, may_have_run) -> TargetEntry | None:
         """Return the target to send to next, None when none is left.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -156,10 +156,10 @@
         self._started_at = float("inf")
         self._isolated = False
         self._isolated_at = 0.0
-        self._prober = TargetProber(pool, log)
+        self._strikes = StrikeKeeper(log)
+        self._prober = TargetProber(pool, self._strikes.refused, log)
         self._health = TargetHealth(self._prober.is_down)
         self._metrics = GatewayMetrics(cfg.host, cfg.zone)
-        self._strikes = StrikeKeeper(log)
         self._connect_fleet(store)
         self._forwarder = Forwarder(
             cfg,
@@ -395,7 +395,8 @@
             boot=self._fleet.own.boot,
             number=number,
             store_up=self._store.direct_up,
-            config_version=self.beliefs.config.version if self.beliefs.config else 0,
+            config_change=self._config_watch.newest_change,
+            target_change=self._targets_watch.newest_change,
             outstanding=self._health.own_counts(),
             strikes=self._strikes.news()[:MAX_STRIKES],
         )
@@ -403,6 +404,8 @@
     def _take_beacon(self, beacon: Beacon) -> None:
         self._health.told(beacon.ip, beacon.outstanding)
         self._strikes.take(beacon.strikes)
+        self._config_watch.heard_of(beacon.config_change)
+        self._targets_watch.heard_of(beacon.target_change)
 
     def _take_all_hosts(self, rows: tuple[StoredRow, ...]) -> None:
         self._fleet.take_all(
@@ -458,7 +461,6 @@
                 self._strikes.seen(entry)
                 self.beliefs.put_target(entry)
             else:
-                self._strikes.left(row.key.key)
                 self._prober.forget(row.key.key)
                 self.beliefs.remove_target(row.key.key)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_strike_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_strike_keeper.py
@@ -17,6 +17,9 @@
 TELL_SECONDS = 2.0
 """How long a strike stands in this host's beacons: ten of them."""
 
+MAX_WATCHED = 2_048
+"""Targets with a broken request that are remembered."""
+
 GONE = "gone"
 """Stands for the unknown next incarnation of a target that refuses connections."""
 
@@ -33,25 +36,37 @@
         self._log = log
         self._book = StrikeBook()
         self._watches: dict[str, CrashWatch] = {}
+        self._addresses: dict[str, tuple[str, int]] = {}
         self._news: deque[tuple[float, Strike]] = deque()
 
     def broke(self, fingerprint: str, target: TargetEntry) -> None:
         """Note a request whose connection broke."""
         watch = self._watches.setdefault(target.id, CrashWatch(target.id))
         watch.broke(fingerprint, str(target.started_ms))
+        if len(self._addresses) >= MAX_WATCHED:
+            self._forget(next(iter(self._addresses)))
+        self._addresses[target.id] = (target.ip, target.port)
+
+    def refused(self, target_id: str) -> None:
+        """Note that nothing listens at a target's address any longer.
 
-    def unreachable(self, target_id: str) -> None:
-        """Note that nothing listens at a target's address any longer."""
+        Only this tells a crash. A target across a cut is out of reach and loses its
+        entry too, and what it was running is innocent.
+        """
         self._conclude(target_id, GONE)
 
     def seen(self, target: TargetEntry) -> None:
-        """Note a target's entry: another start means that it had ended."""
+        """Note a target's entry: another start at its address means that it ended."""
         self._conclude(target.id, str(target.started_ms))
+        address = (target.ip, target.port)
+        for other, known in list(self._addresses.items()):
+            if known == address and other != target.id:
+                self._conclude(other, GONE)
+                self._forget(other)
 
-    def left(self, target_id: str) -> None:
-        """Note that a target's entry is gone."""
-        self._conclude(target_id, GONE)
+    def _forget(self, target_id):
         self._watches.pop(target_id, None)
+        self._addresses.pop(target_id, None)
 
     def ran(self, fingerprint: str) -> None:
         """Note that a target ran a request to its end."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_table_watch.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_table_watch.py
@@ -20,6 +20,10 @@
 MIN_PAUSE_SECONDS = 0.1
 """Pause after changes, so that a busy table costs ten calls a second at most."""
 
+BEHIND_SECONDS = 0.4
+"""An answer this old may lie on a silent connection, when others know more by now;
+beacons and the store's own way take less."""
+
 RETRY_SECONDS = (0.1, 0.3)
 """Pause after a failure, drawn anew each time so that hosts don't come at once."""
 
@@ -62,15 +66,23 @@
         self._up = True
         self._rows: dict[str, StoredRow] | None = None
         self._version = 0
+        self._answered_at = float("-inf")
+        self._behind = asyncio.Event()
+        self.newest_change = 0
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         await self._read_all()
+        was_behind = False
         while True:
             # After a failure, ask for an answer at once: it tells that the store is
             # back, which a question that waits would only tell when it ends.
-            wait = WAIT_SECONDS if self._up else 0.0
-            match await self._store.changes(self._table, self._version, wait):
+            wait = WAIT_SECONDS if self._up and not was_behind else 0.0
+            outcome = await self._ask(wait)
+            was_behind = outcome is None
+            match outcome:
+                case None:
+                    continue
                 case Rows() as found:
                     self._note_state(True, "")
                     self._take_changes(found)
@@ -83,6 +95,37 @@
                     self._note_state(False, detail)
                     await asyncio.sleep(random.uniform(*RETRY_SECONDS))
 
+    def heard_of(self, change: int) -> None:
+        """Note that another host knows a change.
+
+        A connection can go silent without a reset. The question that waits on it for
+        changes would tell so only when its time is over, and this host would act on
+        an old configuration until then.
+        """
+        now = asyncio.get_running_loop().time()
+        if change > self.newest_change and now - self._answered_at > BEHIND_SECONDS:
+            self._behind.set()
+
+    async def _ask(self, wait) -> Rows | HistoryLost | Unavailable | None:
+        """Ask for changes; None when another host was heard to know more."""
+        self._behind.clear()
+        asking = asyncio.ensure_future(
+            self._store.changes(self._table, self._version, wait)
+        )
+        behind = asyncio.ensure_future(self._behind.wait())
+        try:
+            await asyncio.wait((asking, behind), return_when=asyncio.FIRST_COMPLETED)
+            if asking.done():
+                self._answered_at = asyncio.get_running_loop().time()
+                return asking.result()
+            self._log.warning("behind_other_hosts", table=self._table)
+            self._store.reconnect()
+            self._answered_at = asyncio.get_running_loop().time()
+            return None
+        finally:
+            asking.cancel()
+            behind.cancel()
+
     def copy(self) -> Rows | None:
         """Return the rows as this host knows them, None before it knows any."""
         if self._rows is None:
@@ -118,6 +161,7 @@
 
     def _take_all(self, found):
         self._rows = {r.key.key: r for r in found.rows}
+        self._note_changes(found.rows)
         self._version = found.version
         self._on_all(found.rows)
 
@@ -130,9 +174,14 @@
             else:
                 self._rows[row.key.key] = row
         self._version = found.version
+        self._note_changes(found.rows)
         if found.rows:
             self._on_change(found.rows)
 
+    def _note_changes(self, rows):
+        newest = max((row.version for row in rows), default=0)
+        self.newest_change = max(self.newest_change, newest)
+
     def _note_state(self, up, detail):
         if up != self._up:
             self._up = up
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_answer.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_answer.py
@@ -44,11 +44,14 @@
         Whether another process answers at the target's address.
     reached : bool
         Whether the target answered at all.
+    refused : bool
+        Whether nothing listens at its address.
     """
 
     reason: str
     wrong_target: bool = False
     reached: bool = True
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_client.py
@@ -112,7 +112,9 @@
         except OSError as exc:
             self._prober.note_unreachable(target)
             reason = f"no connection: {describe(exc)}"
-            raise TargetFailure(NotRun(reason, reached=False)) from exc
+            refused = isinstance(exc, ConnectionRefusedError)
+            outcome = NotRun(reason, reached=False, refused=refused)
+            raise TargetFailure(outcome) from exc
         return conn
 
     async def send(
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_prober.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_prober.py
@@ -1,6 +1,7 @@
 """Finding out whether a target can be reached."""
 
 import asyncio
+from collections.abc import Callable
 
 from swifttide_core.forwarding import TargetEntry
 from swifttide_daemon.gateway._connection_pool import ConnectionPool
@@ -32,11 +33,19 @@
     Parameters
     ----------
     pool : ConnectionPool
+    on_refused : callable
+        Takes the id of a target at whose address nothing listens any longer.
     log : EventLog
     """
 
-    def __init__(self, pool: ConnectionPool, log: EventLog):
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        on_refused: Callable[[str], None],
+        log: EventLog,
+    ):
         self._pool = pool
+        self._on_refused = on_refused
         self._log = log
         self._probes: dict[str, asyncio.Task[bool]] = {}
         self._findings: dict[str, tuple[float, bool]] = {}
@@ -96,6 +105,9 @@
     async def _connects(self, target):
         try:
             conn = await ClientConnection.open(target.ip, target.port)
+        except ConnectionRefusedError:
+            self._on_refused(target.id)
+            return False
         except OSError:
             return False
         self._pool.give_back(target.ip, target.port, conn, None)
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_strike_keeper.py
@@ -0,0 +1,69 @@
+"""Requests that crash targets, and those that only ran beside a cut."""
+
+import asyncio
+
+from swifttide_core.forwarding import TargetEntry
+from swifttide_core.strikes import Clear, Refused
+from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
+from swifttide_standins.paused_clock import run_paused
+
+
+def target(id, port=1, started_ms=1):
+    return TargetEntry(id, "s", "10.0.0.1", port, "zone-a", 12, started_ms=started_ms)
+
+
+class TestStrikes:
+    def standing(self, log, scenario):
+        async def main():
+            keeper = StrikeKeeper(log)
+            scenario(keeper)
+            await asyncio.sleep(0.1)
+            return keeper.standing("f1"), keeper.news()
+
+        return run_paused(main())
+
+    def test_two_dead_targets_refuse_a_request(self, log):
+        def scenario(keeper):
+            keeper.broke("f1", target("t1"))
+            keeper.refused("t1")
+            keeper.broke("f1", target("t2", port=2))
+            keeper.refused("t2")
+
+        found, news = self.standing(log, scenario)
+        assert isinstance(found, Refused)
+        assert len(news) == 2
+
+    def test_cut_makes_nobody_guilty(self, log):
+        """A zone is cut off; connections break and targets' entries lapse.
+
+        Their requests were innocent. Refused, they would fail for ten minutes at all
+        hosts after the cut has healed.
+        """
+
+        def scenario(keeper):
+            for i in range(4):
+                keeper.broke("f1", target(f"t{i}", port=i + 1))
+            for i in range(4):
+                keeper.seen(target(f"t{i}", port=i + 1))
+
+        found, news = self.standing(log, scenario)
+        assert found == Clear()
+        assert news == []
+
+    def test_another_start_at_the_address_tells_a_crash(self, log):
+        def scenario(keeper):
+            keeper.broke("f1", target("t1"))
+            keeper.seen(target("t1b"))
+            keeper.broke("f1", target("t2", port=2, started_ms=1))
+            keeper.seen(target("t2", port=2, started_ms=9))
+
+        found, _ = self.standing(log, scenario)
+        assert isinstance(found, Refused)
+
+    def test_strikes_of_other_hosts_count(self, log):
+        def scenario(keeper):
+            keeper.take([("f1", "t1", "1"), ("f1", "t1", "1"), ("f1", "t2", "1")])
+
+        found, news = self.standing(log, scenario)
+        assert isinstance(found, Refused)
+        assert news == []
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_table_watch.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_table_watch.py
@@ -86,3 +86,33 @@
             return during, seen.rows
 
         assert run_paused(main()) == ({"a": b"1"}, {"a": b"2"})
+
+    def test_silent_connection_is_noticed_by_what_others_know(self, store, log):
+        """The connection that waits for changes has gone silent, without a reset.
+
+        Beacons of other hosts name a newer change; the host asks again at once rather
+        than act on its old configuration until the question's time is over.
+        """
+
+        async def main():
+            store.rows.put("t", "a", b"1")
+            seen = Seen(store, log)
+            task = asyncio.create_task(seen.watch.run())
+            await asyncio.sleep(0.2)
+            answering = store.changes
+
+            async def silent(*args):
+                store.changes = answering
+                await asyncio.sleep(60.0)
+
+            store.changes = silent
+            await asyncio.sleep(2.5)
+            store.rows.put("t", "a", b"2")
+            await asyncio.sleep(1.0)
+            before = dict(seen.rows)
+            seen.watch.heard_of(store.rows.version)
+            await asyncio.sleep(0.1)
+            task.cancel()
+            return before, seen.rows
+
+        assert run_paused(main()) == ({"a": b"1"}, {"a": b"2"})
