--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_answer_relay.py
@@ -0,0 +1,153 @@
+"""Passing a target's answer on to its caller."""
+
+import asyncio
+import functools
+from collections.abc import Callable
+
+from swifttide_core.forwarding import RequestKind
+from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway._dialect import Dialect
+from swifttide_daemon.gateway._event_reader import EventReader
+from swifttide_daemon.gateway._job import age_of
+from swifttide_daemon.gateway._metrics import GatewayMetrics
+from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway._target_answer import MayHaveRun, TargetFailure
+from swifttide_daemon.gateway._target_client import PROMISES, TargetExchange
+from swifttide_daemon.gateway._turn_keeper import TurnKeeper
+from swifttide_daemon.telemetry import EventLog
+
+KEEP_SECONDS = 1.8
+"""Longest time that a turn's end waits for the store: callers leave after two seconds
+without an event, and then send the turn again."""
+
+KEEP_RETRY_SECONDS = 0.2
+"""Pause between tries to store a turn while the store is away."""
+
+
+class AnswerRelay:
+    """Passes answers on, event by event where they are streams.
+
+    Parameters
+    ----------
+    dialect : Dialect
+    turns : TurnKeeper
+    elsewhere_after : callable
+        Returns after how many seconds callers reach a host that isn't cut off from
+        the store and the other zones; None while this one isn't.
+    beliefs : Beliefs
+    metrics : GatewayMetrics
+    log : EventLog
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        turns: TurnKeeper,
+        elsewhere_after: Callable[[], float | None],
+        beliefs: Beliefs,
+        metrics: GatewayMetrics,
+        log: EventLog,
+    ):
+        self._dialect = dialect
+        self._turns = turns
+        self._elsewhere_after = elsewhere_after
+        self._beliefs = beliefs
+        self._metrics = metrics
+        self._log = log
+
+    async def pass_on(self, job, progress, exchange: TargetExchange):
+        head = exchange.head
+        is_stream = job.route.kind is RequestKind.STREAMING and head.status == 200
+        if is_stream:
+            await self._pass_on_events(job, progress, exchange)
+            return
+        if progress.n_events or job.channel.started:
+            exchange.cancel()
+            raise TargetFailure(MayHaveRun(f"answered {head.status} to a resumption"))
+        body = await exchange.read_body()
+        if head.status in PROMISES:
+            # Without its promise: the target may have run the request after all.
+            raise TargetFailure(MayHaveRun(f"answered {head.status}"))
+        progress.first_seconds = age_of(job.req)
+        await job.channel.answer(head.status, self._dialect.answer_fields(head), body)
+        self._log_served(job, progress, exchange.target, head.status)
+
+    async def _pass_on_events(self, job, progress, exchange):
+        head = exchange.head
+        if not job.channel.started:
+            fields = self._dialect.answer_fields(head)
+            await job.channel.start(head.status, fields, None)
+        reader = EventReader()
+        while (piece := await exchange.read_piece()) is not None:
+            for event in self._whole_events(reader, piece, exchange):
+                await self._pass_on_event(job, progress, event)
+        if reader.within_event:
+            raise TargetFailure(MayHaveRun("ended within an event"))
+        await self._keep_turn(job, progress)
+        await job.channel.finish()
+        self._log_served(job, progress, exchange.target, head.status)
+
+    def _whole_events(self, reader, piece, exchange):
+        try:
+            return reader.feed(piece)
+        except ValueError as exc:
+            exchange.cancel()
+            raise TargetFailure(MayHaveRun(str(exc))) from exc
+
+    async def _pass_on_event(self, job, progress, event):
+        if event.id is not None:
+            if progress.last_id is not None and event.id <= progress.last_id:
+                # Passed on before the stream was resumed.
+                return
+            progress.last_id = event.id
+        progress.n_events += 1
+        if progress.n_events == 1:
+            progress.first_seconds = age_of(job.req)
+        if job.route.keeps_turns and event.has_data:
+            progress.output.append(event.data + b"\n")
+        await job.channel.write(event.raw)
+
+    async def _keep_turn(self, job, progress):
+        """Store the turn before its answer ends.
+
+        From the end of its answer on a caller may name the turn, at any host. Stored
+        later, it would be unknown there, or lost with this host.
+        """
+        if not job.route.keeps_turns:
+            return
+        transcript = job.body + b"".join(progress.output)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + KEEP_SECONDS
+        keep = functools.partial(
+            self._turns.keep,
+            job.customer,
+            job.req.id,
+            transcript,
+            job.route.keep_seconds,
+        )
+        while not await keep():
+            if self._elsewhere_after() is not None or loop.time() > until:
+                raise Refusal(502, "turn_not_stored")
+            await asyncio.sleep(KEEP_RETRY_SECONDS)
+
+    def _log_served(self, job, progress, target, status):
+        self._metrics.answered(status, "served")
+        self._metrics.hop("rate", progress.rate_seconds)
+        self._metrics.hop("admission", progress.sent_seconds - progress.rate_seconds)
+        self._metrics.hop("target", progress.first_seconds - progress.sent_seconds)
+        self._metrics.hop("whole", age_of(job.req))
+        self._log.info(
+            "request_served",
+            request_id=job.req.id,
+            program=job.req.turn.program,
+            customer=job.customer,
+            target=target.id,
+            status=status,
+            n_events=progress.n_events,
+            n_sent=len(progress.sent),
+            rate_seconds=round(progress.rate_seconds, 4),
+            sent_seconds=round(progress.sent_seconds, 4),
+            first_seconds=round(progress.first_seconds, 4),
+            seconds=round(age_of(job.req), 4),
+            config_version=self._beliefs.config.version,
+        )
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
@@ -1,6 +1,7 @@
 """What this host believes of configuration and targets."""
 
 import asyncio
+from collections.abc import Callable
 
 from swifttide_core.forwarding import RoutingConfig, TargetEntry
 from swifttide_daemon.telemetry import EventLog
@@ -15,10 +16,13 @@
 
     Parameters
     ----------
+    on_left : callable
+        Takes the id of each target that is taken out of service for good.
     log : EventLog
     """
 
-    def __init__(self, log: EventLog):
+    def __init__(self, on_left: Callable[[str], None], log: EventLog):
+        self._on_left = on_left
         self._log = log
         self.config: RoutingConfig | None = None
         self.targets: dict[str, TargetEntry] = {}
@@ -103,4 +107,5 @@
 
     def _drop(self, target_id, reason):
         if self.targets.pop(target_id, None) is not None:
+            self._on_left(target_id)
             self._log.info("target_left", target=target_id, reason=reason)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -1,27 +1,25 @@
 """Answering a caller's request with a target's answer."""
 
 import asyncio
-import functools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from swifttide_core.forwarding import (
     Candidate,
     CustomerTerms,
     RequestKind,
     Route,
-    ServiceSpec,
     TargetEntry,
     choose_target,
 )
 from swifttide_core.strikes import Refused, fingerprint_of
+from swifttide_daemon.gateway._answer_relay import AnswerRelay
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper, Reservation
+from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway._caller_channel import CallerChannel
 from swifttide_daemon.gateway._caller_request import CallerRequest
 from swifttide_daemon.gateway._dialect import Dialect
-from swifttide_daemon.gateway._event_reader import EventReader
+from swifttide_daemon.gateway._job import Job, Progress, age_of
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._rate_keeper import RateKeeper
 from swifttide_daemon.gateway._refusal import Refusal
@@ -32,9 +30,7 @@
     TargetFailure,
 )
 from swifttide_daemon.gateway._target_client import (
-    PROMISES,
     TargetClient,
-    TargetExchange,
 )
 from swifttide_daemon.gateway._target_health import TargetHealth
 from swifttide_daemon.gateway._turn_keeper import TurnKeeper
@@ -43,13 +39,6 @@
 MAX_SENDS = 5
 """Targets asked for one request, those that refused it unrun included."""
 
-KEEP_SECONDS = 1.8
-"""Longest time that a turn's end waits for the store: callers leave after two seconds
-without an event, and then send the turn again."""
-
-KEEP_RETRY_SECONDS = 0.2
-"""Pause between tries to store a turn while the store is away."""
-
 MAX_RATE_WAIT_SECONDS = 1.5
 """Longest wait for a customer's rate: a turn of a program is sent again twice, and
 what waited longer would mostly be late."""
@@ -62,47 +51,6 @@
 """For a request whose caller and route name no time."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Job:
-    """A request that was let in, with what was found out about it."""
-
-    req: CallerRequest
-    route: Route
-    service: ServiceSpec
-    customer: str
-    expires_at: float
-    body: bytes
-    reservation: Reservation | None
-    channel: CallerChannel
-    fingerprint: str
-
-    def may_repeat(self, progress: "_Progress") -> bool:
-        """Whether it may be sent again though it may have run.
-
-        A stream without numbered events has no place at which to go on.
-        """
-        if progress.n_events:
-            return self.route.resumable and progress.last_id is not None
-        return self.route.repeatable or self.route.resumable
-
-
-class _Progress:
-    """What has become of a job so far."""
-
-    def __init__(self):
-        self.sent: list[str] = []
-        """Targets that may have run the request."""
-        self.last_id: int | None = None
-        self.n_events = 0
-        self.output: list[bytes] = []
-        self.rate_seconds = 0.0
-        """Age of the request when its customer's rate let it in."""
-        self.sent_seconds = 0.0
-        """Age of the request when it was last sent to a target."""
-        self.first_seconds = 0.0
-        """Age of the request at the first event or the whole answer."""
-
-
 class Forwarder:
     """Decides on each request and carries it to a target.
 
@@ -151,6 +99,9 @@
         self._strikes = strikes
         self._metrics = metrics
         self._log = log
+        self._relay = AnswerRelay(
+            dialect, turns, elsewhere_after, beliefs, metrics, log
+        )
 
     async def handle(self, req: CallerRequest, channel: CallerChannel) -> None:
         """Answer one request."""
@@ -196,15 +147,15 @@
         service = self._beliefs.config.service(self._pick_service(route))
         customer = terms.name if terms else ""
         fingerprint = self._check_strikes(req, customer)
-        progress = _Progress()
+        progress = Progress()
         if terms:
             wait = self._rate_wait(req, customer, expires_at)
             await self._rates.take(req.id, terms, wait)
-            progress.rate_seconds = self._age(req)
+            progress.rate_seconds = age_of(req)
         try:
             body = await self._whole_input(req, route, customer)
             reservation = await self._reserve(req, route, customer)
-            job = _Job(
+            job = Job(
                 req,
                 route,
                 service,
@@ -371,7 +322,7 @@
             conn = await self._client.connect(target)
             # From here on nobody can say that it hasn't run.
             progress.sent.append(target.id)
-            progress.sent_seconds = self._age(req)
+            progress.sent_seconds = age_of(req)
             exchange = await self._client.send(
                 conn,
                 target,
@@ -381,110 +332,10 @@
                 fields,
                 job.body,
             )
-            await self._pass_on(job, progress, exchange)
+            await self._relay.pass_on(job, progress, exchange)
             self._health.answered(target.id)
             self._strikes.ran(job.fingerprint)
         finally:
             self._health.ended_request(target.id)
             if exchange is not None and not exchange.complete:
                 exchange.cancel()
-
-    async def _pass_on(self, job, progress, exchange: TargetExchange):
-        head = exchange.head
-        is_stream = job.route.kind is RequestKind.STREAMING and head.status == 200
-        if is_stream:
-            await self._pass_on_events(job, progress, exchange)
-            return
-        if progress.n_events or job.channel.started:
-            exchange.cancel()
-            raise TargetFailure(MayHaveRun(f"answered {head.status} to a resumption"))
-        body = await exchange.read_body()
-        if head.status in PROMISES:
-            # Without its promise: the target may have run the request after all.
-            raise TargetFailure(MayHaveRun(f"answered {head.status}"))
-        progress.first_seconds = self._age(job.req)
-        await job.channel.answer(head.status, self._dialect.answer_fields(head), body)
-        self._log_served(job, progress, exchange.target, head.status)
-
-    async def _pass_on_events(self, job, progress, exchange):
-        head = exchange.head
-        if not job.channel.started:
-            fields = self._dialect.answer_fields(head)
-            await job.channel.start(head.status, fields, None)
-        reader = EventReader()
-        while (piece := await exchange.read_piece()) is not None:
-            for event in self._whole_events(reader, piece, exchange):
-                await self._pass_on_event(job, progress, event)
-        if reader.within_event:
-            raise TargetFailure(MayHaveRun("ended within an event"))
-        await self._keep_turn(job, progress)
-        await job.channel.finish()
-        self._log_served(job, progress, exchange.target, head.status)
-
-    def _whole_events(self, reader, piece, exchange):
-        try:
-            return reader.feed(piece)
-        except ValueError as exc:
-            exchange.cancel()
-            raise TargetFailure(MayHaveRun(str(exc))) from exc
-
-    async def _pass_on_event(self, job, progress, event):
-        if event.id is not None:
-            if progress.last_id is not None and event.id <= progress.last_id:
-                # Passed on before the stream was resumed.
-                return
-            progress.last_id = event.id
-        progress.n_events += 1
-        if progress.n_events == 1:
-            progress.first_seconds = self._age(job.req)
-        if job.route.keeps_turns and event.has_data:
-            progress.output.append(event.data + b"\n")
-        await job.channel.write(event.raw)
-
-    async def _keep_turn(self, job, progress):
-        """Store the turn before its answer ends.
-
-        From the end of its answer on a caller may name the turn, at any host. Stored
-        later, it would be unknown there, or lost with this host.
-        """
-        if not job.route.keeps_turns:
-            return
-        transcript = job.body + b"".join(progress.output)
-        loop = asyncio.get_running_loop()
-        until = loop.time() + KEEP_SECONDS
-        keep = functools.partial(
-            self._turns.keep,
-            job.customer,
-            job.req.id,
-            transcript,
-            job.route.keep_seconds,
-        )
-        while not await keep():
-            if self._elsewhere_after() is not None or loop.time() > until:
-                raise Refusal(502, "turn_not_stored")
-            await asyncio.sleep(KEEP_RETRY_SECONDS)
-
-    def _log_served(self, job, progress, target, status):
-        self._metrics.answered(status, "served")
-        self._metrics.hop("rate", progress.rate_seconds)
-        self._metrics.hop("admission", progress.sent_seconds - progress.rate_seconds)
-        self._metrics.hop("target", progress.first_seconds - progress.sent_seconds)
-        self._metrics.hop("whole", self._age(job.req))
-        self._log.info(
-            "request_served",
-            request_id=job.req.id,
-            program=job.req.turn.program,
-            customer=job.customer,
-            target=target.id,
-            status=status,
-            n_events=progress.n_events,
-            n_sent=len(progress.sent),
-            rate_seconds=round(progress.rate_seconds, 4),
-            sent_seconds=round(progress.sent_seconds, 4),
-            first_seconds=round(progress.first_seconds, 4),
-            seconds=round(self._age(job.req), 4),
-            config_version=self._beliefs.config.version,
-        )
-
-    def _age(self, req) -> float:
-        return asyncio.get_running_loop().time() - req.received_at
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -4,47 +4,33 @@
 import dataclasses
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
 
-from swifttide_core.forwarding import RequestLimits, RoutingConfig, TargetEntry
+from swifttide_core.forwarding import RequestLimits, RoutingConfig
 from swifttide_daemon.gateway._beacon import Beacon
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway._connection_pool import ConnectionPool
 from swifttide_daemon.gateway._datagrams import MAX_STRIKES, Datagrams
+from swifttide_daemon.gateway._decoders import Decoders
 from swifttide_daemon.gateway._dialect import Dialect
-from swifttide_daemon.gateway._fleet import HOST_PREFIX, Fleet
 from swifttide_daemon.gateway._fleet import TABLE as FLEET_TABLE
+from swifttide_daemon.gateway._fleet import Fleet
 from swifttide_daemon.gateway._forwarder import Forwarder
 from swifttide_daemon.gateway._frontend import Frontend
+from swifttide_daemon.gateway._isolation import Isolation
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._peer import Peer
 from swifttide_daemon.gateway._peer_client import PeerClient
-from swifttide_daemon.gateway._peer_messages import (
-    Done,
-    GiveBackTokens,
-    PeerAnswer,
-    PeerRequest,
-    ReadCopy,
-    RelayChanges,
-    RelayCommit,
-    RelayRead,
-    StoreOutcome,
-)
 from swifttide_daemon.gateway._peer_server import PeerServer
+from swifttide_daemon.gateway._peer_service import PeerService
 from swifttide_daemon.gateway._rate_keeper import RateKeeper
 from swifttide_daemon.gateway._relayed_store import RelayedStore
+from swifttide_daemon.gateway._row_feed import RowFeed
 from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_daemon.gateway._settings import GatewaySettings
 from swifttide_daemon.gateway._settings_watch import SettingsWatch
-from swifttide_daemon.gateway._share_keeper import KEY as SHARES_KEY
 from swifttide_daemon.gateway._share_keeper import ShareKeeper
-from swifttide_daemon.gateway._shared_store import (
-    Rows,
-    SharedStore,
-    StoredRow,
-    Unavailable,
-)
+from swifttide_daemon.gateway._shared_store import Rows, SharedStore
 from swifttide_daemon.gateway._status_server import (
     NOT_READY,
     OK,
@@ -73,55 +59,13 @@
 
 METRICS_PATH = "/metrics"
 
-BALANCER_SECONDS = 2.1
-"""Time until the balancer has taken out a host that isn't ready: it asks each second
-and counts two misses."""
-
-MIN_ELSEWHERE_SECONDS = 0.15
-"""Shortest pause before a caller tries another host."""
-
 SHARE_WAIT_SECONDS = 4.0
 """Longest time that a new host waits for its share of the rates."""
 
-MAX_COPIES = 3
-"""Hosts that are asked for what they know; the newest copy is taken."""
-
-COPY_SECONDS = 0.3
-"""Time for a copy of a table."""
-
-GIVE_BACK_SECONDS = 0.15
-"""Time for another host to write a program's free tokens back."""
-
 HOUSEKEEPING_SECONDS = 0.15
 """Between looks at idle connections, lapsed targets and whether it is cut off."""
 
 
-@dataclass(frozen=True, slots=True)
-class Decoders:
-    """How the store's rows are read.
-
-    Parameters
-    ----------
-    config_table, config_key : str
-        Where the operator's document lies.
-    targets_table : str
-        Where targets register.
-    config : callable
-        Returns a `RoutingConfig`; raises `ValueError`.
-    target : callable
-        Returns a `TargetEntry`, or None for an entry that names no target.
-    ready_path : str
-        Path of the balancer's question.
-    """
-
-    config_table: str
-    config_key: str
-    targets_table: str
-    config: Callable[[bytes], RoutingConfig]
-    target: Callable[[str, bytes | None], TargetEntry | None]
-    ready_path: str
-
-
 class Gateway:
     """Forwards requests at one host.
 
@@ -151,25 +95,85 @@
         self._pool = pool
         self._decoders = decoders
         self._log = log
-        self.beliefs = Beliefs(log)
         self._settings_watch = SettingsWatch(read_settings, self._apply_settings, log)
         self._started_at = float("inf")
-        self._isolated = False
-        self._isolated_at = 0.0
+        self._metrics = GatewayMetrics(cfg.host, cfg.zone)
+        self._watch_targets()
+        self._join_fleet(store)
+        self._follow_store()
+        self._face_callers(dialect)
+
+    def _watch_targets(self):
+        log = self._log
         self._strikes = StrikeKeeper(log)
-        self._prober = TargetProber(pool, self._strikes.refused, log)
+        self._prober = TargetProber(self._pool, self._strikes.refused, log)
         self._health = TargetHealth(self._prober.is_down)
-        self._metrics = GatewayMetrics(cfg.host, cfg.zone)
-        self._connect_fleet(store)
+        self.beliefs = Beliefs(self._forget_target, log)
+
+    def _join_fleet(self, direct):
+        cfg, log = self._cfg, self._log
+        own = Peer(cfg.ip, cfg.peer_port, cfg.zone, uuid.uuid4().hex[:12])
+        self._fleet = Fleet(own, log)
+        peers = PeerClient(self._pool)
+        self._store = RelayedStore(direct, self._fleet, peers, self._metrics, log)
+        self._peer_service = PeerService(
+            direct, self._fleet, peers, self._give_back, self._copy_of
+        )
+        self._peer_server = PeerServer(self._peer_service.answer, log)
+        self._datagrams = Datagrams(self._fleet, log)
+        self._isolation = Isolation(self._fleet, self._store, log)
+        self._rates = RateKeeper(cfg, self._fleet, self._datagrams.send, log)
+        self._shares = ShareKeeper(self._store, cfg.ip, self._rates, log)
+        self._datagrams.compose = self._compose_beacon
+        self._datagrams.on_beacon = self._take_beacon
+        self._datagrams.on_ask = self._rates.lend
+        self._datagrams.on_lend = self._rates.receive
+
+    def _follow_store(self):
+        self._feed = feed = RowFeed(
+            self._decoders,
+            self.beliefs,
+            self._strikes,
+            self._fleet,
+            self._shares,
+            self._take_config,
+            self._log,
+        )
+        decoders = self._decoders
+        self._config_watch = self._watch(
+            decoders.config_table, feed.take_config, feed.take_config
+        )
+        self._targets_watch = self._watch(
+            decoders.targets_table,
+            feed.take_all_targets,
+            feed.take_changed_targets,
+            feed.note_store,
+        )
+        self._fleet_watch = self._watch(
+            FLEET_TABLE, feed.take_all_hosts, feed.take_changed_hosts
+        )
+
+    def _watch(self, table, on_all, on_change, on_state=lambda up: None):
+        find_copy = self._peer_service.find_copy
+        return TableWatch(
+            self._store, table, on_all, on_change, on_state, find_copy, self._log
+        )
+
+    def _face_callers(self, dialect):
+        cfg, log = self._cfg, self._log
+        self._reaper = RowReaper(self._store, log)
+        self._budgets = BudgetKeeper(
+            self._store, cfg.ip, self._peer_service.ask_holders, self._reaper, log
+        )
         self._forwarder = Forwarder(
             cfg,
             self.beliefs,
             dialect,
-            TargetClient(dialect, pool, self._prober),
+            TargetClient(dialect, self._pool, self._prober),
             self._health,
             self._budgets,
             TurnKeeper(self._store, cfg.row_bytes, self._reaper, log),
-            self._elsewhere_after,
+            self._isolation.elsewhere_after,
             self._rates,
             self._strikes,
             self._metrics,
@@ -178,56 +182,9 @@
         self._front = Frontend(
             dialect, self._limits, self._may_keep, self._forwarder.handle, log
         )
-        self._ready = StatusServer(decoders.ready_path, self._ready_page, log)
+        ready_path = self._decoders.ready_path
+        self._ready = StatusServer(ready_path, self._ready_page, log)
         self._metrics_server = StatusServer(METRICS_PATH, self._metrics_page, log)
-        self._config_watch = TableWatch(
-            self._store,
-            decoders.config_table,
-            self._take_config_rows,
-            self._take_config_rows,
-            lambda up: None,
-            self._find_copy,
-            log,
-        )
-        self._targets_watch = TableWatch(
-            self._store,
-            decoders.targets_table,
-            self._take_all_targets,
-            self._take_changed_targets,
-            self._note_store,
-            self._find_copy,
-            log,
-        )
-        self._fleet_watch = TableWatch(
-            self._store,
-            FLEET_TABLE,
-            self._take_all_hosts,
-            self._take_changed_hosts,
-            lambda up: None,
-            self._find_copy,
-            log,
-        )
-        self._store_up = True
-
-    def _connect_fleet(self, store):
-        cfg, log = self._cfg, self._log
-        own = Peer(cfg.ip, cfg.peer_port, cfg.zone, uuid.uuid4().hex[:12])
-        self._fleet = Fleet(own, log)
-        self._peers = PeerClient(self._pool)
-        self._direct_store = store
-        self._store = RelayedStore(store, self._fleet, self._peers, self._metrics, log)
-        self._reaper = RowReaper(self._store, log)
-        self._datagrams = Datagrams(self._fleet, log)
-        self._rates = RateKeeper(cfg, self._fleet, self._datagrams.send, log)
-        self._shares = ShareKeeper(self._store, cfg.ip, self._rates, log)
-        self._budgets = BudgetKeeper(
-            self._store, cfg.ip, self._ask_holders, self._reaper, log
-        )
-        self._peer_server = PeerServer(self._answer_peer, log)
-        self._datagrams.compose = self._compose_beacon
-        self._datagrams.on_beacon = self._take_beacon
-        self._datagrams.on_ask = self._rates.lend
-        self._datagrams.on_lend = self._rates.receive
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then leave without cutting a request."""
@@ -297,36 +254,13 @@
         believe("peers_heard", len(self._fleet.alive()))
         believe("rate_share", self._rates.share)
         believe("store_up", float(self._store.direct_up))
-        believe("isolated", float(self._isolated))
+        believe("isolated", float(self._isolation.active))
         body, content_type = self._metrics.render()
         return StatusPage(OK.status, body, content_type)
 
-    def _is_isolated(self) -> bool:
-        """Whether this host is cut off from the store and from the other zones.
-
-        Its callers reach hosts of other zones, which can serve them; this one can't
-        start programs or keep turns. In an outage of the store itself the other zones
-        are still heard, and sending callers there would gain nothing.
-        """
-        if not self._fleet.is_alone():
-            return False
-        self._store.doubt()
-        return not self._store.direct_up and not self._fleet.with_store()
-
-    def _elsewhere_after(self) -> float | None:
-        """Return after how many seconds callers reach another host, None if no sooner.
-
-        From when it knows that it is cut off, the balancer still sends callers here
-        until it has asked twice.
-        """
-        if not self._isolated:
-            return None
-        since = asyncio.get_running_loop().time() - self._isolated_at
-        return max(MIN_ELSEWHERE_SECONDS, BALANCER_SECONDS - since)
-
     def _may_keep(self) -> bool:
         """Whether callers may use their connections again."""
-        return not self._front.stopping and not self._isolated
+        return not self._front.stopping and not self._isolation.active
 
     def _limits(self) -> RequestLimits:
         cfg = self.beliefs.config
@@ -337,55 +271,27 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._pool.close_expired()
             self.beliefs.drop_lapsed()
-            self._note_isolation()
-
-    async def _answer_peer(self, request: PeerRequest) -> PeerAnswer:
-        """Carry out another host's call."""
-        store = self._direct_store
-        match request:
-            case GiveBackTokens(program):
-                return Done(await self._budgets.give_back(program))
-            case RelayCommit(tx):
-                return StoreOutcome.of(await store.commit(tx))
-            case RelayRead(table, part, start, end):
-                return StoreOutcome.of(await store.read(table, part, start, end))
-            case RelayChanges(table, after, seconds):
-                return StoreOutcome.of(await store.changes(table, after, seconds))
-            case ReadCopy(table):
-                return StoreOutcome.of(self._copy_of(table))
-
-    def _copy_of(self, table: str) -> Rows | Unavailable:
+            self._isolation.check()
+
+    async def _give_back(self, program: str) -> bool:
+        return await self._budgets.give_back(program)
+
+    def _copy_of(self, table: str) -> Rows | None:
         watches = {
             self._decoders.config_table: self._config_watch,
             self._decoders.targets_table: self._targets_watch,
             FLEET_TABLE: self._fleet_watch,
         }
         watch = watches.get(table)
-        found = watch.copy() if watch else None
-        return found or Unavailable("not known here")
-
-    async def _find_copy(self, table: str) -> Rows | None:
-        """Return the newest of what some other hosts know of a table."""
-        peers = self._fleet.alive()[:MAX_COPIES]
-        calls = [self._peers.call(p, ReadCopy(table), COPY_SECONDS) for p in peers]
-        answers = await asyncio.gather(*calls)
-        copies = [
-            found
-            for answer in answers
-            if isinstance(answer, StoreOutcome)
-            and isinstance(found := answer.unwrap(), Rows)
-        ]
-        return max(copies, key=lambda rows: rows.version, default=None)
-
-    async def _ask_holders(self, ips: tuple[str, ...], program: str) -> bool:
-        """Ask hosts to give a program's free tokens back; whether one did."""
-        peers = [p for ip in ips if (p := self._fleet.by_ip(ip)) is not None]
-        calls = [
-            self._peers.call(p, GiveBackTokens(program), GIVE_BACK_SECONDS)
-            for p in peers
-        ]
-        answers = await asyncio.gather(*calls)
-        return any(isinstance(a, Done) and a.ok for a in answers)
+        return watch.copy() if watch else None
+
+    def _forget_target(self, target_id: str) -> None:
+        """Drop what is known of a target that has left."""
+        self._prober.forget(target_id)
+        self._health.forget(target_id)
+
+    def _take_config(self, cfg: RoutingConfig) -> None:
+        self._rates.follow(cfg.customers)
 
     def _compose_beacon(self, number: int) -> Beacon:
         return Beacon(
@@ -407,71 +313,6 @@
         self._config_watch.heard_of(beacon.config_change)
         self._targets_watch.heard_of(beacon.target_change)
 
-    def _take_all_hosts(self, rows: tuple[StoredRow, ...]) -> None:
-        self._fleet.take_all(
-            tuple(r for r in rows if r.key.key.startswith(HOST_PREFIX))
-        )
-        self._take_changed_hosts(rows)
-
-    def _take_changed_hosts(self, rows: tuple[StoredRow, ...]) -> None:
-        for row in rows:
-            if row.key.key.startswith(HOST_PREFIX):
-                self._fleet.take_row(row)
-            elif row.key.key == SHARES_KEY:
-                self._shares.take_row(row)
-
-    def _note_isolation(self):
-        isolated = self._is_isolated()
-        if isolated != self._isolated:
-            self._isolated = isolated
-            self._isolated_at = asyncio.get_running_loop().time()
-            event = "isolated" if isolated else "isolation_ended"
-            self._log.warning(event, peers=len(self._fleet.alive()))
-
-    def _note_store(self, up: bool) -> None:
-        if up and not self._store_up:
-            self.beliefs.store_returned()
-        self._store_up = up
-
-    def _take_config_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        for row in rows:
-            if row.key.key != self._decoders.config_key or row.value is None:
-                continue
-            try:
-                cfg = self._decoders.config(row.value)
-            except ValueError as exc:
-                self._log.error("configuration_unreadable", detail=str(exc))
-                continue
-            self.beliefs.take_config(cfg, "store")
-            self._rates.follow(cfg.customers)
-
-    def _take_all_targets(self, rows: tuple[StoredRow, ...]) -> None:
-        entries = {}
-        for row in rows:
-            entry = self._decode_target(row)
-            if entry is not None:
-                entries[entry.id] = entry
-                self._strikes.seen(entry)
-        self.beliefs.replace_targets(entries)
-
-    def _take_changed_targets(self, rows: tuple[StoredRow, ...]) -> None:
-        for row in rows:
-            entry = self._decode_target(row)
-            if entry is not None:
-                self._strikes.seen(entry)
-                self.beliefs.put_target(entry)
-            else:
-                self._prober.forget(row.key.key)
-                self.beliefs.remove_target(row.key.key)
-
-    def _decode_target(self, row):
-        if row.key.part:
-            return None
-        entry = self._decoders.target(row.key.key, row.value)
-        if entry is None and row.value is not None:
-            self._log.warning("target_entry_unreadable", target=row.key.key)
-        return entry
-
     def reload(self) -> None:
         """Take SIGHUP: the settings may have changed."""
         self._settings_watch.ask()
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_row_feed.py
@@ -0,0 +1,111 @@
+"""Turning rows of the store into beliefs."""
+
+from collections.abc import Callable
+
+from swifttide_core.forwarding import RoutingConfig
+from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway._decoders import Decoders
+from swifttide_daemon.gateway._fleet import HOST_PREFIX, Fleet
+from swifttide_daemon.gateway._share_keeper import KEY as SHARES_KEY
+from swifttide_daemon.gateway._share_keeper import ShareKeeper
+from swifttide_daemon.gateway._shared_store import StoredRow
+from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
+from swifttide_daemon.telemetry import EventLog
+
+RowsTuple = tuple[StoredRow, ...]
+
+
+class RowFeed:
+    """Takes rows of the three tables that a host follows.
+
+    Parameters
+    ----------
+    decoders : Decoders
+    beliefs : Beliefs
+    strikes : StrikeKeeper
+    fleet : Fleet
+    shares : ShareKeeper
+    on_config : callable
+        Takes each configuration that comes in force.
+    log : EventLog
+    """
+
+    def __init__(
+        self,
+        decoders: Decoders,
+        beliefs: Beliefs,
+        strikes: StrikeKeeper,
+        fleet: Fleet,
+        shares: ShareKeeper,
+        on_config: Callable[[RoutingConfig], None],
+        log: EventLog,
+    ):
+        self._decoders = decoders
+        self._beliefs = beliefs
+        self._strikes = strikes
+        self._fleet = fleet
+        self._shares = shares
+        self._on_config = on_config
+        self._log = log
+        self._store_up = True
+
+    def note_store(self, up: bool) -> None:
+        """Note whether the store answered."""
+        if up and not self._store_up:
+            self._beliefs.store_returned()
+        self._store_up = up
+
+    def take_config(self, rows: RowsTuple) -> None:
+        """Take rows of the operator's table."""
+        for row in rows:
+            if row.key.key != self._decoders.config_key or row.value is None:
+                continue
+            try:
+                cfg = self._decoders.config(row.value)
+            except ValueError as exc:
+                self._log.error("configuration_unreadable", detail=str(exc))
+                continue
+            if self._beliefs.take_config(cfg, "store"):
+                self._on_config(cfg)
+
+    def take_all_targets(self, rows: RowsTuple) -> None:
+        """Take all entries of targets."""
+        entries = {}
+        for row in rows:
+            entry = self._decode_target(row)
+            if entry is not None:
+                entries[entry.id] = entry
+                self._strikes.seen(entry)
+        self._beliefs.replace_targets(entries)
+
+    def take_changed_targets(self, rows: RowsTuple) -> None:
+        """Take entries that were written or removed."""
+        for row in rows:
+            entry = self._decode_target(row)
+            if entry is None:
+                self._beliefs.remove_target(row.key.key)
+                continue
+            self._strikes.seen(entry)
+            self._beliefs.put_target(entry)
+
+    def take_all_hosts(self, rows: RowsTuple) -> None:
+        """Take all rows of the fleet's table."""
+        hosts = tuple(r for r in rows if r.key.key.startswith(HOST_PREFIX))
+        self._fleet.take_all(hosts)
+        self.take_changed_hosts(rows)
+
+    def take_changed_hosts(self, rows: RowsTuple) -> None:
+        """Take rows of the fleet's table that were written or removed."""
+        for row in rows:
+            if row.key.key.startswith(HOST_PREFIX):
+                self._fleet.take_row(row)
+            elif row.key.key == SHARES_KEY:
+                self._shares.take_row(row)
+
+    def _decode_target(self, row):
+        if row.key.part:
+            return None
+        entry = self._decoders.target(row.key.key, row.value)
+        if entry is None and row.value is not None:
+            self._log.warning("target_entry_unreadable", target=row.key.key)
+        return entry
