ENH Wait for a slow store instead of asking it twice; read and reserve at once

The next way to the store now waits for what calls take of late, history and tokens are fetched at once, and the answer is a no.

Admission has a file of its own.

--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
@@ -0,0 +1,184 @@
+"""Letting requests in."""
+
+import asyncio
+import random
+
+from swifttide_core.forwarding import CustomerTerms, RequestKind, Route
+from swifttide_core.strikes import Refused, fingerprint_of
+from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway._budget_keeper import BudgetKeeper, Reservation
+from swifttide_daemon.gateway._caller_channel import CallerChannel
+from swifttide_daemon.gateway._caller_request import CallerRequest
+from swifttide_daemon.gateway._job import Job, Progress, age_of
+from swifttide_daemon.gateway._rate_keeper import RateKeeper
+from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
+from swifttide_daemon.gateway._turn_keeper import TurnKeeper
+
+MAX_RATE_WAIT_SECONDS = 1.5
+"""Longest wait for a customer's rate: a turn of a program is sent again twice, and
+what waited longer would mostly be late."""
+
+RATE_WAIT_PART = 0.5
+"""Part of a request's time that it may spend waiting for its customer's rate; the rest
+is for the work."""
+
+DEFAULT_PATIENCE_SECONDS = 60.0
+"""For a request whose caller and route name no time."""
+
+
+class Admission:
+    """Decides whether a request is let in, and finds what it needs to run.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+    budgets : BudgetKeeper
+    turns : TurnKeeper
+    rates : RateKeeper
+    strikes : StrikeKeeper
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        budgets: BudgetKeeper,
+        turns: TurnKeeper,
+        rates: RateKeeper,
+        strikes: StrikeKeeper,
+    ):
+        self._beliefs = beliefs
+        self._budgets = budgets
+        self._turns = turns
+        self._rates = rates
+        self._strikes = strikes
+
+    async def admit(
+        self, req: CallerRequest, channel: CallerChannel, progress: Progress
+    ) -> Job:
+        """Let a request in; raises `Refusal`."""
+        route, terms = self._check(req)
+        patience = req.patience_seconds or DEFAULT_PATIENCE_SECONDS
+        expires_at = req.received_at + min(patience, route.timeout_seconds)
+        service = self._beliefs.config.service(self._pick_service(route))
+        customer = terms.name if terms else ""
+        fingerprint = self._check_strikes(req, customer)
+        if terms:
+            wait = self._rate_wait(req, customer, expires_at)
+            await self._rates.take(req.id, terms, wait)
+            progress.rate_seconds = age_of(req)
+        try:
+            body, reservation = await self._prepare(req, route, customer)
+        except Refusal:
+            self._refund(terms)
+            raise
+        return Job(
+            req,
+            route,
+            service,
+            terms,
+            expires_at,
+            body,
+            reservation,
+            channel,
+            fingerprint,
+        )
+
+    def take_back(self, job: Job) -> None:
+        """Undo what a job that was sent to no target has used up."""
+        self._refund(job.terms)
+
+    def settle(self, job: Job, progress: Progress) -> None:
+        """Return the tokens that a turn didn't generate."""
+        if job.reservation is not None:
+            used = progress.n_events * job.service.tokens_per_event
+            self._budgets.settle(job.reservation, used)
+
+    def _refund(self, terms):
+        if terms:
+            self._rates.refund(terms)
+
+    def _check(self, req) -> tuple[Route, CustomerTerms | None]:
+        """Find route and customer; raises `Refusal`."""
+        cfg = self._beliefs.config
+        if cfg is None or not self._beliefs.targets_known:
+            raise Refusal(503, "starting", 0.5)
+        route = cfg.find_route(req.host, req.path)
+        if route is None:
+            raise Refusal(404, "no_such_route")
+        terms = cfg.customer_of(req.key) if req.key else None
+        if terms is None and cfg.needs_keys and not route.public:
+            raise Refusal(401, "unknown_key")
+        return route, terms
+
+    def _rate_wait(self, req, customer, expires_at) -> float:
+        """Return how long a request may wait for its customer's rate.
+
+        A program that is refused its next call is lost with all that was spent on
+        it; a new one has cost nothing yet.
+        """
+        turn = req.turn
+        if not turn.program:
+            return 0.0
+        known = self._budgets.knows(customer, turn.program)
+        if turn.budget_tokens and not turn.previous and not known:
+            return 0.0
+        left = expires_at - asyncio.get_running_loop().time()
+        return min(MAX_RATE_WAIT_SECONDS, left * RATE_WAIT_PART)
+
+    def _check_strikes(self, req, customer):
+        """Refuse a request that crashes whatever runs it; return its fingerprint."""
+        kind = f"{customer} {req.method} {req.path}"
+        fingerprint = fingerprint_of(req.body, kind)
+        match self._strikes.standing(fingerprint):
+            case Refused(seconds):
+                raise Refusal(503, "crashes_targets", seconds)
+        return fingerprint
+
+    def _pick_service(self, route):
+        if len(route.services) == 1:
+            return route.services[0].service
+        weights = [w.weight for w in route.services]
+        picked = random.choices(route.services, weights)[0]
+        return picked.service
+
+    async def _prepare(self, req, route, customer) -> tuple[bytes, Reservation | None]:
+        """Read the history and reserve tokens at the same time.
+
+        One after the other they would take a second while the store is slow, and
+        callers leave after little more.
+        """
+        reading = asyncio.create_task(self._whole_input(req, route, customer))
+        reserving = asyncio.create_task(self._reserve(req, route, customer))
+        try:
+            await asyncio.gather(reading, reserving)
+        except BaseException:
+            reading.cancel()
+            reserving.cancel()
+            await asyncio.wait((reading, reserving))
+            if not reserving.cancelled() and reserving.exception() is None:
+                reservation = reserving.result()
+                if reservation is not None:
+                    self._budgets.settle(reservation, 0)
+            if not reading.cancelled():
+                # Retrieved here, or it would be logged as lost.
+                reading.exception()
+            raise
+        return reading.result(), reserving.result()
+
+    async def _whole_input(self, req, route, customer):
+        """Return what the target is to read: the history, then the new input."""
+        if not (route.keeps_turns and req.turn.previous):
+            return req.body
+        history = await self._turns.transcript(req.id, customer, req.turn.previous)
+        return history + req.body
+
+    async def _reserve(self, req, route, customer):
+        turn = req.turn
+        if not (turn.program and turn.budget_tokens):
+            return None
+        if route.kind is not RequestKind.STREAMING:
+            return None
+        return await self._budgets.reserve(
+            req.id, customer, turn.program, turn.budget_tokens, turn.most_tokens
+        )
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
@@ -173,8 +173,11 @@
                 if known.account is None:
                     break
                 account = known.account.given_back(tokens)
-                if await self._write(key, known, account):
-                    return True
+                try:
+                    if await self._write(key, known, account):
+                        return True
+                except Refusal:
+                    break
             # The tokens stay spent: to put them back into the pool might spend them
             # twice, as the write may still take effect.
             self._log.warning("budget_tokens_lost", program=key, tokens=tokens)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -6,22 +6,17 @@
 
 from swifttide_core.forwarding import (
     Candidate,
-    CustomerTerms,
-    RequestKind,
-    Route,
     TargetEntry,
     choose_target,
 )
-from swifttide_core.strikes import Refused, fingerprint_of
+from swifttide_daemon.gateway._admission import Admission
 from swifttide_daemon.gateway._answer_relay import AnswerRelay
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway._caller_channel import CallerChannel
 from swifttide_daemon.gateway._caller_request import CallerRequest
 from swifttide_daemon.gateway._dialect import Dialect
-from swifttide_daemon.gateway._job import Job, Progress, age_of
+from swifttide_daemon.gateway._job import Progress, age_of
 from swifttide_daemon.gateway._metrics import GatewayMetrics
-from swifttide_daemon.gateway._rate_keeper import RateKeeper
 from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway._target_answer import (
@@ -33,23 +28,11 @@
     TargetClient,
 )
 from swifttide_daemon.gateway._target_health import TargetHealth
-from swifttide_daemon.gateway._turn_keeper import TurnKeeper
 from swifttide_daemon.telemetry import EventLog
 
 MAX_SENDS = 5
 """Targets asked for one request, those that refused it unrun included."""
 
-MAX_RATE_WAIT_SECONDS = 1.5
-"""Longest wait for a customer's rate: a turn of a program is sent again twice, and
-what waited longer would mostly be late."""
-
-RATE_WAIT_PART = 0.5
-"""Part of a request's time that it may spend waiting for its customer's rate; the rest
-is for the work."""
-
-DEFAULT_PATIENCE_SECONDS = 60.0
-"""For a request whose caller and route name no time."""
-
 
 class Forwarder:
     """Decides on each request and carries it to a target.
@@ -61,12 +44,11 @@
     dialect : Dialect
     client : TargetClient
     health : TargetHealth
-    budgets : BudgetKeeper
-    turns : TurnKeeper
+    admission : Admission
+    relay : AnswerRelay
     elsewhere_after : callable
         Returns after how many seconds callers reach a host that isn't cut off from
         the store and the other zones; None while this one isn't.
-    rates : RateKeeper
     strikes : StrikeKeeper
     metrics : GatewayMetrics
     log : EventLog
@@ -79,10 +61,9 @@
         dialect: Dialect,
         client: TargetClient,
         health: TargetHealth,
-        budgets: BudgetKeeper,
-        turns: TurnKeeper,
+        admission: Admission,
+        relay: AnswerRelay,
         elsewhere_after: Callable[[], float | None],
-        rates: RateKeeper,
         strikes: StrikeKeeper,
         metrics: GatewayMetrics,
         log: EventLog,
@@ -92,16 +73,12 @@
         self._dialect = dialect
         self._client = client
         self._health = health
-        self._budgets = budgets
-        self._turns = turns
+        self._admission = admission
+        self._relay = relay
         self._elsewhere_after = elsewhere_after
-        self._rates = rates
         self._strikes = strikes
         self._metrics = metrics
         self._log = log
-        self._relay = AnswerRelay(
-            dialect, turns, elsewhere_after, beliefs, metrics, log
-        )
 
     async def handle(self, req: CallerRequest, channel: CallerChannel) -> None:
         """Answer one request."""
@@ -141,98 +118,15 @@
         await channel.answer(refusal.status, fields, refusal.reason.encode())
 
     async def _admit_and_run(self, req, channel):
-        route, terms = self._check(req)
-        patience = req.patience_seconds or DEFAULT_PATIENCE_SECONDS
-        expires_at = req.received_at + min(patience, route.timeout_seconds)
-        service = self._beliefs.config.service(self._pick_service(route))
-        customer = terms.name if terms else ""
-        fingerprint = self._check_strikes(req, customer)
         progress = Progress()
-        if terms:
-            wait = self._rate_wait(req, customer, expires_at)
-            await self._rates.take(req.id, terms, wait)
-            progress.rate_seconds = age_of(req)
+        job = await self._admission.admit(req, channel, progress)
         try:
-            body = await self._whole_input(req, route, customer)
-            reservation = await self._reserve(req, route, customer)
-            job = Job(
-                req,
-                route,
-                service,
-                customer,
-                expires_at,
-                body,
-                reservation,
-                channel,
-                fingerprint,
-            )
             await self._run_in_time(job, progress)
         except Refusal:
-            if terms and not progress.sent:
-                self._rates.refund(terms)
+            if not progress.sent:
+                self._admission.take_back(job)
             raise
 
-    def _check(self, req) -> tuple[Route, CustomerTerms | None]:
-        """Find route and customer; raises `Refusal`."""
-        cfg = self._beliefs.config
-        if cfg is None or not self._beliefs.targets_known:
-            raise Refusal(503, "starting", 0.5)
-        route = cfg.find_route(req.host, req.path)
-        if route is None:
-            raise Refusal(404, "no_such_route")
-        terms = cfg.customer_of(req.key) if req.key else None
-        if terms is None and cfg.needs_keys and not route.public:
-            raise Refusal(401, "unknown_key")
-        return route, terms
-
-    def _rate_wait(self, req, customer, expires_at) -> float:
-        """Return how long a request may wait for its customer's rate.
-
-        A program that is refused its next call is lost with all that was spent on
-        it; a new one has cost nothing yet.
-        """
-        turn = req.turn
-        if not turn.program:
-            return 0.0
-        known = self._budgets.knows(customer, turn.program)
-        if turn.budget_tokens and not turn.previous and not known:
-            return 0.0
-        left = expires_at - asyncio.get_running_loop().time()
-        return min(MAX_RATE_WAIT_SECONDS, left * RATE_WAIT_PART)
-
-    def _check_strikes(self, req, customer):
-        """Refuse a request that crashes whatever runs it; return its fingerprint."""
-        kind = f"{customer} {req.method} {req.path}"
-        fingerprint = fingerprint_of(req.body, kind)
-        match self._strikes.standing(fingerprint):
-            case Refused(seconds):
-                raise Refusal(503, "crashes_targets", seconds)
-        return fingerprint
-
-    def _pick_service(self, route):
-        if len(route.services) == 1:
-            return route.services[0].service
-        weights = [w.weight for w in route.services]
-        picked = random.choices(route.services, weights)[0]
-        return picked.service
-
-    async def _whole_input(self, req, route, customer):
-        """Return what the target is to read: the history, then the new input."""
-        if not (route.keeps_turns and req.turn.previous):
-            return req.body
-        history = await self._turns.transcript(req.id, customer, req.turn.previous)
-        return history + req.body
-
-    async def _reserve(self, req, route, customer):
-        turn = req.turn
-        if not (turn.program and turn.budget_tokens):
-            return None
-        if route.kind is not RequestKind.STREAMING:
-            return None
-        return await self._budgets.reserve(
-            req.id, customer, turn.program, turn.budget_tokens, turn.most_tokens
-        )
-
     async def _run_in_time(self, job, progress):
         """Run a job; end it with an answer when its time is up."""
         try:
@@ -243,9 +137,7 @@
                 raise Refusal(503, "no_target_in_time", 0.2) from None
             raise Refusal(504, "target_too_slow") from None
         finally:
-            if job.reservation is not None:
-                used = progress.n_events * job.service.tokens_per_event
-                self._budgets.settle(job.reservation, used)
+            self._admission.settle(job, progress)
 
     async def _run(self, job, progress):
         """Send a job to targets until one answers it."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 
 from swifttide_core.forwarding import RequestLimits, RoutingConfig
+from swifttide_daemon.gateway._admission import Admission
+from swifttide_daemon.gateway._answer_relay import AnswerRelay
 from swifttide_daemon.gateway._beacon import Beacon
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
@@ -165,16 +167,19 @@
         self._budgets = BudgetKeeper(
             self._store, cfg.ip, self._peer_service.ask_holders, self._reaper, log
         )
+        turns = TurnKeeper(self._store, cfg.row_bytes, self._reaper, log)
+        elsewhere_after = self._isolation.elsewhere_after
         self._forwarder = Forwarder(
             cfg,
             self.beliefs,
             dialect,
             TargetClient(dialect, self._pool, self._prober),
             self._health,
-            self._budgets,
-            TurnKeeper(self._store, cfg.row_bytes, self._reaper, log),
-            self._isolation.elsewhere_after,
-            self._rates,
+            Admission(self.beliefs, self._budgets, turns, self._rates, self._strikes),
+            AnswerRelay(
+                dialect, turns, elsewhere_after, self.beliefs, self._metrics, log
+            ),
+            elsewhere_after,
             self._strikes,
             self._metrics,
             log,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_job.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from swifttide_core.forwarding import Route, ServiceSpec
+from swifttide_core.forwarding import CustomerTerms, Route, ServiceSpec
 from swifttide_daemon.gateway._budget_keeper import Reservation
 from swifttide_daemon.gateway._caller_channel import CallerChannel
 from swifttide_daemon.gateway._caller_request import CallerRequest
@@ -18,8 +18,8 @@
     req : CallerRequest
     route : Route
     service : ServiceSpec
-    customer : str
-        Empty where requests need no key.
+    terms : CustomerTerms or None
+        Of the customer; None where requests need no key.
     expires_at : float
         Time of the event loop at which the caller or the route gives up.
     body : bytes
@@ -34,13 +34,18 @@
     req: CallerRequest
     route: Route
     service: ServiceSpec
-    customer: str
+    terms: CustomerTerms | None
     expires_at: float
     body: bytes
     reservation: Reservation | None
     channel: CallerChannel
     fingerprint: str
 
+    @property
+    def customer(self) -> str:
+        """Name of the customer; empty without one."""
+        return self.terms.name if self.terms else ""
+
     def may_repeat(self, progress: "Progress") -> bool:
         """Whether it may be sent again though it may have run.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_service.py
@@ -24,8 +24,9 @@
 COPY_SECONDS = 0.3
 """Time for a copy of a table."""
 
-GIVE_BACK_SECONDS = 0.15
-"""Time for another host to write a program's free tokens back."""
+GIVE_BACK_SECONDS = 1.0
+"""Time for another host to write a program's free tokens back; half a second while the
+store is slow."""
 
 
 class PeerService:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
@@ -40,7 +40,20 @@
 connection silent."""
 
 CALL_SECONDS = 1.0
-"""Time for a call by all ways together."""
+"""Time for a call by all ways together, while the store is well."""
+
+USUAL_TIMES = 1.5
+"""The next way is tried after so many times what calls take of late. A store that is
+slow answers all the same; calls made twice would only make it slower."""
+
+CALL_TIMES = 3.0
+"""Likewise for the end of a call."""
+
+MAX_CALL_SECONDS = 2.0
+"""Longest call: who waits for it leaves after two seconds without an event."""
+
+USUAL_GAIN = 0.2
+"""Weight of a call that was quicker than usual; a slower one counts at once."""
 
 PROBE_SECONDS = 0.2
 """Between questions to a store that didn't answer."""
@@ -86,6 +99,7 @@
         self._metrics = metrics
         self._log = log
         self._probe: asyncio.Task | None = None
+        self._usual_seconds = 0.0
         self.direct_up = True
 
     async def commit(self, tx: Transaction) -> Applied | Conflict | Unavailable:
@@ -124,7 +138,9 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         try:
-            async with asyncio.timeout(CALL_SECONDS):
+            usual = CALL_TIMES * self._usual_seconds
+            limit = min(MAX_CALL_SECONDS, max(CALL_SECONDS, usual))
+            async with asyncio.timeout(limit):
                 outcome = await self._race(call, relayed)
         except TimeoutError:
             outcome = Unavailable("no answer", True)
@@ -132,8 +148,14 @@
         name = type(relayed).__name__
         seconds = loop.time() - began
         self._metrics.store_call(name, type(outcome).__name__, seconds)
+        if not isinstance(outcome, Unavailable):
+            self._note_seconds(seconds)
         return outcome
 
+    def _note_seconds(self, seconds):
+        faded = self._usual_seconds + (seconds - self._usual_seconds) * USUAL_GAIN
+        self._usual_seconds = max(seconds, faded)
+
     async def _race(self, call, relayed):
         """Try one way after the other, not waiting long for any; take the first answer.
 
@@ -148,7 +170,8 @@
             while ways or pending:
                 if ways:
                     pending.add(asyncio.ensure_future(ways.pop(0)()))
-                wait = NEXT_WAY_SECONDS if ways else None
+                usual = USUAL_TIMES * self._usual_seconds
+                wait = max(NEXT_WAY_SECONDS, usual) if ways else None
                 done, pending = await asyncio.wait(
                     pending, timeout=wait, return_when=asyncio.FIRST_COMPLETED
                 )
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
+from swifttide_daemon.gateway._budget_keeper import BudgetKeeper, program_key
 from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_standins.paused_clock import run_paused
@@ -104,6 +104,20 @@
         assert statuses[0] in (200, 503)
         assert statuses[1] == 200
 
+    def test_tokens_asked_back_while_the_store_is_away(self, store, log):
+        """Another host asks for a program's tokens as the store goes away.
+
+        The call is answered with no, rather than broken off as if this host had died.
+        """
+
+        async def main():
+            hosts = Hosts(store, log, 1)
+            await run_turn(hosts.any(0), 300, 10)
+            store.down = True
+            return await hosts.any(0).give_back(program_key("c", "p"))
+
+        assert run_paused(main()) is False
+
     @pytest.mark.parametrize("seed", range(40))
     def test_holds_under_any_faults(self, store, log, seed):
         """Hosts die, writes land late, answers are lost, the store goes away.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_relayed_store.py
@@ -125,3 +125,28 @@
         outcome, seconds = run_paused(main())
         assert isinstance(outcome, Applied)
         assert seconds < 0.3
+
+    def test_slow_store_is_not_asked_twice(self, store, log):
+        """Each answer of the store takes half a second.
+
+        Calls made twice and three times would slow it down further, and all of them
+        would run out of time.
+        """
+
+        async def main():
+            found, peers = relayed(store, store, log)
+            quick = store.commit
+
+            async def slow(tx):
+                await asyncio.sleep(0.5)
+                return await quick(tx)
+
+            store.commit = slow
+            outcomes = [await found.commit(TX) for _ in range(2)]
+            before = store.n_calls
+            outcomes += [await found.commit(TX) for _ in range(10)]
+            return outcomes, store.n_calls - before
+
+        outcomes, n_calls = run_paused(main())
+        assert all(isinstance(o, Applied) for o in outcomes)
+        assert n_calls == 10
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_store_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_store_client.py
@@ -25,9 +25,9 @@
 MAX_ANSWER_BYTES = 4_194_304
 """Largest answer: 1 MB of rows, in base64, and their keys."""
 
-COMMIT_SECONDS = 0.8
-"""Time for a transaction; one takes 5 to 13 ms while the store is well, sixty times as
-long while it is slow."""
+COMMIT_SECONDS = 2.0
+"""Time for a transaction; one takes 5 to 13 ms while the store is well, a hundred
+times as long while it is slow. Whoever waits for it sets shorter limits."""
 
 READ_SECONDS = 0.8
 """Time for a read; one takes 4 ms while the store is well, sixty times as long while it
