--- a/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
@@ -49,6 +49,13 @@
 )
 """Events that change what a host believes."""
 
+LASTING = {
+    "isolated": "isolation_ended",
+    "store_out_of_reach": "store_reached",
+    "target_unreachable": "target_reachable",
+}
+"""States that last, by the event that begins one, with the event that ends it."""
+
 _HIDDEN = frozenset({"time", "level", "event", "host", "zone", "request_id"})
 
 
@@ -131,6 +138,7 @@
         and first - BEFORE_SECONDS <= _seconds(line) <= last
         and _concerns(line, targets)
     ]
+    around += _lasting(lines, hosts, targets, first - BEFORE_SECONDS)
     timeline = sorted([*around, *own], key=_seconds)
     rows = tuple(
         (
@@ -150,6 +158,29 @@
     )
 
 
+def _lasting(lines, hosts, targets, before):
+    """Return the states that began long before the request and hadn't ended.
+
+    An outage of the store may have begun ten seconds before the request that it
+    failed; shown only by its beginning nearby, the request would have no cause.
+    """
+    ends = {end: begin for begin, end in LASTING.items()}
+    current = {}
+    for line in sorted(lines, key=_seconds):
+        event = line["event"]
+        state = ends.get(event, event)
+        if state not in LASTING or line.get("host") not in hosts:
+            continue
+        if _seconds(line) >= before or not _concerns(line, targets):
+            continue
+        place = (line["host"], state, line.get("target"))
+        if event in ends:
+            current.pop(place, None)
+        else:
+            current[place] = line
+    return list(current.values())
+
+
 def _concerns(line, targets) -> bool:
     """Whether a state event bears on the request: other targets' don't."""
     return "target" not in line or line["target"] in targets
--- a/packages/swifttide_cli/src/swifttide_cli/tests/test_explain.py
+++ b/packages/swifttide_cli/src/swifttide_cli/tests/test_explain.py
@@ -36,6 +36,22 @@
             "request_refused",
         ]
 
+    def test_outage_that_began_long_before(self, tmp_path):
+        """The store was lost half a minute before the request that it failed."""
+        log = [
+            line(1.0, "store_out_of_reach", detail="no answer"),
+            line(2.0, "target_unreachable", target="t1"),
+            line(3.0, "target_reachable", target="t1"),
+            line(33.0, "request_refused", request_id="r1", status=503,
+                 reason="store_unavailable", target="t1"),
+        ]  # fmt: skip
+        report = self.explain(tmp_path, "r1", log).ok
+        assert "lost the store" in report.lines[0]
+        assert [row[2] for row in report.rows] == [
+            "store_out_of_reach",
+            "request_refused",
+        ]
+
     def test_joins_the_hosts_of_one_request(self, tmp_path):
         first = [line(5.0, "target_failed", request_id="r1", target="t1", reason="x")]
         second = [
