FIX Bound admission by the request's time; refuse a resumed stream with a hole

Found by reading the change as a newcomer: history and tokens were fetched outside the request's time, so a slow store could keep a caller waiting beyond it; and a target that resumes a stream beyond its place would have left events out unseen. Both tests failed before the change.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
@@ -23,6 +23,9 @@
 """Part of a request's time that it may spend waiting for its customer's rate; the rest
 is for the work."""
 
+STORE_RETRY_SECONDS = 0.5
+"""When to come back to a store that didn't answer within the request's time."""
+
 DEFAULT_PATIENCE_SECONDS = 60.0
 """For a request whose caller and route name no time."""
 
@@ -68,7 +71,11 @@
             await self._rates.take(req.id, terms, wait)
             progress.rate_seconds = age_of(req)
         try:
-            body, reservation = await self._prepare(req, route, customer)
+            async with asyncio.timeout_at(expires_at):
+                body, reservation = await self._prepare(req, route, customer)
+        except TimeoutError:
+            self._refund(terms)
+            raise Refusal(503, "store_too_slow", STORE_RETRY_SECONDS) from None
         except Refusal:
             self._refund(terms)
             raise
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_answer_relay.py
@@ -78,8 +78,11 @@
             fields = self._dialect.answer_fields(head)
             await job.channel.start(head.status, fields, None)
         reader = EventReader()
+        resumes = progress.n_events > 0
         while (piece := await exchange.read_piece()) is not None:
             for event in self._whole_events(reader, piece, exchange):
+                if resumes:
+                    _check_place(progress, event)
                 await self._pass_on_event(job, progress, event)
         if reader.within_event:
             raise TargetFailure(MayHaveRun("ended within an event"))
@@ -99,6 +102,8 @@
             if progress.last_id is not None and event.id <= progress.last_id:
                 # Passed on before the stream was resumed.
                 return
+            if progress.last_id is not None and event.id != progress.last_id + 1:
+                progress.numbered_one_by_one = False
             progress.last_id = event.id
         progress.n_events += 1
         if progress.n_events == 1:
@@ -151,3 +156,15 @@
             seconds=round(age_of(job.req), 4),
             config_version=self._beliefs.config.version,
         )
+
+
+def _check_place(progress, event):
+    """Refuse a stream that goes on too far behind its place.
+
+    A target that has lost its place would leave events out, and the caller could not
+    tell: the answer would come to its end as if it were whole.
+    """
+    if event.id is None or progress.last_id is None:
+        return
+    if progress.numbered_one_by_one and event.id > progress.last_id + 1:
+        raise TargetFailure(MayHaveRun("a stream that goes on beyond its place"))
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_job.py
@@ -63,6 +63,8 @@
         self.sent: list[str] = []
         """Targets that may have run the request."""
         self.last_id: int | None = None
+        self.numbered_one_by_one = True
+        """Whether each event's number followed the one before."""
         self.n_events = 0
         self.output: list[bytes] = []
         self.rate_seconds = 0.0
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_whole_path.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_whole_path.py
@@ -276,6 +276,30 @@
             f"id: {n}\ndata: d{n}\n\n".encode() for n in range(1, 7)
         )
 
+    def test_stream_that_goes_on_beyond_its_place(self, play):
+        """The second runner leaves two events out when it resumes a stream.
+
+        Passed on, the caller would take an answer with a hole for the whole one.
+        """
+
+        async def scenario(site):
+            first = await site.add_runner("i-1", "engines")
+            second = await site.add_runner("i-2", "engines")
+            for runner in (first, second):
+                runner.script = runner.events(6, break_after=2)
+            await until(lambda: len(site.gateways[0].beliefs.targets) == 2)
+            sending = asyncio.create_task(site.send("/check/1"))
+            await until(lambda: first.ran or second.ran)
+            broken, other = (first, second) if first.ran else (second, first)
+            pieces = (b"id: 5\ndata: d5\n\n", b"id: 6\ndata: d6\n\n")
+            other.script = lambda request: other.reply(request, pieces)
+            await broken.server.stop()
+            return await sending
+
+        answer = play(scenario)
+        assert not answer.whole
+        assert b"id: 5" not in answer.body
+
     def test_cut_stream_does_not_look_complete(self, play):
         async def scenario(site):
             runner = await site.add_runner("i-1", "engines")
@@ -323,6 +347,23 @@
 
         assert play(scenario).status == 404
 
+    def test_slow_store_leaves_time_for_the_answer(self, play):
+        """The store takes longer for a turn's history than its caller waits.
+
+        The caller gets an answer in its time, and it says that nothing has run.
+        """
+
+        async def scenario(site):
+            runner = await site.add_runner("i-1", "engines")
+            await until(lambda: site.gateways[0].beliefs.targets)
+            site.store.seconds = 5.0
+            answer = await site.turn("t1", previous_turn="t0", deadline_ms="300")
+            return answer, len(runner.ran)
+
+        answer, n_ran = play(scenario)
+        assert (answer.status, n_ran) == (503, 0)
+        assert answer.body == b"store_too_slow"
+
     def test_turn_that_cannot_be_looked_up_is_503(self, play):
         """The store is away when a turn names one that another host served.
 
--- a/packages/swifttide_standins/src/swifttide_standins/print_office/_row_server.py
+++ b/packages/swifttide_standins/src/swifttide_standins/print_office/_row_server.py
@@ -1,5 +1,6 @@
 """The platform's store as a server on loopback."""
 
+import asyncio
 import base64
 import json
 import time
@@ -17,6 +18,8 @@
     rows : MemoryRows
     refuse : bool
         Answers 503 while set.
+    seconds : float
+        Time that each call takes.
     lose_answers : bool
         Carries calls out and resets their connections while set.
     """
@@ -24,6 +27,7 @@
     def __init__(self):
         self.rows = MemoryRows()
         self.refuse = False
+        self.seconds = 0.0
         self.lose_answers = False
         self.calls: list[str] = []
         self.server = HttpServer(self._handle)
@@ -33,6 +37,7 @@
         self.calls.append(path)
         if self.refuse:
             return _json(503, {})
+        await asyncio.sleep(self.seconds)
         match path:
             case "/-/rows-tx":
                 reply = self._commit(json.loads(request.body))
