--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/budgets/tests/test_budgets.py
@@ -0,0 +1,72 @@
+"""Grants of a program's tokens."""
+
+import pytest
+
+from swifttide_core.budgets import (
+    Exhausted,
+    Granted,
+    ProgramAccount,
+    TokenPool,
+    grant_tokens,
+)
+
+
+class TestGrants:
+    def test_host_takes_two_turns_or_half_of_the_rest(self):
+        match grant_tokens(ProgramAccount(1000), "h1", 30, 30):
+            case Granted(tokens, account):
+                assert tokens == 500
+                assert account == ProgramAccount(1000, 500, ("h1",))
+        match grant_tokens(ProgramAccount(100), "h1", 30, 30):
+            case Granted(tokens, _):
+                assert tokens == 60
+
+    def test_never_more_than_the_rest(self):
+        match grant_tokens(ProgramAccount(100, 60, ("h1",)), "h2", 30, 30):
+            case Granted(tokens, account):
+                assert tokens == 40
+                assert account.granted == 100
+                assert account.holders == ("h1", "h2")
+
+    def test_rest_that_is_too_small(self):
+        account = ProgramAccount(100, 80, ("h1",))
+        assert grant_tokens(account, "h1", 30, 30) == Exhausted(account)
+
+    @pytest.mark.parametrize("budget", [1, 29, 30, 31, 90, 858, 10_000])
+    def test_program_that_loops_gets_its_budget_at_most(self, budget):
+        account, total = ProgramAccount(budget), 0
+        while isinstance(found := grant_tokens(account, "h1", 30, 30), Granted):
+            account = found.account
+            total += found.tokens
+        assert total <= budget
+
+    def test_tokens_given_back_can_be_granted_again(self):
+        account = ProgramAccount(100, 100, ("h1",)).given_back(40)
+        assert isinstance(grant_tokens(account, "h2", 30, 30), Granted)
+
+
+class TestTokenPool:
+    def test_turn_returns_what_it_did_not_generate(self):
+        pool = TokenPool()
+        pool.add(60)
+        assert pool.reserve(30)
+        assert pool.reserve(30)
+        assert not pool.reserve(30)
+        pool.settle(30, 10)
+        assert pool.free == 20
+
+    def test_withdrawal_leaves_what_is_reserved(self):
+        pool = TokenPool()
+        pool.add(60)
+        pool.reserve(30)
+        assert pool.withdraw() == 30
+        pool.settle(30, 10)
+        assert pool.free == 20
+
+    def test_turn_that_generated_more_than_it_said(self):
+        pool = TokenPool()
+        pool.add(60)
+        pool.reserve(30)
+        pool.settle(30, 45)
+        assert pool.free == 15
+        assert pool.withdraw() == 15
