--- a/benchmarks/front_ends.py
+++ b/benchmarks/front_ends.py
@@ -91,7 +91,9 @@
     port = serve(handlers)
     request = REQUEST
     if name == "asyncio":
-        request = REQUEST[:-2] + b"Swifttide-Attempt-Id: a\r\n\r\n"
+        from swifttide_daemon.platform._dialect import ATTEMPT
+
+        request = REQUEST[:-2] + ATTEMPT + b": a\r\n\r\n"
     before = _resident_kb()
     callers = [socket.create_connection(("127.0.0.1", port)) for _ in range(N_CALLERS)]
     for caller in callers:
