ENH Tokens follow a program without writes; a full store is no outage

And a program that moved between hosts cost two writes and two reads a move: the earlier host wrote its free tokens back first.

Change: a call that is turned away waits and is made again, through another host only if the store has room for that one; it starts no probing. Tokens are handed from memory to memory; a host remembers who took them, so that they are found again.

--- a/packages/swifttide_core/src/swifttide_core/budgets/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/__init__.py
@@ -1,6 +1,6 @@
 """Token budgets of programs over all hosts, without I/O."""
 
-from swifttide_core.budgets._lending_right import WAIT_MS, LendingState
+from swifttide_core.budgets._lending_right import MIN_WAIT_MS, LendingState
 from swifttide_core.budgets._outage_slots import N_SLOTS, plan_slots, slot_of
 from swifttide_core.budgets._program_account import (
     Exhausted,
@@ -14,7 +14,7 @@
 
 __all__ = [
     "N_SLOTS",
-    "WAIT_MS",
+    "MIN_WAIT_MS",
     "Exhausted",
     "Granted",
     "LendingState",
--- a/packages/swifttide_core/src/swifttide_core/budgets/_lending_right.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/_lending_right.py
@@ -2,16 +2,16 @@
 
 A host that dies takes the memory of what it lent along. Its successor may lend only if
 nothing can have been lent before it. Each host tells the store every while that it is
-there, and lends only when it has not told so for longer than `WAIT_MS`. A successor
-that finds a younger record knows that its predecessor had not begun to lend.
+there, and lends only when it has not told so for longer than its record says. A
+successor that finds a younger record knows that its predecessor had not begun to lend.
 """
 
 from dataclasses import dataclass
 
-WAIT_MS = 1_500
-"""From a host's last record until it may lend: four records, and more than a process
-that was killed needs to be back. New programs are refused for so long at the start of
-each outage."""
+MIN_WAIT_MS = 1_500
+"""From a host's last record until it may lend, at least: four records, and more than a
+process that was killed needs to be back. New programs are refused for so long at the
+start of each outage."""
 
 MEMORY_MS = 600_000
 """For so long what was lent may still count: as long as a program's account is kept."""
@@ -25,6 +25,8 @@
     ----------
     told_ms : int
         When the host wrote it.
+    wait_ms : int
+        From this record until the host may lend.
     barred_until_ms : int
         A successor may not lend before then.
     closed : bool
@@ -34,12 +36,13 @@
     """
 
     told_ms: int
+    wait_ms: int = 0
     barred_until_ms: int = 0
     closed: bool = False
     released: tuple[str, ...] = ()
 
     def barred_after(self, now_ms: int) -> int:
         """Return until when the host's successor may not lend."""
-        if self.closed or now_ms - self.told_ms < WAIT_MS:
+        if self.closed or now_ms - self.told_ms < self.wait_ms:
             return self.barred_until_ms
         return max(self.barred_until_ms, now_ms + MEMORY_MS)
--- a/packages/swifttide_core/src/swifttide_core/budgets/_program_account.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/_program_account.py
@@ -37,9 +37,9 @@
     budget : int
         Tokens that all turns of the program may generate.
     granted : int
-        Tokens that hosts have taken and not given back.
+        Tokens that hosts have taken.
     holders : tuple of str
-        Hosts that took tokens; those that may give some back.
+        Hosts that took tokens; those that may have some left.
     released : bool
         Whether the owner of the slot lends nothing to the program any more.
     """
@@ -54,10 +54,6 @@
         """Tokens that may be granted in all without asking the owner of the slot."""
         return self.budget if self.released else self.budget - held_back(self.budget)
 
-    def given_back(self, tokens: int) -> "ProgramAccount":
-        """Return the account after a host returned tokens that it didn't spend."""
-        return replace(self, granted=max(0, self.granted - tokens))
-
     def charged(self, tokens: int, holders: tuple[str, ...]) -> "ProgramAccount":
         """Return the account after tokens were lent while it couldn't be written.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beacon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beacon.py
@@ -20,6 +20,8 @@
         Grows with each beacon of a boot; an older one that comes late is dropped.
     store_up : bool
         Whether it reaches the store.
+    store_full : bool
+        Whether the store has turned its calls away lately as too many.
     away_seconds : float or None
         Since it was last without the store, or may have been; None if it never was.
     config_change, target_change : int
@@ -39,6 +41,7 @@
     boot: str
     number: int
     store_up: bool = True
+    store_full: bool = False
     away_seconds: float | None = None
     config_change: int = 0
     target_change: int = 0
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
@@ -16,7 +16,7 @@
     TurnSizes,
     grant_tokens,
 )
-from swifttide_daemon.gateway._peer_messages import AskTokens
+from swifttide_daemon.gateway._peer_messages import AskTokens, HandedTokens
 from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_daemon.gateway._shared_store import (
@@ -71,6 +71,11 @@
     released: bool = False
 
 
+Collect = Callable[[str, tuple[str, ...] | None, str], Awaitable[int]]
+"""Takes a program's key, the hosts to ask (None: all) and the one that asks; returns
+the tokens that they handed over."""
+
+
 class StoreAway(Refusal):
     """The account can't be read or written now."""
 
@@ -83,6 +88,8 @@
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     account: ProgramAccount | None = None
     version: int = 0
+    moved_to: str = ""
+    """Host that took this one's tokens last: it may have some."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,10 +119,9 @@
     ----------
     store : SharedStore
     host : str
-        Address of this host, under which others ask for tokens back.
-    ask_holders : callable
-        Asks other hosts, by address, to give a program's free tokens back; returns
-        whether one did.
+        Address of this host, under which others ask for its tokens.
+    collect : callable
+        See `Collect`.
     ask_lender : callable
         Finds tokens while the store is away; returns how many.
     ask_release : callable
@@ -129,7 +135,7 @@
         self,
         store: SharedStore,
         host: str,
-        ask_holders: Callable[[tuple[str, ...], str], Awaitable[bool]],
+        collect: Collect,
         ask_lender: Callable[[AskTokens], Awaitable[int]],
         ask_release: Callable[[str, int], Awaitable[bool]],
         reaper: RowReaper,
@@ -137,7 +143,7 @@
     ):
         self._store = store
         self._host = host
-        self._ask_holders = ask_holders
+        self._collect = collect
         self._ask_lender = ask_lender
         self._ask_release = ask_release
         self._reaper = reaper
@@ -164,7 +170,8 @@
                 await self._fetch(request_id, key, known, budget, most)
             except StoreAway:
                 return await self._borrow(request_id, key, known, budget, most)
-            known.pool.reserve(most)
+            if not known.pool.reserve(most):
+                raise Refusal(503, "budget_contended", RETRY_AFTER_SECONDS)
         return Reservation(known, most)
 
     async def _borrow(self, request_id, key, known, budget, most) -> Reservation:
@@ -207,10 +214,13 @@
             self._sizes.note(generated)
         reservation.program.pool.settle(reservation.most, generated)
 
-    def withdraw(self, key: str) -> int:
+    def withdraw(self, key: str, asker: str) -> HandedTokens:
         """Take out this host's free tokens of a program, for another host."""
         known = self._programs.get(key)
-        return known.pool.withdraw() if known else 0
+        if known is None:
+            return HandedTokens(0)
+        moved_to, known.moved_to = known.moved_to, asker
+        return HandedTokens(known.pool.withdraw(), moved_to)
 
     async def charge(
         self, key: str, budget: int, tokens: int, holders: tuple[str, ...]
@@ -237,90 +247,63 @@
                 return None
         return None
 
-    async def give_back(self, key: str) -> bool:
-        """Return this host's free tokens of a program to its account.
-
-        Returns
-        -------
-        bool
-            Whether the account has them back.
-        """
-        known = self._programs.get(key)
-        if known is None:
-            return True
-        if known.lock.locked():
-            # It is short of tokens itself, and may be asking the very host that asks
-            # here: waiting for each other, neither would get on.
-            return False
-        async with known.lock:
-            tokens = known.pool.withdraw()
-            if not tokens:
-                return True
-            for _ in range(MAX_TRIES):
-                if not await self._read(key, known):
-                    break
-                if known.account is None:
-                    break
-                account = known.account.given_back(tokens)
-                try:
-                    if await self._write(key, known, account):
-                        return True
-                except StoreAway:
-                    break
-            # The tokens stay spent: to put them back into the pool might spend them
-            # twice, as the write may still take effect.
-            self._log.warning("budget_tokens_lost", program=key, tokens=tokens)
-            return False
-
     async def _fetch(self, request_id, key, known, budget, most):
-        asked = False
+        """Get a turn's tokens: from hosts that hold some, else from the account."""
+        asked: tuple[str, ...] = ()
         for _ in range(MAX_TRIES):
             account = known.account or ProgramAccount(budget)
+            holders = {*account.holders, known.moved_to} - {self._host, ""}
+            others = tuple(sorted(holders))
+            if others != asked:
+                # A program that has moved left its tokens where it was: taken from
+                # there they cost no write, and a program in good order isn't stopped.
+                asked = others
+                known.pool.add(await self._collect(key, others, self._host))
+                if known.pool.free >= most:
+                    return
             missing = most - known.pool.free
             match grant_tokens(account, self._host, missing, most):
                 case Granted(tokens, taken):
                     if await self._write(key, known, taken):
                         known.pool.add(tokens)
-                        self._log.debug(
-                            "budget_granted",
-                            request_id=request_id,
-                            tokens=tokens,
-                            granted=taken.granted,
-                            budget=taken.budget,
-                            version=known.version,
-                        )
-                        return
+                        self._log_grant(request_id, known, tokens)
+                        if known.pool.free >= most:
+                            return
+                        # Another host has taken what was free here meanwhile.
                 case Exhausted():
                     before = known.version
                     if not await self._read(key, known):
                         raise StoreAway(503, "store_unavailable", RETRY_AFTER_SECONDS)
-                    if known.version == before and not asked:
-                        # A line of turns that moved here has left tokens where it
-                        # was: without them a program in good order would be stopped.
-                        asked = True
-                        others = tuple(h for h in account.holders if h != self._host)
-                        if others and await self._ask_holders(others, key):
-                            await self._read(key, known)
-                            continue
-                    if known.version == before and not account.released:
-                        if not await self._ask_release(key, budget):
-                            self._log.info(
-                                "budget_held_back", request_id=request_id, program=key
-                            )
-                            raise Refusal(503, "budget_held_back", RETRY_AFTER_SECONDS)
-                        known.account = replace(account, released=True)
-                        continue
                     if known.version == before:
-                        self._log.info(
-                            "budget_spent",
-                            request_id=request_id,
-                            granted=account.granted,
-                            budget=account.budget,
-                            version=known.version,
-                        )
-                        raise Refusal(402, "budget_spent")
+                        await self._release(request_id, key, known, account)
         raise Refusal(503, "budget_contended", RETRY_AFTER_SECONDS)
 
+    def _log_grant(self, request_id, known, tokens):
+        self._log.debug(
+            "budget_granted",
+            request_id=request_id,
+            tokens=tokens,
+            granted=known.account.granted,
+            budget=known.account.budget,
+            version=known.version,
+        )
+
+    async def _release(self, request_id, key, known, account):
+        """Make the last quarter grantable; raises `Refusal`, 402 if it is spent."""
+        if account.released:
+            self._log.info(
+                "budget_spent",
+                request_id=request_id,
+                granted=account.granted,
+                budget=account.budget,
+                version=known.version,
+            )
+            raise Refusal(402, "budget_spent")
+        if not await self._ask_release(key, account.budget):
+            self._log.info("budget_held_back", request_id=request_id, program=key)
+            raise Refusal(503, "budget_held_back", RETRY_AFTER_SECONDS)
+        known.account = replace(account, released=True)
+
     async def _write(self, key, known, account) -> bool:
         """Write an account under the version known; return whether it took effect.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_datagrams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_datagrams.py
@@ -92,5 +92,7 @@
         self._newest[beacon.ip] = (beacon.boot, beacon.number)
         peer = Peer(beacon.ip, beacon.port, beacon.zone, beacon.boot)
         lending = frozenset(beacon.lending)
-        self._fleet.heard(peer, beacon.store_up, beacon.away_seconds, lending)
+        self._fleet.heard(
+            peer, beacon.store_up, beacon.away_seconds, beacon.store_full, lending
+        )
         self.on_beacon(beacon)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
@@ -43,6 +43,7 @@
         self._peers: dict[str, Peer] = {}
         self._heard_at: dict[str, float] = {}
         self._store_up: dict[str, bool] = {}
+        self._store_full: dict[str, bool] = {}
         self._lending: dict[str, frozenset[int]] = {}
         self._away_at: dict[str, float] = {}
         self._lost: set[str] = set()
@@ -84,6 +85,7 @@
         peer: Peer,
         store_up: bool,
         away_seconds: float | None = None,
+        store_full: bool = False,
         lending: frozenset[int] = frozenset(),
     ) -> None:
         """Note a sign of life.
@@ -96,6 +98,8 @@
             Whether the peer reaches the store.
         away_seconds : float or None
             Since it was last without the store; None if it never was.
+        store_full : bool
+            Whether the store turns its calls away as too many.
         lending : frozenset of int
             Slots of programs for which it lends tokens now.
         """
@@ -106,6 +110,7 @@
         now = asyncio.get_running_loop().time()
         self._heard_at[ip] = now
         self._store_up[ip] = store_up
+        self._store_full[ip] = store_full
         if away_seconds is not None:
             self._away_at[ip] = max(self._away_at.get(ip, 0.0), now - away_seconds)
         self._lending[ip] = lending
@@ -181,6 +186,10 @@
         """Return the hosts heard lately that reach the store."""
         return [p for p in self.alive() if self._store_up.get(p.ip)]
 
+    def relays(self) -> list[Peer]:
+        """Return the hosts to which the store has room for more calls."""
+        return [p for p in self.with_store() if not self._store_full.get(p.ip)]
+
 
 class _HostRow(msgspec.Struct):
     ip: str
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -20,7 +20,7 @@
 from swifttide_daemon.gateway._forwarder import Forwarder
 from swifttide_daemon.gateway._frontend import Frontend
 from swifttide_daemon.gateway._isolation import Isolation
-from swifttide_daemon.gateway._lending_record import LendingRecord
+from swifttide_daemon.gateway._lending_record import LendingRecord, record_period
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._peer import Peer
 from swifttide_daemon.gateway._peer_client import PeerClient
@@ -140,6 +140,7 @@
             cfg.ip,
             self._is_store_there,
             lambda: self._lender,
+            self._record_period,
             log,
         )
         self._shares = ShareKeeper(
@@ -186,7 +187,7 @@
         self._budgets = BudgetKeeper(
             self._store,
             cfg.ip,
-            self._peer_service.ask_holders,
+            self._peer_service.collect_tokens,
             self._peer_service.ask_lender,
             self._peer_service.ask_release,
             self._reaper,
@@ -298,6 +299,11 @@
         taken = await self._peer_service.hand_slots(handed)
         self._log.info("slots_handed_over", slots=sorted(handed.waits), taken=taken)
 
+    def _record_period(self) -> float:
+        """Return the seconds between records of lending, for a fleet of this size."""
+        n_hosts = len(self._fleet.all()) + 1
+        return record_period(n_hosts, self._cfg.store_writes_per_second)
+
     def _is_store_there(self) -> bool:
         return self._store.is_reachable
 
@@ -367,6 +373,7 @@
             boot=self._fleet.own.boot,
             number=number,
             store_up=self._store.direct_up,
+            store_full=self._store.is_full,
             away_seconds=self._turns.away_seconds(),
             config_change=self._config_watch.newest_change,
             target_change=self._targets_watch.newest_change,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_lending_record.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_lending_record.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from swifttide_core.budgets import WAIT_MS, LendingState
+from swifttide_core.budgets import MIN_WAIT_MS, LendingState
 from swifttide_daemon.gateway._shared_store import (
     Applied,
     Condition,
@@ -24,7 +24,15 @@
 TABLE = "lending"
 
 PERIOD_SECONDS = 0.4
-"""Between records: a write each, 28 a second for eleven hosts."""
+"""Between records at least: a write each, 28 a second for eleven hosts."""
+
+PART_OF_WRITES = 0.05
+"""Of what the store takes, for the records of all hosts: with more hosts, or a smaller
+store, each writes more rarely."""
+
+WAIT_PERIODS = 4.0
+"""A host lends when it has written no record for so many periods: one that was killed
+is back sooner."""
 
 MAX_RELEASED = 500
 """Programs listed in a record, 35 bytes each; with more, a successor doesn't lend."""
@@ -33,6 +41,18 @@
 """Pause before the record is read again while the store is away."""
 
 
+def record_period(n_hosts: int, writes_per_second: float) -> float:
+    """Return the seconds between records of each host.
+
+    Parameters
+    ----------
+    n_hosts : int
+    writes_per_second : float
+        That the store takes from all hosts together.
+    """
+    return max(PERIOD_SECONDS, n_hosts / (PART_OF_WRITES * writes_per_second))
+
+
 class LendingRecord:
     """Keeps the record, and tells whether this host may lend.
 
@@ -45,6 +65,8 @@
         Tells whether the store can be reached, as far as is known.
     lender : callable
         Returns what lends tokens at this host.
+    period : callable
+        Returns the seconds between records.
     log : EventLog
     """
 
@@ -54,11 +76,14 @@
         own_ip: str,
         is_reachable: Callable[[], bool],
         lender: Callable[[], TokenLender],
+        period: Callable[[], float],
         log: EventLog,
     ):
         self._store = store
         self._is_reachable = is_reachable
         self._lender = lender
+        self._period = period
+        self._wait_ms = 0
         self._place = RowKey(TABLE, "", own_ip)
         self._log = log
         self._version = 0
@@ -72,7 +97,7 @@
         """Return the seconds until tokens may be lent; None if that isn't foreseen."""
         if self._told_ms is None or self._closed or not self.is_certain():
             return None
-        return max(0, self._told_ms + WAIT_MS - self._now_ms) / 1000
+        return max(0, self._told_ms + self._wait_ms - self._now_ms) / 1000
 
     def may_give_up(self) -> bool:
         """Whether nothing can have been lent here, by a predecessor neither."""
@@ -90,7 +115,7 @@
             # A record that is sent may take effect: from then on the wait begins anew.
             if self._is_reachable():
                 await self.tell()
-            await asyncio.sleep(PERIOD_SECONDS * random.uniform(0.9, 1.1))
+            await asyncio.sleep(self._period() * random.uniform(0.9, 1.1))
 
     async def close(self) -> None:
         """Record that nothing will be lent any more."""
@@ -120,6 +145,7 @@
             told_ms = self._now_ms
             # Noted before it is sent: it may take effect though its answer is lost.
             self._told_ms = told_ms
+            self._wait_ms = max(MIN_WAIT_MS, int(1000 * WAIT_PERIODS * self._period()))
             tx = Transaction(
                 conditions=(Condition(self._place, self._version),),
                 puts=(Put(self._place, msgspec.json.encode(self._state(told_ms))),),
@@ -140,7 +166,9 @@
         barred = self._barred_until_ms
         if lender.has_open() or len(released) > MAX_RELEASED:
             barred = LendingState(0).barred_after(told_ms)
-        return LendingState(told_ms, barred, self._closed, released[:MAX_RELEASED])
+        return LendingState(
+            told_ms, self._wait_ms, barred, self._closed, released[:MAX_RELEASED]
+        )
 
     def _set_clock(self, now_ms):
         self._clock_ahead_ms = now_ms - _own_ms()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_messages.py
@@ -12,16 +12,11 @@
 )
 
 
-class GiveBackTokens(msgspec.Struct, tag="give_back_tokens"):
-    """Return the free tokens of a program's budget to its account."""
-
-    program: str
-
-
 class TakeTokens(msgspec.Struct, tag="take_tokens"):
     """Hand over the free tokens of a program, which leave the host with the answer."""
 
     program: str
+    asker: str
 
 
 class AskTokens(msgspec.Struct, tag="ask_tokens"):
@@ -49,9 +44,17 @@
 
 
 class HandedTokens(msgspec.Struct, tag="handed_tokens"):
-    """Tokens that are the asking host's from now on."""
+    """Tokens that are the asking host's from now on.
+
+    Parameters
+    ----------
+    tokens : int
+    moved_to : str
+        IP of a host that took tokens here before, and may have some.
+    """
 
     tokens: int
+    moved_to: str = ""
 
 
 class AskRelease(msgspec.Struct, tag="ask_release"):
@@ -214,8 +217,7 @@
 
 
 PeerRequest = (
-    GiveBackTokens
-    | TakeTokens
+    TakeTokens
     | AskTokens
     | AskRelease
     | HandSlots
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_service.py
@@ -13,7 +13,6 @@
     Done,
     DropCopies,
     FoundTurn,
-    GiveBackTokens,
     HandedTokens,
     HandSlots,
     KeepCopy,
@@ -38,15 +37,14 @@
 COPY_SECONDS = 0.3
 """Time for a copy of a table."""
 
-GIVE_BACK_SECONDS = 1.0
-"""Time for another host to write a program's free tokens back; half a second while the
-store is slow."""
-
 
 TAKE_SECONDS = 0.1
 """Time for another host to hand tokens over from memory: some twenty times what a call
 takes, a part of what a turn's caller bears."""
 
+MAX_MOVES = 4
+"""Hosts in a row that are asked where a program's tokens have gone."""
+
 ASK_SECONDS = 0.3
 """Time for the lender of a program's slot, which asks other hosts first."""
 
@@ -106,10 +104,8 @@
         """Carry out another host's call."""
         store = self._direct
         match request:
-            case GiveBackTokens(program):
-                return Done(await self._budgets().give_back(program))
-            case TakeTokens(program):
-                return HandedTokens(self._budgets().withdraw(program))
+            case TakeTokens(program, asker):
+                return self._budgets().withdraw(program, asker)
             case AskTokens():
                 return HandedTokens(await self._lender().lend(request))
             case AskRelease(program, budget):
@@ -146,16 +142,6 @@
         ]
         return max(copies, key=lambda rows: rows.version, default=None)
 
-    async def ask_holders(self, ips: tuple[str, ...], program: str) -> bool:
-        """Ask hosts to give a program's free tokens back; whether one did."""
-        peers = [p for ip in ips if (p := self._fleet.by_ip(ip)) is not None]
-        calls = [
-            self._peers.call(p, GiveBackTokens(program), GIVE_BACK_SECONDS)
-            for p in peers
-        ]
-        answers = await asyncio.gather(*calls)
-        return any(isinstance(a, Done) and a.ok for a in answers)
-
     async def ask_lender(self, ask: AskTokens) -> int:
         """Ask the host that lends to a program for tokens."""
         slot = slot_of(ask.program)
@@ -185,23 +171,38 @@
         return isinstance(answer, Done) and answer.ok
 
     async def collect_tokens(
-        self, program: str, ips: tuple[str, ...] | None, but: str
+        self, program: str, ips: tuple[str, ...] | None, asker: str
     ) -> int:
-        """Take a program's free tokens from hosts; from all that are heard if None."""
-        own = self._fleet.own.ip
+        """Take a program's free tokens from hosts; from all that are heard if None.
+
+        They may have moved on from there; whoever took them is asked as well.
+        """
+        asked = {asker}
+        wanted = {p.ip for p in self._fleet.alive()} | {self._fleet.own.ip}
+        wanted = wanted if ips is None else set(ips)
         found = 0
-        if own != but and (ips is None or own in ips):
-            found = self._budgets().withdraw(program)
-        peers = [
-            p
+        for _ in range(MAX_MOVES):
+            wanted -= asked
+            if not wanted:
+                break
+            answers = await self._take_tokens(program, wanted, asker)
+            found += sum(max(0, answer.tokens) for answer in answers)
+            asked |= wanted
+            wanted = {answer.moved_to for answer in answers if answer.moved_to}
+        return found
+
+    async def _take_tokens(self, program, ips, asker) -> list[HandedTokens]:
+        """Ask hosts for their tokens; those that aren't heard are left out."""
+        own = self._fleet.own.ip
+        found = [self._budgets().withdraw(program, asker)] if own in ips else []
+        request = TakeTokens(program, asker)
+        calls = [
+            self._peers.call(p, request, TAKE_SECONDS)
             for p in self._fleet.alive()
-            if p.ip != but and (ips is None or p.ip in ips)
+            if p.ip in ips
         ]
-        calls = [self._peers.call(p, TakeTokens(program), TAKE_SECONDS) for p in peers]
-        for answer in await asyncio.gather(*calls):
-            if isinstance(answer, HandedTokens):
-                found += max(0, answer.tokens)
-        return found
+        answers = await asyncio.gather(*calls)
+        return found + [a for a in answers if isinstance(a, HandedTokens)]
 
     async def hand_slots(self, handed: HandSlots) -> bool:
         """Have another host lend from this host's slots; return whether one does.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
@@ -6,6 +6,10 @@
 Without it: such a host would refuse every new program and every turn that goes on
 from another host's, though the rest of the fleet is well.
 
+A store that turns a call away as one too many is there: calls wait a little and are
+made again, through another host only while the store has room for that one. Taken for
+an outage, it would have every host probe and relay, and so be asked even more.
+
 Grounds: a transaction that is sent twice takes effect once: writes are under a
 condition that the first one ends, or write the same bytes again.
 """
@@ -66,6 +70,17 @@
 """Time for a probe: a hundred times what it takes while the store is well, and more
 than it takes while the store is slow."""
 
+FULL_SECONDS = 0.5
+"""So long after a call was turned away the store counts as full for this host: as long
+as the waiting that it takes on in one part."""
+
+FULL_PAUSE_SECONDS = 0.05
+"""First pause after a call was turned away; doubled each time, and drawn from half of
+it to all of it, so that hosts don't come back at once."""
+
+MAX_FULL_PAUSE_SECONDS = 0.2
+"""Longest such pause: a fifth of a call's time."""
+
 MAX_PEERS = 2
 """Hosts that are asked to relay one call."""
 
@@ -100,6 +115,7 @@
         self._log = log
         self._probe: asyncio.Task | None = None
         self._usual_seconds = 0.0
+        self._full_at = float("-inf")
         self.direct_up = True
 
     async def commit(self, tx: Transaction) -> Applied | Conflict | Unavailable:
@@ -122,11 +138,19 @@
         outcome = await self._direct.changes(table, after, wait_seconds)
         if not isinstance(outcome, Unavailable):
             return outcome
+        if outcome.throttled:
+            self._note_full()
+            return outcome
         self._doubt(outcome)
         seconds = wait_seconds + RELAY_SECONDS
         relayed = RelayChanges(table, after, wait_seconds)
         return await self._relay(relayed, seconds, outcome)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the store has turned calls of this host away lately as too many."""
+        return asyncio.get_running_loop().time() - self._full_at < FULL_SECONDS
+
     @property
     def is_reachable(self) -> bool:
         """Whether this host or one that it hears reaches the store."""
@@ -149,7 +173,8 @@
                 outcome = await self._race(call, relayed)
         except TimeoutError:
             outcome = Unavailable("no answer", True)
-            self._doubt(outcome)
+            if not self.is_full:
+                self._doubt(outcome)
         name = type(relayed).__name__
         seconds = loop.time() - began
         self._metrics.store_call(name, type(outcome).__name__, seconds)
@@ -166,9 +191,8 @@
 
         All ways may carry a transaction out: it takes effect once.
         """
-        ways = [call, call] if self.direct_up else []
-        for peer in self._fleet.with_store()[:MAX_PEERS]:
-            ways.append(functools.partial(self._ask_peer, peer, relayed))
+        ways = self._ways(call, relayed)
+        pause = FULL_PAUSE_SECONDS
         pending: set[asyncio.Task] = set()
         outcome = Unavailable("no way to the store")
         try:
@@ -184,7 +208,15 @@
                     outcome = task.result()
                     if not isinstance(outcome, Unavailable):
                         return outcome
-                    self._doubt(outcome)
+                    if not outcome.throttled:
+                        self._doubt(outcome)
+                        continue
+                    self._note_full()
+                    await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+                    pause = min(2.0 * pause, MAX_FULL_PAUSE_SECONDS)
+                    if not ways:
+                        # Until the call's time is over: there is no other way.
+                        ways.append(call)
                 if not done:
                     # The connection may have gone silent: the next try opens another.
                     self._direct.reconnect()
@@ -193,6 +225,23 @@
             for task in pending:
                 task.cancel()
 
+    def _ways(self, call, relayed):
+        """Return how the store may be reached, the likeliest way first."""
+        direct = [call, call] if self.direct_up else []
+        relays = [
+            functools.partial(self._ask_peer, peer, relayed)
+            for peer in self._fleet.relays()[:MAX_PEERS]
+        ]
+        if self.is_full:
+            # It may turn only some hosts away.
+            return relays[:1] + direct[:1] + relays[1:]
+        return direct + relays
+
+    def _note_full(self):
+        if not self.is_full:
+            self._log.warning("store_full")
+        self._full_at = asyncio.get_running_loop().time()
+
     async def _ask_peer(self, peer, relayed):
         match await self._peers.call(peer, relayed, RELAY_SECONDS):
             case StoreOutcome() as answer:
@@ -200,7 +249,7 @@
         return Unavailable("no answer from a peer", True)
 
     async def _relay(self, relayed, seconds, outcome):
-        for peer in self._fleet.with_store()[:MAX_PEERS]:
+        for peer in self._fleet.relays()[:MAX_PEERS]:
             match await self._peers.call(peer, relayed, seconds):
                 case StoreOutcome() as answer:
                     found = answer.unwrap()
@@ -223,7 +272,7 @@
         while True:
             self._direct.reconnect()
             answer = await self._probe_once()
-            up = not isinstance(answer, Unavailable)
+            up = not isinstance(answer, Unavailable) or answer.throttled
             if up != self.direct_up:
                 self.direct_up = up
                 event = "store_reached" if up else "store_out_of_reach"
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
@@ -22,6 +22,8 @@
     store_port : int
     row_bytes : int
         Largest value of a row.
+    store_writes_per_second : float
+        Transactions that the store takes from all hosts together.
     stop_seconds : float
         Time from SIGTERM until the process is killed.
     rate_window_seconds, rate_excess, rate_extra : float
@@ -39,6 +41,7 @@
     store_ip: str
     store_port: int
     row_bytes: int = 65_536
+    store_writes_per_second: float = 800.0
     stop_seconds: float = 8.0
     rate_window_seconds: float = 5.0
     rate_excess: float = 0.1
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_shared_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_shared_store.py
@@ -107,10 +107,14 @@
         For the log.
     may_have_applied : bool
         Whether a transaction may have taken effect, or may do so later.
+    throttled : bool
+        Whether the store is there and turned the call away as one too many; nothing
+        was done.
     """
 
     detail: str
     may_have_applied: bool = False
+    throttled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_token_lender.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_token_lender.py
@@ -19,6 +19,7 @@
 from collections.abc import Awaitable, Callable
 
 from swifttide_core.budgets import N_SLOTS, ProgramAccount, held_back, slot_of
+from swifttide_daemon.gateway._budget_keeper import Collect
 from swifttide_daemon.gateway._peer_messages import AskTokens, HandSlots, Loan
 from swifttide_daemon.telemetry import EventLog
 
@@ -29,10 +30,6 @@
 CHARGE_PAUSE_SECONDS = 0.1
 """Between looks whether the store is back."""
 
-Collect = Callable[[str, tuple[str, ...] | None, str], Awaitable[int]]
-"""Takes a program's key, the hosts to ask (None: all) and one that isn't to be asked;
-returns the tokens that they handed over."""
-
 Charge = Callable[[str, int, int, tuple[str, ...]], Awaitable[ProgramAccount | None]]
 """Takes a program's key, its budget, tokens and hosts that hold some; returns the
 account as written, None when it wasn't."""
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
@@ -0,0 +1,37 @@
+"""Peer services of several hosts in one process."""
+
+import asyncio
+
+from swifttide_daemon.gateway._fleet import Fleet
+from swifttide_daemon.gateway._peer import Peer
+from swifttide_daemon.gateway._peer_service import PeerService
+
+
+class Calls:
+    """Carries calls to the hosts that `reached` returns, by IP.
+
+    Answers are lost where ``is_lost`` says so: what the host did stands.
+    """
+
+    def __init__(self, reached, is_lost=lambda: False):
+        self._reached = reached
+        self._is_lost = is_lost
+
+    async def call(self, peer, request, seconds):
+        await asyncio.sleep(0.002)
+        host = self._reached().get(peer.ip)
+        if host is None:
+            return None
+        answer = await host.answer(request)
+        return None if self._is_lost() else answer
+
+
+def peer_service(ip, calls, reached, budgets, lender, owner_of, log):
+    """Return a host's peer service; it hears the hosts that ``reached`` returns."""
+    fleet = Fleet(Peer(ip, 1, "zone-a", ip + "-boot"), log)
+    fleet.alive = lambda: [Peer(i, 1, "zone-a", "") for i in reached() if i != ip]
+    fleet.by_ip = lambda i: Peer(i, 1, "zone-a", "") if i in reached() else None
+    service = PeerService(
+        None, fleet, calls, budgets, lender, lambda: None, owner_of, lambda t: None, log
+    )
+    return service, fleet
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_relayed_store.py
@@ -59,10 +59,90 @@
 def relayed(direct, store, log, helped=True):
     fleet = Fleet(Peer("10.0.0.1", 1, "zone-a", "b1"), log)
     fleet.with_store = lambda: [HELPER] if helped else []
+    fleet.relays = fleet.with_store
     peers = Peers(store)
     return RelayedStore(direct, fleet, peers, GatewayMetrics("h", "z"), log), peers
 
 
+class Full:
+    """A store that takes some calls a second and turns the others away."""
+
+    def __init__(self, store, per_second):
+        self._store = store
+        self._per_second = per_second
+        self._level = 1.0
+        self._at = 0.0
+        self.n_calls = 0
+
+    async def commit(self, tx):
+        return await self._call(lambda: self._store.commit(tx))
+
+    async def read(self, *args):
+        return await self._call(lambda: self._store.read(*args))
+
+    async def changes(self, *args):
+        return await self._call(lambda: self._store.changes(*args))
+
+    async def _call(self, call):
+        self.n_calls += 1
+        now = asyncio.get_running_loop().time()
+        self._level = min(1.0, self._level + (now - self._at) * self._per_second)
+        self._at = now
+        if self._level < 1.0:
+            return Unavailable("status 429", throttled=True)
+        self._level -= 1.0
+        return await call()
+
+    def reconnect(self):
+        pass
+
+
+class TestFullStore:
+    """The store takes a tenth of the usual calls and turns the rest away."""
+
+    def test_is_no_outage(self, store, log):
+        """Callers would be refused, and hosts would probe and relay all the more."""
+
+        async def main():
+            full = Full(store, 20)
+            found, peers = relayed(full, store, log, helped=False)
+            calls = [found.commit(TX) for _ in range(6)]
+            outcomes = await asyncio.gather(*calls)
+            return outcomes, found.direct_up, full.n_calls
+
+        outcomes, up, n_calls = run_paused(main())
+        assert up
+        assert all(isinstance(outcome, Applied) for outcome in outcomes)
+        assert n_calls <= 36
+
+    def test_watch_that_is_turned_away_asks_nobody_else(self, store, log):
+        async def main():
+            full = Full(store, 0.1)
+            found, peers = relayed(full, store, log)
+            await found.read("t", "")
+            outcome = await found.changes("t", 0, 2.0)
+            return outcome, peers.n_calls, found.direct_up
+
+        outcome, n_relayed, up = run_paused(main())
+        assert isinstance(outcome, Unavailable)
+        assert (n_relayed, up) == (0, True)
+
+    def test_only_some_hosts_are_turned_away(self, store, log):
+        """The store turns this host away and serves the others."""
+
+        async def main():
+            found, _ = relayed(Full(store, 0.0), store, log)
+            await found.read("t", "")
+            loop = asyncio.get_running_loop()
+            before = loop.time()
+            outcomes = [await found.commit(TX) for _ in range(5)]
+            return outcomes, (loop.time() - before) / 5
+
+        outcomes, seconds = run_paused(main())
+        assert all(isinstance(outcome, Applied) for outcome in outcomes)
+        assert seconds < 0.1
+
+
 class TestRelay:
     def test_host_that_is_turned_away_asks_another(self, store, log):
         async def main():
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_store_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_store_client.py
@@ -73,7 +73,7 @@
             case _Answer(status):
                 # 429 and 503 say that nothing was done; of another status it isn't
                 # known.
-                return Unavailable(f"status {status}", status not in (429, 503))
+                return _unavailable(status, status not in (429, 503))
 
     async def read(
         self, table: str, part: str, start: str = "", end: str = ""
@@ -99,7 +99,7 @@
                     # The smallest key after the last one read.
                     start = found[-1].key.key + "\0"
                 case _Answer(status):
-                    return Unavailable(f"status {status}")
+                    return _unavailable(status)
 
     async def changes(
         self, table: str, after: int, wait_seconds: float
@@ -118,7 +118,7 @@
             case _Answer(410):
                 return HistoryLost()
             case _Answer(status):
-                return Unavailable(f"status {status}")
+                return _unavailable(status)
 
     def reconnect(self) -> None:
         """Make the next calls on new connections."""
@@ -153,6 +153,10 @@
             return Unavailable("an answer that can't be read", bool(writes))
 
 
+def _unavailable(status: int, may_have_applied: bool = False) -> Unavailable:
+    return Unavailable(f"status {status}", may_have_applied, status == 429)
+
+
 def _encode_tx(tx: Transaction) -> bytes:
     document = {
         "expected_revision": [
