--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -251,7 +251,7 @@
                 tasks.create_task(self._shares.run()),
                 tasks.create_task(self._record.run()),
                 tasks.create_task(self._lender.run()),
-                tasks.create_task(self._turns.run()),
+                tasks.create_task(self._turns.memory.run()),
                 tasks.create_task(self._reaper.run()),
                 tasks.create_task(self._settings_watch.run(cfg)),
                 tasks.create_task(self._datagrams.run()),
@@ -291,7 +291,7 @@
 
         The next process at this address can't know otherwise, and wouldn't lend.
         """
-        await self._turns.hand_over()
+        await self._turns.memory.hand_over()
         handed = self._lender.hand_over()
         if handed is None:
             await self._record.close()
@@ -374,7 +374,7 @@
             number=number,
             store_up=self._store.direct_up,
             store_full=self._store.is_full,
-            away_seconds=self._turns.away_seconds(),
+            away_seconds=self._turns.memory.away_seconds(),
             config_change=self._config_watch.newest_change,
             target_change=self._targets_watch.newest_change,
             outstanding=self._health.own_counts(),
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_service.py
@@ -113,9 +113,9 @@
             case HandSlots():
                 return Done(self._lender().take_over(request))
             case KeepCopy():
-                return Done(self._turns().keep_copy(request))
+                return Done(self._turns().memory.keep_copy(request))
             case DropCopies(turns):
-                self._turns().drop_copies(turns)
+                self._turns().memory.drop_copies(turns)
                 return Done(True)
             case ReadTurn(turn):
                 return FoundTurn(self._turns().in_memory(turn))
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_keeper.py
@@ -1,33 +1,11 @@
-"""Turns whose history the fleet keeps.
+"""Turns whose history the fleet keeps."""
 
-Load pattern: the store is away for seconds while programs go on.
-
-Without it: each turn's answer breaks off at its end, as its row can't be written, and
-no program of several turns comes through an outage.
-
-Grounds: while the store is away, a turn counts as kept once hosts of other zones have
-it in memory besides this one; two machines, or a zone, may be lost then. It is stored
-when the store is back, by this host or by one that has a copy. A host that finds no
-row says that there is no such turn only if every host is heard and none has been
-without the store for as long as turns are kept; else the turn may wait in a memory.
-"""
-
-import asyncio
-import functools
 import hashlib
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from swifttide_daemon.gateway._fleet import Fleet
 from swifttide_daemon.gateway._peer_client import PeerClient
-from swifttide_daemon.gateway._peer_messages import (
-    Done,
-    DropCopies,
-    FoundTurn,
-    KeepCopy,
-    ReadTurn,
-)
 from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_daemon.gateway._shared_store import (
@@ -39,6 +17,7 @@
     Transaction,
     Unavailable,
 )
+from swifttide_daemon.gateway._turn_memory import TurnMemory
 from swifttide_daemon.telemetry import EventLog
 
 TABLE = "turns"
@@ -58,43 +37,6 @@
 sooner has used up its tries before the store is back."""
 
 
-N_COPIES = 2
-"""Other hosts that have a turn in memory before its answer may end."""
-
-AWAY_SECONDS = 0.8
-"""A host keeps turns in memory only when it has been without the store for so long:
-four beacons, by which all that hear it know."""
-
-MAX_COPY_BYTES = 16_777_216
-"""Transcripts that wait for the store, own ones and copies; a turn of today's sizes has
-two to ten KB."""
-
-COPY_SECONDS = 0.25
-"""Time for another host to take a copy, or to look for a turn."""
-
-FLUSH_PAUSE_SECONDS = 0.1
-"""Between looks whether the store is back."""
-
-ORPHAN_SECONDS = 1.5
-"""After the store's return, until copies whose origin is gone are stored by the hosts
-that have them: silence must tell that it is gone."""
-
-FLUSH_AT_ONCE = 8
-"""Turns that one host writes at the same time; eleven hosts then stay below what the
-store takes."""
-
-
-@dataclass(frozen=True, slots=True)
-class _Waiting:
-    """A turn that isn't stored yet."""
-
-    transcript: bytes
-    seconds: float
-    until: float
-    origin: str
-    origin_boot: str
-
-
 class TurnKeeper:
     """Keeps transcripts: all inputs and outputs up to the end of a turn.
 
@@ -114,6 +56,11 @@
         that no row has.
     reaper : RowReaper
     log : EventLog
+
+    Attributes
+    ----------
+    memory : TurnMemory
+        Turns that can't be stored yet.
     """
 
     def __init__(
@@ -128,15 +75,9 @@
         log: EventLog,
     ):
         self._store = store
-        self._fleet = fleet
-        self._peers = peers
-        self._is_store_there = is_store_there
-        self._is_certain = is_certain
-        self._waiting: dict[str, _Waiting] = {}
-        self._waiting_bytes = 0
-        self._away_since: float | None = None
-        self._away_at: float | None = None
-        self._back_at = float("-inf")
+        self.memory = TurnMemory(
+            fleet, peers, is_store_there, is_certain, self._store_late, log
+        )
         self._reaper = reaper
         self._piece_bytes = int(row_bytes * ROOM)
         self._log = log
@@ -169,10 +110,12 @@
             transcript = b"".join(value for _, value in pieces)
             self._remember(key, transcript)
             return transcript
-        if isinstance(found, Rows) and not self._may_wait_elsewhere(keep_seconds):
+        if isinstance(found, Rows) and not self.memory.may_have_it_elsewhere(
+            keep_seconds
+        ):
             self._log.info("turn_unknown", request_id=request_id, turn=turn)
             raise Refusal(404, "no_such_turn")
-        transcript = await self._ask_peers(key)
+        transcript = await self.memory.ask_peers(key)
         if transcript is not None:
             self._remember(key, transcript)
             return transcript
@@ -189,32 +132,7 @@
         if cached is not None:
             self._cache.move_to_end(key)
             return cached
-        waiting = self._waiting.get(key)
-        return waiting.transcript if waiting else None
-
-    def _may_wait_elsewhere(self, keep_seconds) -> bool:
-        """Whether a turn without a row may wait for the store in some memory."""
-        away = self.away_seconds()
-        if away is not None and away < keep_seconds:
-            return True
-        return self._fleet.may_have_been_away(keep_seconds)
-
-    def away_seconds(self) -> float | None:
-        """Return since when this host has had the store, None if ever since."""
-        if not self._is_certain():
-            return 0.0
-        if self._away_at is None:
-            return None
-        return asyncio.get_running_loop().time() - self._away_at
-
-    async def _ask_peers(self, key) -> bytes | None:
-        peers = self._fleet.alive()
-        calls = [self._peers.call(p, ReadTurn(key), COPY_SECONDS) for p in peers]
-        for answer in await asyncio.gather(*calls):
-            match answer:
-                case FoundTurn(bytes() as transcript):
-                    return transcript
-        return None
+        return self.memory.find(key)
 
     async def keep(
         self, customer: str, turn: str, transcript: bytes, seconds: float
@@ -231,16 +149,11 @@
         if await self._write(key, transcript, seconds):
             self._remember(key, transcript)
             return True
-        if not self._is_long_away():
-            return False
-        return await self._keep_in_memory(key, transcript, seconds)
+        return await self.memory.keep(key, transcript, seconds)
 
-    def _is_long_away(self) -> bool:
-        """Whether the other hosts know that this one is without the store."""
-        if self._away_since is None:
-            return False
-        now = asyncio.get_running_loop().time()
-        return now - self._away_since >= AWAY_SECONDS
+    async def _store_late(self, key, transcript, seconds) -> bool:
+        self._remember(key, transcript)
+        return await self._write(key, transcript, seconds)
 
     async def _write(self, key, transcript, seconds) -> bool:
         size = self._piece_bytes
@@ -257,120 +170,6 @@
             case _:
                 return False
 
-    async def _keep_in_memory(self, key, transcript, seconds) -> bool:
-        """Have other hosts keep a turn as well; return whether enough do."""
-        own = self._fleet.own
-        copy = KeepCopy(key, transcript, seconds, own.ip, own.boot)
-        if self._fleet.is_alone() or not self.keep_copy(copy):
-            return False
-        n_wanted = min(N_COPIES, max(1, len(self._fleet.all())))
-        n_kept = await self._place(copy, n_wanted)
-        self._log.info("turn_kept_in_memory", turn=key, copies=n_kept)
-        return n_kept >= n_wanted
-
-    async def _place(self, copy, n_wanted) -> int:
-        """Give copies to hosts until enough have taken one; return how many have."""
-        n_kept = 0
-        peers = self._fleet.elsewhere()
-        while peers and n_kept < n_wanted:
-            n_missing = n_wanted - n_kept
-            asked, peers = peers[:n_missing], peers[n_missing:]
-            calls = [self._peers.call(p, copy, COPY_SECONDS) for p in asked]
-            answers = await asyncio.gather(*calls)
-            n_kept += sum(isinstance(a, Done) and a.ok for a in answers)
-        return n_kept
-
-    def keep_copy(self, copy: KeepCopy) -> bool:
-        """Keep a turn until the store is back; return whether this host does."""
-        if not self._is_long_away():
-            return False
-        size = len(copy.transcript)
-        if copy.turn in self._waiting:
-            return True
-        if self._waiting_bytes + size > MAX_COPY_BYTES:
-            self._log.warning("no_room_for_copy", turn=copy.turn, bytes=size)
-            return False
-        self._waiting_bytes += size
-        self._waiting[copy.turn] = _Waiting(
-            copy.transcript,
-            copy.seconds,
-            asyncio.get_running_loop().time() + copy.seconds,
-            copy.origin,
-            copy.origin_boot,
-        )
-        return True
-
-    def drop_copies(self, turns: list[str]) -> None:
-        """Forget turns that are stored."""
-        for key in turns:
-            waiting = self._waiting.pop(key, None)
-            if waiting is not None:
-                self._waiting_bytes -= len(waiting.transcript)
-
-    async def run(self) -> None:
-        """Store what waits whenever the store is back."""
-        loop = asyncio.get_running_loop()
-        while True:
-            self._note_store(loop.time())
-            if self._away_since is None and self._waiting:
-                await self._flush()
-            await asyncio.sleep(FLUSH_PAUSE_SECONDS)
-
-    def _note_store(self, now):
-        if not self._is_store_there():
-            self._away_at = now
-            if self._away_since is None:
-                self._away_since = now
-        elif self._away_since is not None:
-            self._away_since = None
-            self._back_at = now
-
-    async def _flush(self):
-        now = asyncio.get_running_loop().time()
-        self.drop_copies([k for k, w in self._waiting.items() if w.until <= now])
-        due = [k for k, w in self._waiting.items() if self._is_due(w, now)]
-        stored: list[str] = []
-        for i in range(0, len(due), FLUSH_AT_ONCE):
-            keys = due[i : i + FLUSH_AT_ONCE]
-            writes = [self._store_waiting(key) for key in keys]
-            outcomes = await asyncio.gather(*writes)
-            stored += [k for k, done in zip(keys, outcomes, strict=True) if done]
-        if not stored:
-            return
-        self.drop_copies(stored)
-        self._log.info("turns_stored_late", count=len(stored), waiting=len(due))
-        calls = [
-            self._peers.call(p, DropCopies(stored), COPY_SECONDS)
-            for p in self._fleet.alive()
-        ]
-        await asyncio.gather(*calls)
-
-    def _is_due(self, waiting, now) -> bool:
-        own = self._fleet.own
-        if (waiting.origin, waiting.origin_boot) == (own.ip, own.boot):
-            return True
-        if now - self._back_at < ORPHAN_SECONDS:
-            return False
-        return not self._fleet.is_running(waiting.origin, waiting.origin_boot)
-
-    async def _store_waiting(self, key) -> bool:
-        waiting = self._waiting.get(key)
-        if waiting is None:
-            return False
-        self._remember(key, waiting.transcript)
-        return await self._write(key, waiting.transcript, waiting.seconds)
-
-    async def hand_over(self) -> None:
-        """Give other hosts what waits here, as this one stops."""
-        place = functools.partial(self._place, n_wanted=N_COPIES)
-        copies = [
-            KeepCopy(key, w.transcript, w.seconds, w.origin, w.origin_boot)
-            for key, w in self._waiting.items()
-        ]
-        await asyncio.gather(*(place(copy) for copy in copies))
-        if copies:
-            self._log.info("copies_handed_over", count=len(copies))
-
     def _remember(self, key, transcript):
         self._cached_bytes -= len(self._cache.pop(key, b""))
         self._cache[key] = transcript
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_keeper.py
@@ -35,9 +35,9 @@
             return None
         match request:
             case KeepCopy():
-                return Done(host.turns.keep_copy(request))
+                return Done(host.turns.memory.keep_copy(request))
             case DropCopies(turns):
-                host.turns.drop_copies(turns)
+                host.turns.memory.drop_copies(turns)
                 return Done(True)
             case ReadTurn(turn):
                 return FoundTurn(host.turns.in_memory(turn))
@@ -63,7 +63,7 @@
             log,
         )
         self.tasks = [
-            asyncio.create_task(self.turns.run()),
+            asyncio.create_task(self.turns.memory.run()),
             asyncio.create_task(self.tell(fleet)),
         ]
 
@@ -72,7 +72,7 @@
         while True:
             for other in fleet.hosts.values():
                 if other is not self and other.cut == self.cut:
-                    away = self.turns.away_seconds()
+                    away = self.turns.memory.away_seconds()
                     other.fleet.heard(self.peer, not self._store.down, away)
             await asyncio.sleep(0.2)
 
@@ -183,7 +183,7 @@
             store.down = False
             before = store.rows.n_commits
             await asyncio.sleep(5.0)
-            waiting = [len(h.turns._waiting) for h in hosts.hosts.values()]
+            waiting = [len(h.turns.memory) for h in hosts.hosts.values()]
             return store.rows.n_commits - before, waiting
 
         assert play(scenario) == (1, [0] * 4)
@@ -194,7 +194,7 @@
             await asyncio.sleep(2.0)
             await hosts.keep("h0")
             for ip in ("h0", "h1", "h2"):
-                await hosts.hosts[ip].turns.hand_over()
+                await hosts.hosts[ip].turns.memory.hand_over()
                 hosts.kill(ip)
             return await hosts.read("h3")
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from swifttide_core.budgets import N_SLOTS
 from swifttide_daemon.gateway import GatewaySettings
 from swifttide_daemon.platform.__main__ import build
 from swifttide_daemon.telemetry import EventLog
@@ -98,6 +99,20 @@
         self.configure(document(1, routes, **more))
         for i in range(n_gateways):
             await self.add_gateway(zones[i % len(zones)])
+        await until(self.slots_are_owned)
+
+    def slots_are_owned(self):
+        """Whether each host knows an owner of each slot of programs.
+
+        Hosts that start together pass slots on for a second or two. What a program's
+        budget has left at its owner isn't known meanwhile.
+        """
+        owners = {s: g._cfg.ip for g in self.gateways for s in g._shares.slots}
+        return len(owners) == N_SLOTS and all(
+            gateway._shares.owner_of(slot) == ip
+            for gateway in self.gateways
+            for slot, ip in owners.items()
+        )
 
     def configure(self, config):
         """Write the operator's document."""
