MAINT Split the gateway, the keeper of budgets and their rows by subject

Accounts are kept for two hours whoever holds their tokens: tokens move without a write now, so that the holders in a row no longer tell how many hosts have some.

--- a/packages/swifttide_core/src/swifttide_core/budgets/_lending_right.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/_lending_right.py
@@ -13,7 +13,7 @@
 process that was killed needs to be back. New programs are refused for so long at the
 start of each outage."""
 
-MEMORY_MS = 600_000
+MEMORY_MS = 7_200_000
 """For so long what was lent may still count: as long as a program's account is kept."""
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
@@ -1,13 +1,10 @@
 """Token budgets of programs, granted through the shared store."""
 
 import asyncio
-import hashlib
 import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
-import msgspec
-
 from swifttide_core.budgets import (
     Exhausted,
     Granted,
@@ -16,6 +13,13 @@
     TurnSizes,
     grant_tokens,
 )
+from swifttide_daemon.gateway._account_rows import (
+    TABLE,
+    account_place,
+    decode_account,
+    encode_account,
+    program_key,
+)
 from swifttide_daemon.gateway._peer_messages import AskTokens, HandedTokens
 from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway._row_reaper import RowReaper
@@ -24,7 +28,6 @@
     Condition,
     Conflict,
     Put,
-    RowKey,
     Rows,
     SharedStore,
     StoredRow,
@@ -33,20 +36,15 @@
 )
 from swifttide_daemon.telemetry import EventLog
 
-TABLE = "budgets"
-
 MAX_TRIES = 6
 """Transactions for one grant; each conflict means that another host went ahead."""
 
 MAX_PROGRAMS = 20_000
 """Programs whose pools are kept, some 500 bytes each."""
 
-KEEP_SECONDS = 600.0
-"""How long an account that one host holds is kept after its last change: a program that
-was stopped may come back within a minute, and a long one pauses for minutes."""
-
-SHARED_KEEP_SECONDS = 7_200.0
-"""Likewise for an account of several holders."""
+KEEP_SECONDS = 7_200.0
+"""How long an account is kept after its last change. Its tokens move between hosts
+without a write, and a program that was stopped may come back."""
 
 RETRY_AFTER_SECONDS = 1.2
 """When to come back while the store is away. An outage lasts seconds: who comes back
@@ -57,20 +55,6 @@
 300 ms."""
 
 
-class _AccountRow(msgspec.Struct):
-    """An account as it lies in the store.
-
-    ``mark`` names the last transaction. A host whose answer was lost sees by it
-    whether its own took effect.
-    """
-
-    budget: int
-    granted: int
-    holders: list[str]
-    mark: str = ""
-    released: bool = False
-
-
 Collect = Callable[[str, tuple[str, ...] | None, str], Awaitable[int]]
 """Takes a program's key, the hosts to ask (None: all) and the one that asks; returns
 the tokens that they handed over."""
@@ -311,22 +295,15 @@
         when the store gives no answer.
         """
         mark = uuid.uuid4().hex[:16]
-        row = _AccountRow(
-            account.budget,
-            account.granted,
-            list(account.holders),
-            mark,
-            account.released,
-        )
-        place = _place(key)
+        place = account_place(key)
         tx = Transaction(
             conditions=(Condition(place, known.version),),
-            puts=(Put(place, msgspec.json.encode(row)),),
+            puts=(Put(place, encode_account(account, mark)),),
         )
         match await self._store.commit(tx):
             case Applied(version, _):
                 known.account, known.version = account, version
-                self._reaper.remove_after(place, version, _keep_seconds(account))
+                self._reaper.remove_after(place, version, KEEP_SECONDS)
                 return True
             case Conflict(rows):
                 return self._take_in(known, rows, mark)
@@ -336,7 +313,7 @@
                 raise StoreAway(503, "store_unavailable", RETRY_AFTER_SECONDS)
 
     async def _read(self, key, known) -> bool:
-        place = _place(key)
+        place = account_place(key)
         match await self._store.read(TABLE, place.part, key, key + "\0"):
             case Rows(rows):
                 self._take_in(known, rows, "")
@@ -350,37 +327,11 @@
         if found is None:
             known.account, known.version = None, 0
             return False
-        row = msgspec.json.decode(found.value, type=_AccountRow)
-        known.account = ProgramAccount(
-            row.budget, row.granted, tuple(row.holders), row.released
-        )
+        known.account, found_mark = decode_account(found.value)
         known.version = found.version
-        return bool(mark) and row.mark == mark
+        return bool(mark) and found_mark == mark
 
     def _forget_oldest(self):
         """Keep the memory bounded; tokens of forgotten pools stay spent."""
         while len(self._programs) > MAX_PROGRAMS:
             del self._programs[next(iter(self._programs))]
-
-
-def program_key(customer: str, program: str) -> str:
-    """Return the key of a program's account.
-
-    A digest: ids come from callers, may be of any length, and two customers may use
-    the same one.
-    """
-    text = f"{customer}\0{program}".encode()
-    return hashlib.blake2b(text, digest_size=16).hexdigest()
-
-
-def _keep_seconds(account):
-    """Return how long an account is kept after its last change.
-
-    Another holder may go on from its tokens without a write for long.
-    """
-    return KEEP_SECONDS if len(account.holders) <= 1 else SHARED_KEEP_SECONDS
-
-
-def _place(key):
-    # 256 parts: each takes a few hundred transactions a second at most.
-    return RowKey(TABLE, key[:2], key)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_datagrams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_datagrams.py
@@ -18,9 +18,6 @@
 INTERVAL_SECONDS = 0.2
 """Between beacons; a fifth of a turn's usual time, so counts are fresh enough."""
 
-MAX_STRIKES = 8
-"""Crashes told in one beacon: some 100 bytes each, in a datagram of one packet."""
-
 _decoder = msgspec.json.Decoder(Datagram)
 
 
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_departure.py
@@ -0,0 +1,93 @@
+"""Stopping without cutting a request or losing what only this host knows."""
+
+import asyncio
+from collections.abc import Callable
+
+from swifttide_daemon.gateway._fleet import Fleet
+from swifttide_daemon.gateway._frontend import Frontend
+from swifttide_daemon.gateway._lending_record import LendingRecord
+from swifttide_daemon.gateway._peer_service import PeerService
+from swifttide_daemon.gateway._shared_store import SharedStore
+from swifttide_daemon.gateway._token_lender import TokenLender
+from swifttide_daemon.gateway._turn_memory import TurnMemory
+from swifttide_daemon.telemetry import EventLog
+
+UNREADY_SECONDS = 2.5
+"""From SIGTERM until the port closes. The balancer asks every second and takes a
+host out after two misses; until then new connections still come."""
+
+STOP_MARGIN_SECONDS = 1.0
+"""The process ends this long before it would be killed."""
+
+
+class Departure:
+    """Stops a host as planned.
+
+    Parameters
+    ----------
+    front : Frontend
+    fleet : Fleet
+    store : SharedStore
+    peer_service : PeerService
+    lender : TokenLender
+    memory : TurnMemory
+    record : LendingRecord
+    stop_seconds : callable
+        Returns the seconds from SIGTERM until the process is killed.
+    log : EventLog
+    """
+
+    def __init__(
+        self,
+        front: Frontend,
+        fleet: Fleet,
+        store: SharedStore,
+        peer_service: PeerService,
+        lender: TokenLender,
+        memory: TurnMemory,
+        record: LendingRecord,
+        stop_seconds: Callable[[], float],
+        log: EventLog,
+    ):
+        self._front = front
+        self._fleet = fleet
+        self._store = store
+        self._peer_service = peer_service
+        self._lender = lender
+        self._memory = memory
+        self._record = record
+        self._stop_seconds = stop_seconds
+        self._log = log
+
+    async def run(self) -> None:
+        """Finish what callers wait for, then go.
+
+        Connections stay open until the balancer sends no new ones. Each answer then
+        closes its connection; one that is cut instead has lost a request.
+        """
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        ends = began + self._stop_seconds() - STOP_MARGIN_SECONDS
+        self._log.info("stopping", busy=self._front.n_busy)
+        self._front.stopping = True
+        await asyncio.sleep(UNREADY_SECONDS)
+        self._front.stop_accepting()
+        self._front.close_idle()
+        while self._front.n_busy and loop.time() < ends:
+            await asyncio.sleep(0.05)
+        self._log.info("left", busy=self._front.n_busy)
+        await self._hand_over()
+        await self._fleet.leave(self._store)
+
+    async def _hand_over(self):
+        """Let another host lend, or note that nothing was lent since the last record.
+
+        The next process at this address can't know otherwise, and wouldn't lend.
+        """
+        await self._memory.hand_over()
+        handed = self._lender.hand_over()
+        if handed is None:
+            await self._record.close()
+            return
+        taken = await self._peer_service.hand_slots(handed)
+        self._log.info("slots_handed_over", slots=sorted(handed.waits), taken=taken)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -8,12 +8,12 @@
 from swifttide_core.forwarding import RequestLimits, RoutingConfig
 from swifttide_daemon.gateway._admission import Admission
 from swifttide_daemon.gateway._answer_relay import AnswerRelay
-from swifttide_daemon.gateway._beacon import Beacon
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway._connection_pool import ConnectionPool
-from swifttide_daemon.gateway._datagrams import MAX_STRIKES, Datagrams
+from swifttide_daemon.gateway._datagrams import Datagrams
 from swifttide_daemon.gateway._decoders import Decoders
+from swifttide_daemon.gateway._departure import Departure
 from swifttide_daemon.gateway._dialect import Dialect
 from swifttide_daemon.gateway._fleet import TABLE as FLEET_TABLE
 from swifttide_daemon.gateway._fleet import Fleet
@@ -22,6 +22,7 @@
 from swifttide_daemon.gateway._isolation import Isolation
 from swifttide_daemon.gateway._lending_record import LendingRecord, record_period
 from swifttide_daemon.gateway._metrics import GatewayMetrics
+from swifttide_daemon.gateway._news import News
 from swifttide_daemon.gateway._peer import Peer
 from swifttide_daemon.gateway._peer_client import PeerClient
 from swifttide_daemon.gateway._peer_server import PeerServer
@@ -49,13 +50,6 @@
 from swifttide_daemon.gateway._turn_keeper import TurnKeeper
 from swifttide_daemon.telemetry import EventLog
 
-UNREADY_SECONDS = 2.5
-"""From SIGTERM until the port closes. The balancer asks every second and takes a
-host out after two misses; until then new connections still come."""
-
-STOP_MARGIN_SECONDS = 1.0
-"""The process ends this long before it would be killed."""
-
 CHANGEABLE = frozenset(
     {"stop_seconds", "rate_window_seconds", "rate_excess", "rate_extra"}
 )
@@ -146,8 +140,6 @@
         self._shares = ShareKeeper(
             self._store, cfg.ip, self._rates, log, self._record.may_give_up
         )
-        self._datagrams.compose = self._compose_beacon
-        self._datagrams.on_beacon = self._take_beacon
         self._datagrams.on_ask = self._rates.lend
         self._datagrams.on_lend = self._rates.receive
 
@@ -234,6 +226,29 @@
         ready_path = self._decoders.ready_path
         self._ready = StatusServer(ready_path, self._ready_page, log)
         self._metrics_server = StatusServer(METRICS_PATH, self._metrics_page, log)
+        self._departure = Departure(
+            self._front,
+            self._fleet,
+            self._store,
+            self._peer_service,
+            self._lender,
+            self._turns.memory,
+            self._record,
+            lambda: self._cfg.stop_seconds,
+            log,
+        )
+        news = News(
+            self._fleet.own,
+            self._store,
+            self._health,
+            self._strikes,
+            self._config_watch,
+            self._targets_watch,
+            self._turns.memory,
+            self._lender,
+        )
+        self._datagrams.compose = news.compose
+        self._datagrams.on_beacon = news.take
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then leave without cutting a request."""
@@ -261,44 +276,11 @@
             await self._ready.listen(cfg.ip, cfg.ready_port)
             await self._metrics_server.listen(cfg.ip, cfg.metrics_port)
             await stop.wait()
-            await self._leave()
+            await self._departure.run()
             for task in background:
                 task.cancel()
         self._log.info("stop")
 
-    async def _leave(self):
-        """Finish what callers wait for, then go.
-
-        Connections stay open until the balancer sends no new ones. Each answer then
-        closes its connection; one that is cut instead has lost a request.
-        """
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        ends = began + self._cfg.stop_seconds - STOP_MARGIN_SECONDS
-        self._log.info("stopping", busy=self._front.n_busy)
-        self._front.stopping = True
-        await asyncio.sleep(UNREADY_SECONDS)
-        self._front.stop_accepting()
-        self._front.close_idle()
-        while self._front.n_busy and loop.time() < ends:
-            await asyncio.sleep(0.05)
-        self._log.info("left", busy=self._front.n_busy)
-        await self._hand_over()
-        await self._fleet.leave(self._store)
-
-    async def _hand_over(self):
-        """Let another host lend, or note that nothing was lent since the last record.
-
-        The next process at this address can't know otherwise, and wouldn't lend.
-        """
-        await self._turns.memory.hand_over()
-        handed = self._lender.hand_over()
-        if handed is None:
-            await self._record.close()
-            return
-        taken = await self._peer_service.hand_slots(handed)
-        self._log.info("slots_handed_over", slots=sorted(handed.waits), taken=taken)
-
     def _record_period(self) -> float:
         """Return the seconds between records of lending, for a fleet of this size."""
         n_hosts = len(self._fleet.all()) + 1
@@ -365,29 +347,6 @@
     def _take_config(self, cfg: RoutingConfig) -> None:
         self._rates.follow(cfg.customers)
 
-    def _compose_beacon(self, number: int) -> Beacon:
-        return Beacon(
-            ip=self._cfg.ip,
-            port=self._cfg.peer_port,
-            zone=self._cfg.zone,
-            boot=self._fleet.own.boot,
-            number=number,
-            store_up=self._store.direct_up,
-            store_full=self._store.is_full,
-            away_seconds=self._turns.memory.away_seconds(),
-            config_change=self._config_watch.newest_change,
-            target_change=self._targets_watch.newest_change,
-            outstanding=self._health.own_counts(),
-            strikes=self._strikes.news()[:MAX_STRIKES],
-            lending=sorted(self._lender.slots()),
-        )
-
-    def _take_beacon(self, beacon: Beacon) -> None:
-        self._health.told(beacon.ip, beacon.outstanding)
-        self._strikes.take(beacon.strikes)
-        self._config_watch.heard_of(beacon.config_change)
-        self._targets_watch.heard_of(beacon.target_change)
-
     def reload(self) -> None:
         """Take SIGHUP: the settings may have changed."""
         self._settings_watch.ask()
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_news.py
@@ -0,0 +1,81 @@
+"""What a host tells the others in its beacons, and what it takes from theirs."""
+
+from swifttide_daemon.gateway._beacon import Beacon
+from swifttide_daemon.gateway._peer import Peer
+from swifttide_daemon.gateway._relayed_store import RelayedStore
+from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
+from swifttide_daemon.gateway._table_watch import TableWatch
+from swifttide_daemon.gateway._target_health import TargetHealth
+from swifttide_daemon.gateway._token_lender import TokenLender
+from swifttide_daemon.gateway._turn_memory import TurnMemory
+
+MAX_STRIKES = 8
+"""Crashes told in one beacon: some 100 bytes each, in a datagram of one packet."""
+
+
+class News:
+    """Composes beacons and hands the parts of others' beacons on.
+
+    Parameters
+    ----------
+    own : Peer
+    store : RelayedStore
+    health : TargetHealth
+    strikes : StrikeKeeper
+    config_watch : TableWatch
+    targets_watch : TableWatch
+    memory : TurnMemory
+    lender : TokenLender
+    """
+
+    def __init__(
+        self,
+        own: Peer,
+        store: RelayedStore,
+        health: TargetHealth,
+        strikes: StrikeKeeper,
+        config_watch: TableWatch,
+        targets_watch: TableWatch,
+        memory: TurnMemory,
+        lender: TokenLender,
+    ):
+        self._own = own
+        self._store = store
+        self._health = health
+        self._strikes = strikes
+        self._config_watch = config_watch
+        self._targets_watch = targets_watch
+        self._memory = memory
+        self._lender = lender
+
+    def compose(self, number: int) -> Beacon:
+        """Return this host's beacon.
+
+        Parameters
+        ----------
+        number : int
+            Grows with each beacon.
+        """
+        own = self._own
+        return Beacon(
+            ip=own.ip,
+            port=own.port,
+            zone=own.zone,
+            boot=own.boot,
+            number=number,
+            store_up=self._store.direct_up,
+            store_full=self._store.is_full,
+            away_seconds=self._memory.away_seconds(),
+            config_change=self._config_watch.newest_change,
+            target_change=self._targets_watch.newest_change,
+            outstanding=self._health.own_counts(),
+            strikes=self._strikes.news()[:MAX_STRIKES],
+            lending=sorted(self._lender.slots()),
+        )
+
+    def take(self, beacon: Beacon) -> None:
+        """Take another host's beacon; whether it is heard, the fleet notes itself."""
+        self._health.told(beacon.ip, beacon.outstanding)
+        self._strikes.take(beacon.strikes)
+        self._config_watch.heard_of(beacon.config_change)
+        self._targets_watch.heard_of(beacon.target_change)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_share_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_share_keeper.py
@@ -35,7 +35,7 @@
 store: whoever is cut off goes on with its share, and one share in ten or more that
 nobody uses is borne by the room that customers' rates have."""
 
-FORGET_MS = 600_000
+FORGET_MS = 7_200_000
 """Slots of a host that has vanished stay its own for so long after its lease: what it
 lent while the store was away may count as long."""
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper, program_key
+from swifttide_daemon.gateway._account_rows import program_key
+from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_daemon.gateway.tests._hosts import Calls, peer_service
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_token_lender.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_token_lender.py
@@ -6,7 +6,8 @@
 import pytest
 
 from swifttide_core.budgets import slot_of
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper, program_key
+from swifttide_daemon.gateway._account_rows import program_key
+from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway._lending_record import LendingRecord
 from swifttide_daemon.gateway._peer import Peer
 from swifttide_daemon.gateway._peer_messages import AskTokens
