--- a/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
@@ -7,6 +7,12 @@
     "`rate`, `share` and `held` of rate_exceeded",
     "budget_spent": "the program's token budget didn't hold one more turn; see "
     "`granted` and `budget` of budget_spent",
+    "budget_held_back": "the program needs the last quarter of its budget, and the "
+    "owner of its slot could not be asked; look for lending_barred there",
+    "budget_contended": "other hosts took the program's tokens again and again",
+    "tokens_used_up_in_outage": "the turn generated more than could be set aside for "
+    "it while the store was away",
+    "store_too_slow": "the time of the request was over before the store answered",
     "no_such_turn": "the store knows no such turn of this customer",
     "no_such_route": "no route of the configuration in force matched host and path",
     "unknown_key": "no customer of the configuration in force holds the key",
@@ -76,8 +82,9 @@
 
 def _behind(own, around) -> str:
     """Return the change of state that explains a failure, if one was noted."""
-    events = {line["event"] for line in around}
+    events = {line["event"] for line in [*own, *around]}
     causes = [
+        ("no_tokens_in_outage", "no host had tokens to lend to its program"),
         ("isolated", "the host was cut off from the store and from other zones"),
         ("store_out_of_reach", "the host had lost the store"),
         ("target_unreachable", "a target it was sent to could not be reached"),
--- a/packages/swifttide_cli/src/swifttide_cli/tests/test_explain.py
+++ b/packages/swifttide_cli/src/swifttide_cli/tests/test_explain.py
@@ -36,6 +36,26 @@
             "request_refused",
         ]
 
+    def test_program_without_tokens_in_an_outage(self, tmp_path):
+        log = [
+            line(1.0, "lending_barred", until_ms=9),
+            line(1.5, "store_out_of_reach", detail="no answer yet"),
+            line(3.0, "no_tokens_in_outage", request_id="r1", need=162, free=0),
+            line(3.0, "request_refused", request_id="r1", status=503,
+                 reason="store_unavailable", retry_after=1.2),
+        ]  # fmt: skip
+        report = self.explain(tmp_path, "r1", log).ok
+        assert "not run" in report.lines[0]
+        assert "no host had tokens to lend" in report.lines[0]
+        assert report.rows[0][2] == "lending_barred"
+
+    def test_program_whose_slot_has_no_owner(self, tmp_path):
+        log = [
+            line(3.0, "request_refused", request_id="r1", status=503,
+                 reason="budget_held_back", retry_after=1.2),
+        ]  # fmt: skip
+        assert "owner of its slot" in self.explain(tmp_path, "r1", log).ok.lines[0]
+
     def test_outage_that_began_long_before(self, tmp_path):
         """The store was lost half a minute before the request that it failed."""
         log = [
