--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_keeper.py
@@ -19,7 +19,7 @@
 from swifttide_standins.paused_clock import run_paused
 
 KEEP_SECONDS = 60.0
-ZONES = {"h0": "a", "h1": "b", "h2": "c", "h3": "a"}
+ZONES = {"h0": "a", "h1": "b", "h2": "c", "h3": "a", "h4": "a"}
 
 
 class Peers:
@@ -78,7 +78,7 @@
 
 
 class Hosts:
-    """Four hosts in three zones."""
+    """Five hosts in three zones."""
 
     def __init__(self, store, log):
         self.hosts = {}
@@ -124,7 +124,7 @@
             kept = await hosts.keep("h0")
             return kept, [await hosts.read(ip) for ip in hosts.hosts]
 
-        assert play(scenario) == (True, [b"said"] * 4)
+        assert play(scenario) == (True, [b"said"] * 5)
 
     def test_turn_outlives_the_host_that_answered_it(self, play, store):
         """The host that answered a turn loses power right after its answer.
@@ -153,7 +153,7 @@
         """
 
         async def scenario(hosts):
-            for ip in ("h0", "h3"):
+            for ip in ("h0", "h3", "h4"):
                 hosts.hosts[ip].cut = True
             store.down = True
             await asyncio.sleep(2.0)
@@ -186,7 +186,7 @@
             waiting = [len(h.turns.memory) for h in hosts.hosts.values()]
             return store.rows.n_commits - before, waiting
 
-        assert play(scenario) == (1, [0] * 4)
+        assert play(scenario) == (1, [0] * 5)
 
     def test_host_that_stops_hands_its_copies_on(self, play, store):
         async def scenario(hosts):
