FIX Release a program only while its slot is owned; hand slots over once lent from

Found by reading, no run showed it. A release that waited for its lock could be said to be sure after the slot had been given up; its next owner would have lent the same quarter. And slots handed over before the wait was over could be lent from twice, if the stopped host was back with a fresh record. Both tests fail without the change.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_token_lender.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_token_lender.py
@@ -101,12 +101,14 @@
 
     async def release(self, key: str, budget: int) -> bool:
         """Lend nothing to a program any more; return whether that is sure."""
-        if self._stopped or slot_of(key) not in self._own_slots():
-            return False
-        if self._lends_in() is None:
-            # A predecessor may have lent to it.
-            return False
         async with self._lock(key):
+            if self._stopped or slot_of(key) not in self._own_slots():
+                # Looked up under the lock: given up meanwhile, the slot's next owner
+                # would lend to the program without knowing of this.
+                return False
+            if self._lends_in() is None:
+                # A predecessor may have lent to it.
+                return False
             loan = self._loans.get(key)
             if loan is not None and loan.lent:
                 # Until that is charged the account doesn't know of it.
@@ -196,9 +198,10 @@
             return None
         now = asyncio.get_running_loop().time()
         waits = {slot: max(0.0, since - now) for slot, since in self._handed.items()}
-        own_wait = self._lends_in()
-        if own_wait is not None:
-            waits |= dict.fromkeys(self._own_slots(), own_wait)
+        if self._lends_in() == 0:
+            # Not sooner: this host's record would still tell its next process that
+            # nothing can have been lent.
+            waits |= dict.fromkeys(self._own_slots(), 0.0)
         self._stopped = True
         loans = {k: v for k, v in self._loans.items() if slot_of(k) in waits}
         return HandSlots(waits, loans) if waits else None
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_token_lender.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_token_lender.py
@@ -282,6 +282,39 @@
         assert not first
         assert before < second
 
+    def test_slots_are_not_handed_over_before_they_may_be_lent_from(self, play, store):
+        """A host stops just as the store goes away, and is back at once.
+
+        Its record is fresh, so its next process lends; another host that had taken
+        its slots over would lend the same once more.
+        """
+
+        async def scenario(fleet):
+            store.down = True
+            await asyncio.sleep(0.5)
+            return fleet.any().lender.hand_over()
+
+        assert play(scenario) is None
+
+    def test_slot_given_up_while_a_release_waits(self, play, store):
+        """A release waits for the lock of a slot that goes to another host meanwhile.
+
+        Said to be sure, the last quarter would be granted and lent as well.
+        """
+
+        async def scenario(fleet):
+            slot = slot_of(KEY_OF_PROGRAM)
+            owner = next(h for h in fleet.hosts.values() if slot in h.shares.slots)
+            lock = owner.lender._lock(KEY_OF_PROGRAM)
+            await lock.acquire()
+            release = asyncio.create_task(owner.lender.release(KEY_OF_PROGRAM, 300))
+            await asyncio.sleep(0.1)
+            owner.shares._giving_up |= {slot}
+            lock.release()
+            return await release
+
+        assert play(scenario) is False
+
     def test_last_quarter_is_granted_once_the_owner_lends_no_more(self, play):
         async def scenario(fleet):
             host = fleet.any()
