--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -199,6 +199,7 @@
             cfg.row_bytes,
             self._fleet,
             self._peers,
+            cfg.turn_copies,
             self._is_store_there,
             self._record.is_certain,
             self._reaper,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
@@ -24,6 +24,10 @@
         Largest value of a row.
     store_writes_per_second : float
         Transactions that the store takes from all hosts together.
+    turn_copies : int
+        Other hosts that must have a turn in memory for its answer to end while the
+        store is away. With 0 no answer ends before its turn is stored: a turn that
+        was answered survives the loss of all hosts, but none is answered meanwhile.
     stop_seconds : float
         Time from SIGTERM until the process is killed.
     rate_window_seconds, rate_excess, rate_extra : float
@@ -42,6 +46,7 @@
     store_port: int
     row_bytes: int = 65_536
     store_writes_per_second: float = 800.0
+    turn_copies: int = 0
     stop_seconds: float = 8.0
     rate_window_seconds: float = 5.0
     rate_excess: float = 0.1
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_keeper.py
@@ -50,6 +50,8 @@
         Largest value of a row.
     fleet : Fleet
     peers : PeerClient
+    n_copies : int
+        Other hosts that must have a turn in memory while the store is away.
     is_store_there : callable
     is_certain : callable
         Tells whether no earlier process of this host can have kept turns in memory
@@ -69,6 +71,7 @@
         row_bytes: int,
         fleet: Fleet,
         peers: PeerClient,
+        n_copies: int,
         is_store_there: Callable[[], bool],
         is_certain: Callable[[], bool],
         reaper: RowReaper,
@@ -76,7 +79,7 @@
     ):
         self._store = store
         self.memory = TurnMemory(
-            fleet, peers, is_store_there, is_certain, self._store_late, log
+            fleet, peers, n_copies, is_store_there, is_certain, self._store_late, log
         )
         self._reaper = reaper
         self._piece_bytes = int(row_bytes * ROOM)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_memory.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_memory.py
@@ -5,11 +5,13 @@
 Without it: each turn's answer breaks off at its end, as its row can't be written, and
 no program of several turns comes through an outage.
 
-Grounds: while the store is away, a turn counts as kept once hosts of other zones have
-it in memory besides this one; two machines, or a zone, may be lost then. It is stored
-when the store is back, by this host or by one that has a copy. A host that finds no
-row says that there is no such turn only if every host is heard and none has been
-without the store for as long as turns are kept; else the turn may wait in a memory.
+Grounds: where the settings ask for copies, a turn counts as kept once so many other
+hosts have it in memory, of other zones first. It is stored when the store is back, by
+this host or by one that has a copy; if all of them lose power before, it is lost. Hence
+no copies unless they are asked for: a turn that was answered must outlive all hosts. A
+host that finds no row says that there is no such turn only if every host is heard and
+none has been without the store for as long as turns are kept; else the turn may wait in
+a memory.
 """
 
 import asyncio
@@ -28,9 +30,6 @@
 )
 from swifttide_daemon.telemetry import EventLog
 
-N_COPIES = 2
-"""Other hosts that have a turn in memory before its answer may end."""
-
 AWAY_SECONDS = 0.8
 """A host keeps turns in memory only when it has been without the store for so long:
 four beacons, by which all that hear it know."""
@@ -72,6 +71,8 @@
     ----------
     fleet : Fleet
     peers : PeerClient
+    n_copies : int
+        Other hosts that must have a turn in memory; 0: none is kept there.
     is_store_there : callable
     is_certain : callable
         Tells whether no earlier process of this host can have kept turns in memory
@@ -86,6 +87,7 @@
         self,
         fleet: Fleet,
         peers: PeerClient,
+        n_copies: int,
         is_store_there: Callable[[], bool],
         is_certain: Callable[[], bool],
         store: Callable[[str, bytes, float], Awaitable[bool]],
@@ -93,6 +95,7 @@
     ):
         self._fleet = fleet
         self._peers = peers
+        self._n_copies = n_copies
         self._is_store_there = is_store_there
         self._is_certain = is_certain
         self._store = store
@@ -145,13 +148,13 @@
 
     async def keep(self, key: str, transcript: bytes, seconds: float) -> bool:
         """Keep a turn here and at other hosts; return whether enough do."""
-        if not self._is_long_away():
+        if not self._n_copies or not self._is_long_away():
             return False
         own = self._fleet.own
         copy = KeepCopy(key, transcript, seconds, own.ip, own.boot)
         if self._fleet.is_alone() or not self.keep_copy(copy):
             return False
-        n_wanted = min(N_COPIES, max(1, len(self._fleet.all())))
+        n_wanted = min(self._n_copies, max(1, len(self._fleet.all())))
         n_kept = await self._place(copy, n_wanted)
         self._log.info("turn_kept_in_memory", turn=key, copies=n_kept)
         return n_kept >= n_wanted
@@ -249,7 +252,7 @@
 
     async def hand_over(self) -> None:
         """Give other hosts what waits here, as this one stops."""
-        place = functools.partial(self._place, n_wanted=N_COPIES)
+        place = functools.partial(self._place, n_wanted=max(1, self._n_copies))
         copies = [
             KeepCopy(key, w.transcript, w.seconds, w.origin, w.origin_boot)
             for key, w in self._waiting.items()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_keeper.py
@@ -57,6 +57,7 @@
             65_536,
             self.fleet,
             Peers(fleet.hosts),
+            fleet.n_copies,
             lambda: not store.down,
             lambda: self.certain,
             RowReaper(store, log),
@@ -80,8 +81,9 @@
 class Hosts:
     """Five hosts in three zones."""
 
-    def __init__(self, store, log):
+    def __init__(self, store, log, n_copies):
         self.hosts = {}
+        self.n_copies = n_copies
         for ip in ZONES:
             self.hosts[ip] = Host(self, ip, store, log)
 
@@ -103,9 +105,9 @@
 
 @pytest.fixture
 def play(store, log):
-    def run(scenario):
+    def run(scenario, n_copies=2):
         async def main():
-            hosts = Hosts(store, log)
+            hosts = Hosts(store, log, n_copies)
             await asyncio.sleep(1.0)
             return await scenario(hosts)
 
@@ -146,6 +148,20 @@
 
         assert play(scenario) == (b"said", 1)
 
+    def test_not_answered_whole_without_its_row_unless_asked_for(self, play, store):
+        """All hosts lose power before the store is back.
+
+        A turn that was answered from memory alone is gone then, and its program can't
+        go on, though its caller had the whole answer.
+        """
+
+        async def scenario(hosts):
+            store.down = True
+            await asyncio.sleep(2.0)
+            return await hosts.keep("h0")
+
+        assert play(scenario, n_copies=0) is False
+
     def test_not_answered_whole_without_a_copy_in_another_zone(self, play, store):
         """A zone is cut off from the store and from the other zones.
 
