FIX Hosts that the store turns away follow changes through other hosts

Cause, found while tracing requests handled by an old configuration on 69 hosts: a host to which the store is silent gave its question up every 0.4 s, as other hosts' beacons named a newer change, and so never came to ask another host; a host turned away as one too many (429) asked nobody else at all. Ruled out: the end of a feed's wait (2 s), which both cases outlast. Change: with the store out of reach, or for this host full, the feed asks a host that reaches it; a question given up has the store itself probed. Test: three ways of being turned away; two of them failed before. test_watch_that_is_turned_away_asks_nobody_else demanded the second fault. In its place stand two: nobody is asked who is turned away too, and exactly one who is not.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
@@ -134,14 +134,21 @@
     async def changes(
         self, table: str, after: int, wait_seconds: float
     ) -> Rows | HistoryLost | Unavailable:
-        """Wait for changes."""
-        outcome = await self._direct.changes(table, after, wait_seconds)
-        if not isinstance(outcome, Unavailable):
-            return outcome
-        if outcome.throttled:
-            self._note_full()
-            return outcome
-        self._doubt(outcome)
+        """Wait for changes.
+
+        A host that the store turns away, or doesn't answer, learns of them through
+        another one: it would serve by an old configuration otherwise, and use keys and
+        targets that are no longer to be used.
+        """
+        outcome = Unavailable("out of reach")
+        if self.direct_up:
+            outcome = await self._direct.changes(table, after, wait_seconds)
+            if not isinstance(outcome, Unavailable):
+                return outcome
+            if outcome.throttled:
+                self._note_full()
+            else:
+                self._doubt(outcome)
         seconds = wait_seconds + RELAY_SECONDS
         relayed = RelayChanges(table, after, wait_seconds)
         return await self._relay(relayed, seconds, outcome)
@@ -162,8 +169,13 @@
         return self.direct_up or bool(self._fleet.with_store())
 
     def reconnect(self) -> None:
-        """Make the next calls on new connections."""
+        """Make the next calls on new connections.
+
+        Whoever asks for that has waited in vain. If the store is silent, and not only
+        the connection, calls go through other hosts as soon as that is found out.
+        """
         self._direct.reconnect()
+        self._doubt(Unavailable("no answer yet"))
 
     async def _either(self, call, relayed):
         if not self.is_reachable:
