ENH New programs only as a customer's rate carries them; returned tokens count again

And programs that loop return their token with each 402; the bucket that bounds a pool didn't count these as returned, so that customers with such a program starved (one was served 2 of 24 requests). Ruled out: refusals against one central bucket, which admits 1,726 of the 2,300 requests where 1,693 were; a lower rate at a keeper (12 handings-on counted, none missing). Change: the keeper counts the programs under way and learns what one takes; a new one is let in when what is there and comes in carries it beside the others. Tokens come back with the process that they were granted to, and only as many.

--- a/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
@@ -3,8 +3,9 @@
 from typing import Any
 
 CAUSES = {
-    "rate_limited": "the customer was over its rate, over all hosts together; see "
-    "`rate`, `share` and `held` of rate_exceeded",
+    "rate_limited": "the customer was over its rate, over all hosts together, or the "
+    "programs under way take all of it (`new_program`); see `rate`, `keeper` and "
+    "`waiting` of rate_exceeded; with `is_answered` false no keeper answered",
     "budget_spent": "the program's token budget didn't hold one more turn; see "
     "`granted` and `budget` of budget_spent",
     "budget_held_back": "the program needs the last quarter of its budget, and the "
--- a/packages/swifttide_core/src/swifttide_core/rates/_handful.py
+++ b/packages/swifttide_core/src/swifttide_core/rates/_handful.py
@@ -1,7 +1,7 @@
 """Tokens on their way from a host's share to the customer's pool."""
 
 import math
-from dataclasses import dataclass, replace
+from dataclasses import astuple, dataclass, replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,22 +16,27 @@
         Part of the customer's burst that the pool may store for the sender.
     used : float
         Tokens that the sender took out of its share itself since it last handed on.
+    returned : float
+        Of the tokens, those that the pool had granted to the sender's requests and
+        that were not used.
     """
 
     tokens: float
     share: float = 0.0
     used: float = 0.0
+    returned: float = 0.0
 
-    def plus(self, tokens: float) -> "Handful":
-        """Return it with more tokens."""
-        return replace(self, tokens=self.tokens + tokens)
+    def plus(self, tokens: float, returned: float) -> "Handful":
+        """Return it with more tokens, and with some that were granted before."""
+        return replace(self, tokens=self.tokens + tokens + returned, returned=returned)
 
     def checked(self, burst: float) -> "Handful | None":
         """Return it within its bounds; None for figures that aren't numbers."""
-        if not all(map(math.isfinite, (self.tokens, self.share, self.used))):
+        if not all(map(math.isfinite, astuple(self))):
             return None
         return Handful(
             min(burst, max(0.0, self.tokens)),
             min(1.0, max(0.0, self.share)),
             min(burst, max(0.0, self.used)),
+            min(burst, max(0.0, self.returned)),
         )
--- a/packages/swifttide_core/src/swifttide_core/rates/_rate_pool.py
+++ b/packages/swifttide_core/src/swifttide_core/rates/_rate_pool.py
@@ -66,6 +66,14 @@
     filled_at: float
 
 
+@dataclass(slots=True)
+class _Lent:
+    """Tokens granted to a process's requests, and not returned."""
+
+    boot: str
+    tokens: float = 0.0
+
+
 class RatePool:
     """Tokens of one customer and the requests that wait for them, in order of arrival.
 
@@ -84,6 +92,7 @@
         self._fillers: dict[str, _Filler] = {}
         self._waiting: dict[Asker, float] = {}
         self._granted: dict[Asker, float] = {}
+        self._lent: dict[str, _Lent] = {}
 
     def follow(self, rate: float, burst: float, now: float) -> None:
         """Take new limits of the customer."""
@@ -123,15 +132,10 @@
         self._guard.refill(now)
         least = -self._guard.burst
         self._guard.level = max(least, self._guard.level - handful.used)
+        self._credit(host, boot, handful.returned)
         self._store(handful.tokens, now)
         return True
 
-    def give_back(self, tokens: float, now: float) -> None:
-        """Take tokens that this pool had granted and that were not used."""
-        self._guard.refill(now)
-        self._guard.level = min(self._guard.burst, self._guard.level + tokens)
-        self._store(tokens, now)
-
     def room(self, now: float) -> float:
         """Return how many tokens may be stored."""
         shares = sum(
@@ -165,7 +169,7 @@
             self._waiting[asker] = until
             return Queued()
         if not self._waiting and self._take(now):
-            self._granted[asker] = now
+            self._grant(asker, now)
             return Granted()
         if until <= now:
             return Short(self._seconds_until(len(self._waiting) + 1, now))
@@ -184,7 +188,7 @@
             if not self._take(now):
                 break
             del self._waiting[asker]
-            self._granted[asker] = now
+            self._grant(asker, now)
             served.append(asker)
         return served
 
@@ -195,6 +199,27 @@
         self.level = max(0.0, self.level - 1.0)
         return True
 
+    def _credit(self, host, boot, returned):
+        """Let tokens that come back be granted again, but no others.
+
+        A program that loops asks for turns that its budget no longer holds, and each
+        returns its token; without this its customer's other programs would starve.
+        """
+        lent = self._lent.get(host)
+        if lent is None or lent.boot != boot:
+            return
+        credit = min(returned, lent.tokens)
+        lent.tokens -= credit
+        level = self._guard.level + credit
+        self._guard.level = min(self._guard.burst, level)
+
+    def _grant(self, asker, now):
+        self._granted[asker] = now
+        lent = self._lent.get(asker.host)
+        if lent is None or lent.boot != asker.boot:
+            lent = self._lent[asker.host] = _Lent(asker.boot)
+        lent.tokens += 1.0
+
     def _store(self, tokens, now):
         self.level = min(self.level + tokens, self.room(now))
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
@@ -5,6 +5,7 @@
 
 from swifttide_core.forwarding import CustomerTerms, RequestKind, Route
 from swifttide_core.strikes import Refused, fingerprint_of
+from swifttide_daemon.gateway._account_rows import program_key
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._budget_keeper import BudgetKeeper, Reservation
 from swifttide_daemon.gateway._caller_channel import CallerChannel
@@ -26,6 +27,10 @@
 STORE_RETRY_SECONDS = 0.5
 """When to come back to a store that didn't answer within the request's time."""
 
+PROGRAM_KEY_CHARS = 12
+"""Of a program's key in questions about rates: enough for the programs of a customer
+that are under way at once."""
+
 DEFAULT_PATIENCE_SECONDS = 60.0
 """For a request whose caller and route name no time."""
 
@@ -67,8 +72,7 @@
         customer = terms.name if terms else ""
         fingerprint = self._check_strikes(req, customer)
         if terms:
-            wait = self._rate_wait(req, customer, expires_at)
-            await self._rates.take(req.id, terms, wait)
+            await self._take_token(req, terms, expires_at)
             progress.rate_seconds = age_of(req)
         try:
             async with asyncio.timeout_at(expires_at):
@@ -118,20 +122,22 @@
             raise Refusal(401, "unknown_key")
         return route, terms
 
-    def _rate_wait(self, req, customer, expires_at) -> float:
-        """Return how long a request may wait for its customer's rate.
+    async def _take_token(self, req, terms, expires_at):
+        """Count the request against its customer's rate; raises `Refusal`.
 
         A program that is refused its next call is lost with all that was spent on
         it; a new one has cost nothing yet.
         """
         turn = req.turn
         if not turn.program:
-            return 0.0
-        known = self._budgets.knows(customer, turn.program)
-        if turn.budget_tokens and not turn.previous and not known:
-            return 0.0
+            await self._rates.take(req.id, terms, 0.0)
+            return
+        known = self._budgets.knows(terms.name, turn.program)
+        may_be_new = turn.budget_tokens > 0 and not turn.previous and not known
         left = expires_at - asyncio.get_running_loop().time()
-        return min(MAX_RATE_WAIT_SECONDS, left * RATE_WAIT_PART)
+        wait = min(MAX_RATE_WAIT_SECONDS, left * RATE_WAIT_PART)
+        program = program_key(terms.name, turn.program)[:PROGRAM_KEY_CHARS]
+        await self._rates.take(req.id, terms, wait, program, may_be_new)
 
     def _check_strikes(self, req, customer):
         """Refuse a request that crashes whatever runs it; return its fingerprint."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
@@ -62,6 +62,8 @@
 class _Question:
     """A request that waits for a token, and what it was told last."""
 
+    program: str
+    may_be_new: bool
     news: asyncio.Event = field(default_factory=asyncio.Event)
     told: Standing | None = None
 
@@ -134,7 +136,12 @@
         self._shares.follow(customers)
 
     async def take(
-        self, request_id: str, terms: CustomerTerms, wait_seconds: float
+        self,
+        request_id: str,
+        terms: CustomerTerms,
+        wait_seconds: float,
+        program: str = "",
+        may_be_new: bool = False,
     ) -> None:
         """Count a request; raises `Refusal` when it is over the rate.
 
@@ -145,15 +152,20 @@
         wait_seconds : float
             How long the request may wait for its turn; 0 for one that is refused
             when there is no token to spare.
+        program : str
+            Key of the program that it belongs to; empty without one.
+        may_be_new : bool
+            Whether it may be the first of its program.
         """
         if terms.rate_per_second <= 0:
             return
         account = self._accounts.setdefault(terms.name, _Account())
-        if not account.waiting and self._shares.take_local(terms):
+        is_first_come = not account.waiting and not may_be_new
+        if is_first_come and self._shares.take_local(terms):
             return
         # Drawn at random: who can't read it can't forge an answer to it.
         number = secrets.randbits(NUMBER_BITS)
-        question = account.waiting[number] = _Question()
+        question = account.waiting[number] = _Question(program, may_be_new)
         try:
             seconds = await self._wait(terms, number, question, wait_seconds)
         finally:
@@ -162,7 +174,7 @@
             if not isinstance(question.told, Granted):
                 self._close(account, number)
         if not isinstance(question.told, Granted):
-            self._refuse(request_id, account, terms, seconds)
+            self._refuse(request_id, question, terms, seconds)
 
     def refund(self, terms: CustomerTerms) -> None:
         """Take back the token of a request that was sent to no target."""
@@ -220,7 +232,7 @@
                     if isinstance(await question.hear(pause), Granted):
                         break
                 case Short(seconds):
-                    if not wait_seconds:
+                    if question.may_be_new or not wait_seconds:
                         break
                     if isinstance(await question.hear(ANSWER_SECONDS), Granted):
                         break
@@ -230,24 +242,37 @@
         """Return what a keeper says; None if it says nothing."""
         keeper = self._shares.keepers(terms.name)[0]
         if keeper == self._own.ip:
-            question.tell(self._shares.ask(terms, self._asker(number), patience))
+            asker, program = self._asker(number), question.program
+            question.tell(
+                self._shares.ask(terms, asker, patience, program, question.may_be_new)
+            )
             return await question.hear(0.0)
-        ask = AskRate(terms.name, self._own.boot, number, round(patience, 3))
+        ask = AskRate(
+            terms.name,
+            self._own.boot,
+            number,
+            round(patience, 3),
+            question.program,
+            question.may_be_new,
+        )
         self._send(keeper, ask)
         standing = await question.hear(ANSWER_SECONDS)
         if standing is None:
             self._shares.suspect(keeper)
         return standing
 
-    def _refuse(self, request_id, account, terms, seconds):
+    def _refuse(self, request_id, question, terms, seconds):
         self._log.info(
             "rate_exceeded",
             request_id=request_id,
             customer=terms.name,
+            program=question.program,
+            new_program=question.may_be_new,
             keeper=self._shares.keepers(terms.name)[0],
-            share=round(self.share, 4),
-            waiting=len(account.waiting),
+            is_answered=question.told is not None,
+            waiting=len(self._accounts[terms.name].waiting),
             rate=terms.rate_per_second,
+            seconds=round(seconds, 3),
         )
         wait = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, seconds))
         raise Refusal(429, "rate_limited", wait)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_shares.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_shares.py
@@ -5,12 +5,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
+
 from swifttide_core.forwarding import CustomerTerms
 from swifttide_core.rates import (
     Asker,
     Granted,
     Handful,
     LocalShare,
+    ProgramLoad,
+    ProgramSizes,
     Queued,
     RatePool,
     Short,
@@ -48,6 +52,7 @@
     terms: CustomerTerms
     local: LocalShare
     pool: RatePool
+    programs: ProgramLoad
     returned: float = 0.0
     serving: asyncio.TimerHandle | None = None
 
@@ -93,6 +98,7 @@
         self._orders: dict[str, list[str]] = {}
         self._ordered_for: tuple[str, ...] = ()
         self._number = 0
+        self._sizes = ProgramSizes()
         self.share = 0.0
 
     async def run(self) -> None:
@@ -139,14 +145,31 @@
         if known is not None:
             known.returned += 1.0
 
-    def ask(self, terms: CustomerTerms, asker: Asker, wait_seconds: float) -> Standing:
+    def ask(
+        self,
+        terms: CustomerTerms,
+        asker: Asker,
+        wait_seconds: float,
+        program: str = "",
+        may_be_new: bool = False,
+    ) -> Standing:
         """Ask for a token here."""
         known = self.customer(terms)
         now = elapsed_seconds()
         self._fill_own(known, now)
+        is_new = may_be_new and not known.programs.knows(program)
+        if is_new:
+            wait_seconds = 0.0
+            seconds = known.programs.seconds_until_room(
+                known.pool.level, terms.rate_per_second, now
+            )
+            if seconds > 0.0:
+                return Short(seconds)
         standing = known.pool.ask(asker, now + wait_seconds, now)
         if isinstance(standing, Queued):
             self._serve_later(known)
+        if program and not isinstance(standing, Short):
+            known.programs.note(program, isinstance(standing, Queued), now)
         return standing
 
     def leave(self, customer: str, asker: Asker) -> None:
@@ -163,13 +186,12 @@
             return
         keeper = self.keepers(ask.customer)[0]
         if keeper not in (self._own.ip, asking) and not ask.ip:
-            self._send(
-                keeper,
-                AskRate(ask.customer, ask.boot, ask.number, ask.wait_seconds, sender),
-            )
+            self._send(keeper, msgspec.structs.replace(ask, ip=sender))
             return
         asker = Asker(asking, ask.boot, ask.number)
-        standing = self.ask(known.terms, asker, ask.wait_seconds)
+        standing = self.ask(
+            known.terms, asker, ask.wait_seconds, ask.program, ask.may_be_new
+        )
         answer = RateAnswer(ask.customer, ask.boot, ask.number)
         match standing:
             case Granted():
@@ -201,7 +223,8 @@
         known = self._customers.get(terms.name)
         if known is None:
             local = LocalShare(rate, burst, self.share, START_LEVEL, now)
-            known = _Customer(terms, local, RatePool(rate, burst, now))
+            pool = RatePool(rate, burst, now)
+            known = _Customer(terms, local, pool, ProgramLoad(self._sizes))
             self._customers[terms.name] = known
             return known
         if known.terms is not terms or known.local.share != self.share:
@@ -216,15 +239,14 @@
         if self.keepers(known.terms.name)[0] != own.ip:
             return
         self._number += 1
-        handful = known.local.drain(now)
-        known.pool.fill(own.ip, own.boot, self._number, handful, now)
-        known.pool.give_back(known.returned, now)
+        handful = known.local.drain(now).plus(0.0, known.returned)
         known.returned = 0.0
+        known.pool.fill(own.ip, own.boot, self._number, handful, now)
 
     def _hand_on(self):
         now = elapsed_seconds()
         self._number += 1
-        handed: dict[str, dict[str, tuple[float, float, float]]] = {}
+        handed: dict[str, dict[str, tuple[float, ...]]] = {}
         for name, known in self._customers.items():
             self.customer(known.terms)
             keeper = self.keepers(name)[0]
@@ -234,8 +256,8 @@
                 continue
             if not known.has_tokens:
                 continue
-            left = known.pool.drain(now) + known.returned
-            handful = known.local.hand_on(now).plus(left)
+            left = known.pool.drain(now)
+            handful = known.local.hand_on(now).plus(left, known.returned)
             known.returned = 0.0
             fields = dataclasses.astuple(handful)
             handed.setdefault(keeper, {})[name] = tuple(round(f, 4) for f in fields)
