FIX A request that asks its keeper again counts once towards its program

Cause: found reading the code. A request that waits asks again every 0.25 s, and each question was counted as a request of its program, so that programs seemed the larger the longer they waited, and fewer were let in beside them. Change: a question that the pool knows isn't counted.

--- a/packages/swifttide_core/src/swifttide_core/rates/_rate_pool.py
+++ b/packages/swifttide_core/src/swifttide_core/rates/_rate_pool.py
@@ -176,6 +176,10 @@
         self._waiting[asker] = until
         return Queued()
 
+    def knows(self, asker: Asker) -> bool:
+        """Whether a request has asked before, and is not asking for the first time."""
+        return asker in self._waiting or asker in self._granted
+
     def leave(self, asker: Asker) -> None:
         """Take a request out that no longer waits."""
         self._waiting.pop(asker, None)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_shares.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_shares.py
@@ -165,10 +165,12 @@
             )
             if seconds > 0.0:
                 return Short(seconds)
+        asks_again = known.pool.knows(asker)
         standing = known.pool.ask(asker, now + wait_seconds, now)
         if isinstance(standing, Queued):
             self._serve_later(known)
-        if program and not isinstance(standing, Short):
+        # Counted once: a program that waits would seem larger the longer it waits.
+        if program and not asks_again and not isinstance(standing, Short):
             known.programs.note(program, isinstance(standing, Queued), now)
         return standing
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_keeper.py
@@ -449,6 +449,27 @@
 
         assert sum(run_paused(main(seed)) for seed in range(6)) >= 80
 
+    def test_request_that_asks_again_counts_once(self, log):
+        """A request of a program waits for its token and asks again meanwhile. Counted
+        each time, programs that had to wait would seem larger than they are, and fewer
+        be let in beside them.
+        """
+        terms = CustomerTerms("c", (), None, 1.0, 1.0)
+
+        async def main():
+            hosts = Hosts(log, 1, (terms,))
+            await asyncio.sleep(4.0)
+            keeper = hosts.keepers["h0"]
+            for _ in range(2):
+                await keeper.take("r", terms, 1.5, "p")
+            await asyncio.sleep(2.0)
+            await keeper.take("r", terms, 1.5, "q", True)
+            return keeper._shares._sizes
+
+        sizes = run_paused(main())
+        assert sizes.n_seen == 1
+        assert sizes.calls == pytest.approx(6.0 + (2 - 6.0) / 3)
+
     def test_customer_within_its_rate_begins_all_programs(self, log):
         """Programs of a customer that stays within its rate are all let in at once."""
         terms = CustomerTerms("c", (), None, 60.0, 60.0)
