ENH Log how full a target was believed to be, and whether a turn may be a first one

On call nobody could tell turns that waited in a full target's queue from turns whose prompt was read again: no line said how many requests the host believed to be there. `request_served` now has `target_load` and `first_turn`.

--- a/packages/swifttide_core/src/swifttide_core/forwarding/_service_spec.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/_service_spec.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from swifttide_core.forwarding._target_entry import TargetEntry
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
@@ -23,3 +25,7 @@
     max_connections: int = 64
     tokens_per_event: int = 0
     concurrency: int = 0
+
+    def places_at(self, target: TargetEntry) -> int:
+        """Return the requests that a target runs at once, at least one."""
+        return max(1, self.concurrency or target.capacity)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_answer_relay.py
@@ -159,6 +159,8 @@
             program=job.req.turn.program,
             customer=job.customer,
             target=target.id,
+            target_load=round(progress.target_load, 2),
+            first_turn=job.req.turn.is_first,
             status=status,
             n_events=progress.n_events,
             n_sent=len(progress.sent),
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_caller_request.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_caller_request.py
@@ -29,6 +29,11 @@
     most_tokens: int = 0
     previous: str = ""
 
+    @property
+    def is_first(self) -> bool:
+        """Whether this may be the first turn of a line; unkept ones all may."""
+        return self.budget_tokens > 0 and not self.previous
+
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -109,7 +109,7 @@
             "request_refused",
             request_id=req.id,
             program=req.turn.program,
-            first_turn=req.turn.budget_tokens > 0 and not req.turn.previous,
+            first_turn=req.turn.is_first,
             status=refusal.status,
             reason=refusal.reason,
             retry_after=retry_after,
@@ -214,6 +214,8 @@
             len(job.body),
         )
         exchange = None
+        places = job.service.places_at(target)
+        progress.target_load = self._health.outstanding(target.id) / places
         self._health.sent(target.id)
         try:
             conn = await self._client.connect(target)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_job.py
@@ -69,6 +69,8 @@
         self.output: list[bytes] = []
         self.rate_seconds = 0.0
         """Age of the request when its customer's rate let it in."""
+        self.target_load = 0.0
+        """Requests believed at the target for each place there, as it was last sent."""
         self.sent_seconds = 0.0
         """Age of the request when it was last sent to a target."""
         self.first_seconds = 0.0
