FIX New programs are let in as targets can finish them; those under way go on

What callers saw: after all hosts had been lost and were back, nearly no program ended in time for as long as anybody looked. Three engines of five had left before. Cause: hosts sent whatever came. Past the engines' limit all programs go on at once, each slower than anybody waits, and work is given up half done and asked for again: an overload that keeps itself up. The loss of the hosts only pushed it over, as everybody who had waited asked at once; it starts without it when engines leave. Why this holds: a share of new programs follows the load that beacons tell, the same programs at all hosts and tries; nothing more is kept, so a loss of hosts costs seconds. A program under way that a host doesn't know is found by its account's row.

--- a/packages/swifttide_core/src/swifttide_core/admission/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/__init__.py
@@ -9,6 +9,7 @@
 from swifttide_core.admission._load_report import LoadReport
 from swifttide_core.admission._outcome import Outcome, OutcomeStatus
 from swifttide_core.admission._profile_estimates import ProfileEstimates
+from swifttide_core.admission._program_gate import Entered, ProgramGate, TurnedAway
 from swifttide_core.admission._snapshot import QueueSnapshot
 from swifttide_core.admission._target_queue import TargetQueue
 from swifttide_core.admission._ticket import Ticket, check_ticket
@@ -20,16 +21,19 @@
     "ConcurrencyLimit",
     "Decision",
     "DrainRate",
+    "Entered",
     "FairQueue",
     "LoadReport",
     "Outcome",
     "OutcomeStatus",
     "ProfileEstimates",
+    "ProgramGate",
     "QueueSnapshot",
     "Queued",
     "Refused",
     "TargetQueue",
     "Ticket",
+    "TurnedAway",
     "WorkingSet",
     "call_cost",
     "check_admission_config",
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
@@ -11,6 +11,7 @@
 from swifttide_daemon.gateway._caller_channel import CallerChannel
 from swifttide_daemon.gateway._caller_request import CallerRequest
 from swifttide_daemon.gateway._job import Job, Progress, age_of
+from swifttide_daemon.gateway._program_entry import ProgramEntry
 from swifttide_daemon.gateway._rate_keeper import RateKeeper
 from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
@@ -45,6 +46,7 @@
     turns : TurnKeeper
     rates : RateKeeper
     strikes : StrikeKeeper
+    entry : ProgramEntry
     """
 
     def __init__(
@@ -54,12 +56,14 @@
         turns: TurnKeeper,
         rates: RateKeeper,
         strikes: StrikeKeeper,
+        entry: ProgramEntry,
     ):
         self._beliefs = beliefs
         self._budgets = budgets
         self._turns = turns
         self._rates = rates
         self._strikes = strikes
+        self._entry = entry
 
     async def admit(
         self, req: CallerRequest, channel: CallerChannel, progress: Progress
@@ -71,8 +75,13 @@
         service = self._beliefs.config.service(self._pick_service(route))
         customer = terms.name if terms else ""
         fingerprint = self._check_strikes(req, customer)
+        may_be_new = self._may_be_new(req, customer)
+        if req.turn.budget_tokens and route.kind is RequestKind.STREAMING:
+            self._entry.look(service)
+            if may_be_new:
+                await self._check_entry(req, customer, service)
         if terms:
-            await self._take_token(req, terms, expires_at)
+            await self._take_token(req, terms, expires_at, may_be_new)
             progress.rate_seconds = age_of(req)
         try:
             async with asyncio.timeout_at(expires_at):
@@ -122,7 +131,26 @@
             raise Refusal(401, "unknown_key")
         return route, terms
 
-    async def _take_token(self, req, terms, expires_at):
+    def _may_be_new(self, req, customer) -> bool:
+        """Whether a request may be the first of its program."""
+        turn = req.turn
+        if not turn.program or not turn.budget_tokens or turn.previous:
+            return False
+        return not self._budgets.knows(customer, turn.program)
+
+    async def _check_entry(self, req, customer, service):
+        """Refuse a new program where targets have no place for it.
+
+        Turned away, a program under way would be lost with all that was spent on it.
+        After a loss of hosts nobody remembers it: its row tells.
+        """
+        try:
+            self._entry.check(req.id, service, program_key(customer, req.turn.program))
+        except Refusal:
+            if not await self._budgets.has_account(customer, req.turn.program):
+                raise
+
+    async def _take_token(self, req, terms, expires_at, may_be_new):
         """Count the request against its customer's rate; raises `Refusal`.
 
         A program that is refused its next call is lost with all that was spent on
@@ -132,8 +160,6 @@
         if not turn.program:
             await self._rates.take(req.id, terms, 0.0)
             return
-        known = self._budgets.knows(terms.name, turn.program)
-        may_be_new = turn.budget_tokens > 0 and not turn.previous and not known
         left = expires_at - asyncio.get_running_loop().time()
         wait = min(MAX_RATE_WAIT_SECONDS, left * RATE_WAIT_PART)
         program = program_key(terms.name, turn.program)[:PROGRAM_KEY_CHARS]
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
@@ -42,6 +42,10 @@
 MAX_PROGRAMS = 20_000
 """Programs whose pools are kept, some 500 bytes each."""
 
+ACCOUNT_SECONDS = 0.08
+"""Longest wait to learn whether a program has an account: refusals are to be told in
+a tenth of a second."""
+
 KEEP_SECONDS = 7_200.0
 """How long an account is kept after its last change. Its tokens move between hosts
 without a write, and a program that was stopped may come back."""
@@ -192,6 +196,24 @@
         """Whether turns of a program have been served here."""
         return program_key(customer, program) in self._programs
 
+    async def has_account(self, customer: str, program: str) -> bool:
+        """Whether turns of a program have been served by any host.
+
+        Hosts that have started since, or that the program reaches for the first time,
+        know it only from its row. False also where the store doesn't say in time.
+        """
+        key = program_key(customer, program)
+        found = _Program()
+        try:
+            async with asyncio.timeout(ACCOUNT_SECONDS):
+                await self._read(key, found)
+        except TimeoutError:
+            return False
+        if found.account is None:
+            return False
+        self._know(key)
+        return True
+
     def settle(self, reservation: Reservation, generated: int) -> None:
         """Return what a turn didn't generate."""
         if generated:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -27,6 +27,7 @@
 from swifttide_daemon.gateway._peer_client import PeerClient
 from swifttide_daemon.gateway._peer_server import PeerServer
 from swifttide_daemon.gateway._peer_service import PeerService
+from swifttide_daemon.gateway._program_entry import ProgramEntry
 from swifttide_daemon.gateway._rate_keeper import RateKeeper
 from swifttide_daemon.gateway._relayed_store import RelayedStore
 from swifttide_daemon.gateway._row_feed import RowFeed
@@ -225,6 +226,7 @@
             self._reaper,
             log,
         )
+        self._entry = ProgramEntry(self.beliefs, self._health, log)
         elsewhere_after = self._isolation.elsewhere_after
         self._forwarder = Forwarder(
             cfg,
@@ -232,7 +234,14 @@
             dialect,
             TargetClient(dialect, self._pool, self._prober),
             self._health,
-            Admission(self.beliefs, self._budgets, turns, self._rates, self._strikes),
+            Admission(
+                self.beliefs,
+                self._budgets,
+                turns,
+                self._rates,
+                self._strikes,
+                self._entry,
+            ),
             AnswerRelay(
                 dialect, turns, elsewhere_after, self.beliefs, self._metrics, log
             ),
@@ -332,6 +341,7 @@
         believe("targets", len(self.beliefs.targets))
         believe("peers_heard", len(self._fleet.alive()))
         believe("rate_share", self._rates.share)
+        believe("program_share", self._entry.least_share())
         believe("store_up", float(self._store.direct_up))
         believe("slots_lending", len(self._lender.slots()))
         believe("isolated", float(self._isolation.active))
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_program_entry.py
@@ -0,0 +1,72 @@
+"""Whether new programs may begin, by what targets have under way."""
+
+import asyncio
+
+from swifttide_core.admission import Entered, ProgramGate, TurnedAway
+from swifttide_core.forwarding import ServiceSpec
+from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway._target_health import TargetHealth
+from swifttide_daemon.telemetry import EventLog
+
+
+class ProgramEntry:
+    """Asks a gate for each service before a new program begins there.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+    health : TargetHealth
+    log : EventLog
+    """
+
+    def __init__(self, beliefs: Beliefs, health: TargetHealth, log: EventLog):
+        self._beliefs = beliefs
+        self._health = health
+        self._log = log
+        self._gates: dict[str, ProgramGate] = {}
+
+    def look(self, service: ServiceSpec) -> None:
+        """Follow how full a service's targets are."""
+        gate = self._gate(service)
+        now = asyncio.get_running_loop().time()
+        if gate.wants_look(now):
+            gate.look(now, self.load(service))
+
+    def check(self, request_id: str, service: ServiceSpec, program: str) -> None:
+        """Let a new program begin; raises `Refusal` where targets have no place."""
+        gate = self._gate(service)
+        load = self.load(service)
+        match gate.ask(load, program):
+            case Entered():
+                return
+            case TurnedAway(retry_seconds):
+                self._log.info(
+                    "no_place_for_program",
+                    request_id=request_id,
+                    service=service.name,
+                    load=round(load, 3),
+                    share=round(gate.share, 3),
+                )
+                raise Refusal(503, "targets_full", retry_seconds)
+
+    def least_share(self) -> float:
+        """Return the part of new programs let in at the service that is fullest."""
+        return min((gate.share for gate in self._gates.values()), default=1.0)
+
+    def load(self, service: ServiceSpec) -> float:
+        """Return the requests at a service's targets for each place there.
+
+        0 where no target is known: then there is nothing to protect.
+        """
+        targets = self._beliefs.targets_of(service.name)
+        usable = [t for t in targets if self._health.usable(t.id)]
+        outstanding = sum(self._health.outstanding(t.id) for t in usable)
+        places = sum(service.places_at(t) for t in usable)
+        return outstanding / places if places else 0.0
+
+    def _gate(self, service) -> ProgramGate:
+        gate = self._gates.get(service.name)
+        if gate is None:
+            gate = self._gates[service.name] = ProgramGate()
+        return gate
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
@@ -24,6 +24,7 @@
 from swifttide_daemon.gateway._caller_request import CallerRequest, TurnTerms
 from swifttide_daemon.gateway._forwarder import Forwarder
 from swifttide_daemon.gateway._metrics import GatewayMetrics
+from swifttide_daemon.gateway._program_entry import ProgramEntry
 from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_daemon.gateway._settings import GatewaySettings
 from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
@@ -188,13 +189,14 @@
         metrics = GatewayMetrics(ip, "zone-a")
         wire = Wire()
         relay = AnswerRelay(wire, None, lambda: None, self.beliefs, metrics, log)
+        entry = ProgramEntry(self.beliefs, self.health, log)
         self.forwarder = Forwarder(
             cfg,
             self.beliefs,
             wire,
             Client(engines),
             self.health,
-            Admission(self.beliefs, budgets, None, None, strikes),
+            Admission(self.beliefs, budgets, None, None, strikes, entry),
             relay,
             lambda: None,
             strikes,
@@ -233,9 +235,12 @@
         self.outcomes = Outcomes()
         self._store, self._log = store, log
         self._random = random.Random(seed)
+        # The gateway draws its times to come back from the shared generator.
+        random.seed(seed)
         self._ips = [f"10.0.0.{i}" for i in range(n_hosts)]
         self._hosts: dict[str, Host] = {}
-        self._handling: set[asyncio.Task] = set()
+        # In the order of their requests, so that each run of a seed is the same.
+        self._handling: dict[asyncio.Task, None] = {}
         self._attempts = itertools.count()
         self._began_at = asyncio.get_running_loop().time()
         self.start_all()
@@ -250,6 +255,7 @@
         self._hosts.clear()
         for task in self._handling:
             task.cancel()
+        self._handling.clear()
 
     def take_engines(self, count: int) -> None:
         """Take engines out of service; what they run is finished."""
@@ -259,6 +265,12 @@
             # Hosts that start later find it gone from the store.
             self.engines = {k: e for k, e in self.engines.items() if k != target_id}
 
+    def fill_engines(self, count: int) -> None:
+        """Let all hosts believe that each engine has requests of a host elsewhere."""
+        counts = dict.fromkeys(self.engines, count)
+        for host in self._hosts.values():
+            host.health.told("elsewhere", counts, 60.0)
+
     @property
     def now(self) -> float:
         """Seconds since the start."""
@@ -270,8 +282,9 @@
             await asyncio.sleep(BEACON_SECONDS)
             counts = {ip: h.health.own_counts() for ip, h in self._hosts.items()}
             for ip, host in self._hosts.items():
-                for other in counts.keys() - {ip}:
-                    host.health.told(other, counts[other], BEACON_SECONDS)
+                for other, told in counts.items():
+                    if other != ip:
+                        host.health.told(other, told, BEACON_SECONDS)
 
     async def load(self, per_second: float, until: float) -> None:
         """Begin programs at random moments."""
@@ -298,7 +311,7 @@
             left = began + 2 * AIM_SECONDS - self.now
             if left <= 0:
                 return False
-            channel = await self._ask(name, left)
+            channel = await self.ask(name, left)
             if channel is not None and channel.is_whole:
                 return True
             wait = self._random.uniform(0.1, 0.4)
@@ -307,7 +320,7 @@
             await asyncio.sleep(wait)
         return False
 
-    async def _ask(self, name, left) -> Channel | None:
+    async def ask(self, name, left) -> Channel | None:
         """Send a turn to some host; None if there was no whole answer in time."""
         if not self._hosts:
             return None
@@ -326,12 +339,12 @@
             turn=turn,
         )
         handling = asyncio.create_task(host.forwarder.handle(req, channel))
-        self._handling.add(handling)
+        self._handling[handling] = None
         await asyncio.wait((handling,), timeout=left)
         if not handling.done():
             handling.cancel()
             await asyncio.wait((handling,))
-        self._handling.discard(handling)
+        self._handling.pop(handling, None)
         if handling.cancelled():
             return None
         if channel.status == 503:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/conftest.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/conftest.py
@@ -17,6 +17,8 @@
 from swifttide_daemon.telemetry import EventLog
 from swifttide_standins.print_office import MemoryRows
 
+HANG_SECONDS = 3.0
+
 
 class FakeStore:
     """A store on `MemoryRows`.
@@ -25,6 +27,8 @@
     ----------
     down : bool
         No call is carried out while set.
+    hangs : bool
+        Reads get no answer for a long time while set.
     away_tables : set of str
         Tables for which no call is carried out.
     lose : int
@@ -37,6 +41,7 @@
     def __init__(self):
         self.rows = MemoryRows()
         self.down = False
+        self.hangs = False
         self.away_tables = set()
         self.lose = 0
         self.delay = False
@@ -68,6 +73,9 @@
 
     async def read(self, table, part, start="", end=""):
         self.n_calls += 1
+        if self.hangs:
+            await asyncio.sleep(HANG_SECONDS)
+            return Unavailable("no answer")
         await asyncio.sleep(0.004)
         if self.down or table in self.away_tables:
             return Unavailable("down")
