--- a/Makefile
+++ b/Makefile
@@ -76,3 +76,8 @@
 # Rate and burst, and retries, against baselines; the same figures on every run.
 bench-limits: setup
 	$(BIN)/python -m benchmarks.limits
+.PHONY: bench-overload
+
+# Bursts and a loss of all hosts, with and without the gate for new programs.
+bench-overload: setup
+	$(BIN)/python -m benchmarks.overload
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import random
 from dataclasses import dataclass, field
@@ -72,20 +73,19 @@
         )
         self.free = asyncio.Semaphore(PLACES)
         self.n_waiting = 0
-        self.n_arrived = 0
-        self.n_shed = 0
+        self.ran: list[str] = []
+        """Attempts that it began to run."""
 
-    async def begin(self) -> None:
+    async def begin(self, attempt: str) -> None:
         """Wait for a place; raises `TargetFailure` where too many wait."""
-        self.n_arrived += 1
         if self.free.locked() and self.n_waiting >= PLACES:
-            self.n_shed += 1
             raise TargetFailure(NotRun("refused with 503"))
         self.n_waiting += 1
         try:
             await self.free.acquire()
         finally:
             self.n_waiting -= 1
+        self.ran.append(attempt)
 
 
 class Exchange:
@@ -127,8 +127,8 @@
     async def connect(self, target: TargetEntry) -> Engine:
         return self._engines[target.id]
 
-    async def send(self, engine, *_) -> Exchange:
-        await engine.begin()
+    async def send(self, engine, target, attempt, *_) -> Exchange:
+        await engine.begin(attempt)
         return Exchange(engine)
 
 
@@ -152,6 +152,7 @@
         self.started = False
         self.status = 0
         self.retry_after = None
+        self.reason = ""
         self.is_whole = False
 
     async def start(self, status, fields, length):
@@ -164,7 +165,7 @@
         self.is_whole = True
 
     async def answer(self, status, fields, body):
-        self.status = status
+        self.status, self.reason = status, body.decode()
         text = dict(fields).get(b"retry", b"None")
         self.retry_after = None if text == b"None" else float(text)
 
@@ -172,15 +173,19 @@
         self.is_whole = False
 
 
+def entries_of(engines: dict[str, Engine]) -> dict[str, TargetEntry]:
+    """Return what the engines registered."""
+    return {target_id: engine.entry for target_id, engine in engines.items()}
+
+
 class Host:
     """The gateway's decisions at one host, from its start on."""
 
-    def __init__(self, ip: str, engines: dict[str, Engine], store, log):
+    def __init__(self, ip: str, engines, all_engines, store, log, entry_type):
         cfg = GatewaySettings(ip, "zone-a", ip, 1, 2, 3, 4, "10.0.1.1", 5)
         self.beliefs = Beliefs(lambda target_id: None, log)
         self.beliefs.take_config(CONFIG, "store")
-        entries = {e.entry.id: e.entry for e in engines.values()}
-        self.beliefs.replace_targets(entries)
+        self.beliefs.replace_targets(entries_of(engines))
         self.health = TargetHealth(lambda target_id: False)
         budgets = BudgetKeeper(
             store, ip, _nothing, _nothing, _released, RowReaper(store, log), log
@@ -189,12 +194,12 @@
         metrics = GatewayMetrics(ip, "zone-a")
         wire = Wire()
         relay = AnswerRelay(wire, None, lambda: None, self.beliefs, metrics, log)
-        entry = ProgramEntry(self.beliefs, self.health, log)
+        entry = entry_type(self.beliefs, self.health, log)
         self.forwarder = Forwarder(
             cfg,
             self.beliefs,
             wire,
-            Client(engines),
+            Client(all_engines),
             self.health,
             Admission(self.beliefs, budgets, None, None, strikes, entry),
             relay,
@@ -213,14 +218,38 @@
     return True
 
 
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A turn that was refused.
+
+    Parameters
+    ----------
+    attempt, program, reason : str
+    at : float
+        When it was sent, in seconds from the start.
+    seconds : float
+        Until its caller learned it.
+    retry_after : float or None
+        When to come back, in seconds.
+    """
+
+    attempt: str
+    program: str
+    reason: str
+    at: float
+    seconds: float
+    retry_after: float | None
+
+
 @dataclass
 class Outcomes:
     """Programs by the second at which they began."""
 
     begun: list[float] = field(default_factory=list)
     in_time: list[float] = field(default_factory=list)
-    refusals: list[tuple[float, float | None]] = field(default_factory=list)
-    """Seconds until each refusal, and its time to come back."""
+    served_at: dict[str, float] = field(default_factory=dict)
+    """When the first turn of each program had been answered."""
+    refusals: list[Refused] = field(default_factory=list)
 
     def count(self, times: list[float], start: float, end: float) -> int:
         """Return how many of the times lie within the span."""
@@ -230,32 +259,59 @@
 class Fleet:
     """Hosts that tell each other of requests under way, and their callers."""
 
-    def __init__(self, n_hosts: int, n_engines: int, store, log, seed: int):
+    def __init__(
+        self,
+        n_hosts: int,
+        n_engines: int,
+        store,
+        log,
+        seed: int,
+        entry_type: type[ProgramEntry] = ProgramEntry,
+    ):
         self.engines = {e.entry.id: e for e in map(Engine, range(n_engines))}
         self.outcomes = Outcomes()
-        self._store, self._log = store, log
+        self._store, self._log, self._entry_type = store, log, entry_type
         self._random = random.Random(seed)
         # The gateway draws its times to come back from the shared generator.
         random.seed(seed)
-        self._ips = [f"10.0.0.{i}" for i in range(n_hosts)]
+        self._all_engines = dict(self.engines)
+        self.ips = [f"10.0.0.{i}" for i in range(n_hosts)]
         self._hosts: dict[str, Host] = {}
-        # In the order of their requests, so that each run of a seed is the same.
-        self._handling: dict[asyncio.Task, None] = {}
+        # In the order of requests, so that each run of a seed is the same; by host.
+        self._handling: dict[asyncio.Task, str] = {}
         self._attempts = itertools.count()
+        self.lost_beacons = 0.0
+        """Part of the beacons that don't arrive."""
         self._began_at = asyncio.get_running_loop().time()
         self.start_all()
 
     def start_all(self) -> None:
         """Start all hosts, with nothing in memory."""
-        for ip in self._ips:
-            self._hosts[ip] = Host(ip, self.engines, self._store, self._log)
+        for ip in self.ips:
+            self.start(ip)
+
+    def start(self, ip: str) -> None:
+        """Start a host, with nothing in memory."""
+        self._hosts[ip] = Host(
+            ip,
+            self.engines,
+            self._all_engines,
+            self._store,
+            self._log,
+            self._entry_type,
+        )
 
     def lose_all(self) -> None:
         """Kill all hosts with what they are doing."""
-        self._hosts.clear()
-        for task in self._handling:
+        for ip in self.ips:
+            self.lose(ip)
+
+    def lose(self, ip: str) -> None:
+        """Kill a host with what it is doing."""
+        self._hosts.pop(ip, None)
+        for task in [t for t, at in self._handling.items() if at == ip]:
+            del self._handling[task]
             task.cancel()
-        self._handling.clear()
 
     def take_engines(self, count: int) -> None:
         """Take engines out of service; what they run is finished."""
@@ -265,11 +321,37 @@
             # Hosts that start later find it gone from the store.
             self.engines = {k: e for k, e in self.engines.items() if k != target_id}
 
-    def fill_engines(self, count: int) -> None:
+    def return_engines(self) -> None:
+        """Put all engines back into service."""
+        self.engines = dict(self._all_engines)
+        for host in self._hosts.values():
+            host.beliefs.replace_targets(entries_of(self.engines))
+
+    def start_missing(self) -> None:
+        """Start the hosts that don't run."""
+        for ip in self.ips:
+            if ip not in self._hosts:
+                self.start(ip)
+
+    @contextlib.contextmanager
+    def frozen(self, ip: str):
+        """Keep a host from telling and hearing; callers reach the others."""
+        host = self._hosts.pop(ip, None)
+        try:
+            yield
+        finally:
+            if host is not None and ip not in self._hosts:
+                self._hosts[ip] = host
+
+    def ran(self) -> set[str]:
+        """Return the attempts that engines began to run."""
+        return {a for e in self._all_engines.values() for a in e.ran}
+
+    def fill_engines(self, count: int, pause_seconds: float = 60.0) -> None:
         """Let all hosts believe that each engine has requests of a host elsewhere."""
         counts = dict.fromkeys(self.engines, count)
         for host in self._hosts.values():
-            host.health.told("elsewhere", counts, 60.0)
+            host.health.told("elsewhere", counts, pause_seconds)
 
     @property
     def now(self) -> float:
@@ -283,17 +365,19 @@
             counts = {ip: h.health.own_counts() for ip, h in self._hosts.items()}
             for ip, host in self._hosts.items():
                 for other, told in counts.items():
-                    if other != ip:
+                    if other != ip and self._random.random() >= self.lost_beacons:
                         host.health.told(other, told, BEACON_SECONDS)
 
-    async def load(self, per_second: float, until: float) -> None:
+    async def load(
+        self, per_second: float, until: float, prefix: str = "program"
+    ) -> None:
         """Begin programs at random moments."""
         async with asyncio.TaskGroup() as tasks:
             for number in itertools.count():
                 await asyncio.sleep(self._random.expovariate(per_second))
                 if self.now >= until:
                     return
-                tasks.create_task(self._program(f"program-{number}"))
+                tasks.create_task(self._program(f"{prefix}-{number}"))
 
     async def _program(self, name):
         began = self.now
@@ -324,7 +408,8 @@
         """Send a turn to some host; None if there was no whole answer in time."""
         if not self._hosts:
             return None
-        host = self._hosts[self._random.choice(list(self._hosts))]
+        ip = self._random.choice(list(self._hosts))
+        host = self._hosts[ip]
         channel, sent_at = Channel(), self.now
         turn = TurnTerms(name, "line", 1_000, 10)
         req = CallerRequest(
@@ -339,7 +424,7 @@
             turn=turn,
         )
         handling = asyncio.create_task(host.forwarder.handle(req, channel))
-        self._handling[handling] = None
+        self._handling[handling] = ip
         await asyncio.wait((handling,), timeout=left)
         if not handling.done():
             handling.cancel()
@@ -348,5 +433,17 @@
         if handling.cancelled():
             return None
         if channel.status == 503:
-            self.outcomes.refusals.append((self.now - sent_at, channel.retry_after))
+            seconds = self.now - sent_at
+            self.outcomes.refusals.append(
+                Refused(
+                    req.id,
+                    name,
+                    channel.reason,
+                    sent_at,
+                    seconds,
+                    channel.retry_after,
+                )
+            )
+        elif channel.is_whole:
+            self.outcomes.served_at.setdefault(name, self.now)
         return channel
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_overload.py
@@ -111,9 +111,9 @@
         """
         outcomes = run_paused(play(store, log, 1, 2.0, loses_hosts=False))
         assert outcomes.refusals
-        for seconds, retry_after in outcomes.refusals:
-            assert seconds <= 0.1
-            assert retry_after > 0.0
+        for refused in outcomes.refusals:
+            assert refused.seconds <= 0.1
+            assert refused.retry_after > 0.0
 
 
 class TestProgramsUnderWay:
@@ -150,6 +150,6 @@
             await fleet.ask("unknown", 4.0)
             return fleet.outcomes.refusals
 
-        ((seconds, retry_after),) = run_paused(ask_while_store_hangs())
-        assert seconds <= 0.1
-        assert retry_after > 0.0
+        (refused,) = run_paused(ask_while_store_hangs())
+        assert refused.seconds <= 0.1
+        assert refused.retry_after > 0.0
