--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_program_rates.py
@@ -0,0 +1,150 @@
+"""Programs of a customer that is at its rate."""
+
+import asyncio
+
+import pytest
+
+from swifttide_core.forwarding import CustomerTerms
+from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway.tests._rate_hosts import (
+    Hosts,
+    allowed,
+)
+from swifttide_standins.paused_clock import run_paused
+
+STAGES = (1, 3, 3, 3, 3, 3)
+"""Requests that a program makes at once, one stage after the other."""
+
+STAGE_SECONDS = 0.25
+AIM_SECONDS = 1.6 * STAGE_SECONDS * len(STAGES)
+
+
+class Programs:
+    """Programs of one customer, each with sixteen requests."""
+
+    def __init__(self, hosts, terms):
+        self.hosts = hosts
+        self.terms = terms
+        self.in_time = 0
+        self.begun = 0
+
+    async def run(self, name):
+        """Run a program; its first request comes again twice if it is refused."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        number = self.hosts.rng.randrange(len(self.hosts.peers))
+        for attempt in range(3):
+            seconds = await self.request(number + attempt, name, True)
+            if seconds is None:
+                break
+            await asyncio.sleep(seconds)
+        else:
+            return
+        self.begun += 1
+        for width in STAGES[1:]:
+            await asyncio.sleep(STAGE_SECONDS)
+            calls = [self.request(number, name, False) for _ in range(width)]
+            if any(s is not None for s in await asyncio.gather(*calls)):
+                return
+        await asyncio.sleep(STAGE_SECONDS)
+        self.in_time += loop.time() - began <= AIM_SECONDS
+
+    async def request(self, number, name, may_be_new):
+        """Return None if the request was let in, or when to come back."""
+        keeper = self.hosts.keepers[self.hosts.peers[number % 9].ip]
+        try:
+            await keeper.take("r", self.terms, 1.5, name, may_be_new)
+        except Refusal as refusal:
+            return refusal.retry_after
+        return None
+
+
+class TestReturned:
+    def test_program_that_loops_starves_no_other(self, log):
+        """A program has used its token budget up and asks for turns all the same, at
+        many hosts; each is refused and returns its token. The customer's other
+        programs must find those tokens.
+        """
+        terms = CustomerTerms("c", (), None, 9.0, 9.0)
+
+        async def main():
+            hosts = Hosts(log, 24, (terms,))
+            await asyncio.sleep(4.0)
+            served = 0
+            for i in range(400):
+                keeper = hosts.keepers[f"h{i % 24}"]
+                try:
+                    await keeper.take("loop", terms, 0.0)
+                    keeper.refund(terms)
+                except Refusal:
+                    pass
+                if i % 8 == 0:
+                    served += await hosts.request(i // 8, terms, 0.5)
+                await asyncio.sleep(0.025)
+            return served, hosts.most_in_window(terms)
+
+        served, most = run_paused(main())
+        assert served >= 48
+        assert most <= allowed(terms)
+
+
+class TestPrograms:
+    def test_programs_let_in_end_in_time(self, log):
+        """A customer begins twice as many programs as its rate can carry.
+
+        Let in as they come, they take each other's tokens, and the customer's rate is
+        spent on programs that end late or not at all: of 360 programs, of which 180
+        fit, 20 to 30 then end in time.
+        """
+        terms = CustomerTerms("c", (), None, 8.0, 8.0)
+
+        async def main(seed):
+            hosts = Hosts(log, 9, (terms,), seed=seed)
+            await asyncio.sleep(4.0)
+            programs = Programs(hosts, terms)
+            tasks = []
+            for i in range(60):
+                tasks.append(asyncio.create_task(programs.run(f"p{i}")))
+                await asyncio.sleep(hosts.rng.expovariate(1.0))
+            await asyncio.gather(*tasks)
+            return programs.in_time
+
+        assert sum(run_paused(main(seed)) for seed in range(6)) >= 80
+
+    def test_request_that_asks_again_counts_once(self, log):
+        """A request of a program waits for its token and asks again meanwhile. Counted
+        each time, programs that had to wait would seem larger than they are, and fewer
+        be let in beside them.
+        """
+        terms = CustomerTerms("c", (), None, 1.0, 1.0)
+
+        async def main():
+            hosts = Hosts(log, 1, (terms,))
+            await asyncio.sleep(4.0)
+            keeper = hosts.keepers["h0"]
+            for _ in range(2):
+                await keeper.take("r", terms, 1.5, "p")
+            await asyncio.sleep(2.0)
+            await keeper.take("r", terms, 1.5, "q", True)
+            return keeper._shares._sizes
+
+        sizes = run_paused(main())
+        assert sizes.n_seen == 1
+        assert sizes.calls == pytest.approx(6.0 + (2 - 6.0) / 3)
+
+    def test_customer_within_its_rate_begins_all_programs(self, log):
+        """Programs of a customer that stays within its rate are all let in at once."""
+        terms = CustomerTerms("c", (), None, 60.0, 60.0)
+
+        async def main():
+            hosts = Hosts(log, 9, (terms,))
+            await asyncio.sleep(4.0)
+            programs = Programs(hosts, terms)
+            tasks = []
+            for i in range(60):
+                tasks.append(asyncio.create_task(programs.run(f"p{i}")))
+                await asyncio.sleep(hosts.rng.expovariate(2.2))
+            await asyncio.gather(*tasks)
+            return programs.in_time
+
+        assert run_paused(main()) >= 59
