FIX Follow the operator's rows that empty a zone

Cause: of the operator's table only the configuration was read; the rows that name zones to be emptied were skipped.

Ruled out: a late feed (the rows come with the configuration's, told by beacons as well), and requests on their way (their bound is seconds).

Change: OperatorFeed takes both kinds of rows; a zone counts as emptied from its row on, whatever stands in it, until the row goes, also where history was lost. One pure function, obstacle_of, says why a target gets no new work; placement, the keeper's answer, retries and resumptions ask it, and once more after the connection stands. Where no target may be used, a request is refused before it costs a token.

--- a/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
@@ -29,6 +29,8 @@
     "worked on it",
     "no_target_in_time": "the time of the request was over before a target was reached",
     "no_target": "no target of the service was in service",
+    "zones_emptied": "the operator had emptied all zones in which the service has "
+    "targets; see zone_emptied and zone_taken_back",
     "starting": "the host had just started and knew no configuration yet",
     "host_full": "the host held too many bytes of other requests' bodies",
     "internal": "a fault of this program; the line request_failed names the place",
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
@@ -49,6 +49,8 @@
         "target_reachable",
         "target_seen",
         "target_unreachable",
+        "zone_emptied",
+        "zone_taken_back",
     }
 )
 """Events that change what a host believes."""
--- a/packages/swifttide_core/src/swifttide_core/forwarding/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/__init__.py
@@ -2,6 +2,7 @@
 
 from swifttide_core.forwarding._choose import Candidate, choose_target
 from swifttide_core.forwarding._customer_terms import CustomerTerms
+from swifttide_core.forwarding._obstacle import Obstacle, obstacle_of
 from swifttide_core.forwarding._request_kind import RequestKind
 from swifttide_core.forwarding._request_limits import RequestLimits
 from swifttide_core.forwarding._route import Route, WeightedService
@@ -12,6 +13,7 @@
 __all__ = [
     "Candidate",
     "CustomerTerms",
+    "Obstacle",
     "RequestKind",
     "RequestLimits",
     "Route",
@@ -20,4 +22,5 @@
     "TargetEntry",
     "WeightedService",
     "choose_target",
+    "obstacle_of",
 ]
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
@@ -29,6 +29,10 @@
 STORE_RETRY_SECONDS = 0.5
 """When to come back to a store that didn't answer within the request's time."""
 
+EMPTIED_RETRY_SECONDS = 1.0
+"""When to come back while all zones with targets of a service are emptied: an operator
+takes one back within seconds at the earliest."""
+
 PROGRAM_KEY_CHARS = 12
 """Of a program's key in questions about rates: enough for the programs of a customer
 that are under way at once."""
@@ -74,6 +78,7 @@
         patience = req.patience_seconds or DEFAULT_PATIENCE_SECONDS
         expires_at = req.received_at + min(patience, route.timeout_seconds)
         service = self._beliefs.config.service(self._pick_service(route))
+        self._check_targets(service)
         customer = terms.name if terms else ""
         fingerprint = self._check_strikes(req, customer)
         may_be_new = self._may_be_new(req, customer)
@@ -132,6 +137,14 @@
             raise Refusal(401, "unknown_key")
         return route, terms
 
+    def _check_targets(self, service):
+        """Refuse a request at once that no target may run, before it costs anything."""
+        if self._beliefs.targets_of(service.name):
+            return
+        if self._beliefs.emptied_zones:
+            raise Refusal(503, "zones_emptied", EMPTIED_RETRY_SECONDS)
+        raise Refusal(503, "no_target", random.uniform(0.1, 0.4))
+
     def _may_be_new(self, req, customer) -> bool:
         """Whether a request may be the first of its program."""
         turn = req.turn
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
@@ -1,9 +1,9 @@
 """What this host believes of configuration and targets."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
-from swifttide_core.forwarding import RoutingConfig, TargetEntry
+from swifttide_core.forwarding import RoutingConfig, TargetEntry, obstacle_of
 from swifttide_daemon.telemetry import EventLog
 
 RETURN_SECONDS = 2.5
@@ -27,6 +27,7 @@
         self.config: RoutingConfig | None = None
         self.targets: dict[str, TargetEntry] = {}
         self.targets_known = False
+        self.emptied_zones: frozenset[str] = frozenset()
         self._store_back_at = float("-inf")
         self._lapsing: dict[str, float] = {}
 
@@ -50,6 +51,27 @@
         )
         return True
 
+    def replace_emptied_zones(self, zones: Set[str]) -> None:
+        """Take all availability zones that are to be empty of requests."""
+        for zone in self.emptied_zones - zones:
+            self.empty_zone(zone, False)
+        for zone in zones:
+            self.empty_zone(zone, True)
+
+    def empty_zone(self, zone: str, is_emptied: bool) -> bool:
+        """Take whether a zone is to be empty; return whether that was news."""
+        if is_emptied == (zone in self.emptied_zones):
+            return False
+        change = {zone}
+        if is_emptied:
+            self.emptied_zones = self.emptied_zones | change
+        else:
+            self.emptied_zones = self.emptied_zones - change
+        n_targets = sum(t.zone == zone for t in self.targets.values())
+        event = "zone_emptied" if is_emptied else "zone_taken_back"
+        self._log.info(event, target_zone=zone, n_targets=n_targets)
+        return True
+
     def store_returned(self) -> None:
         """Note that the store answers again."""
         self._store_back_at = asyncio.get_running_loop().time()
@@ -105,9 +127,13 @@
     def targets_of(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service that take new work."""
         return [
-            t for t in self.targets.values() if t.service == service and not t.draining
+            t for t in self.targets.values() if t.service == service and self.may_use(t)
         ]
 
+    def may_use(self, target: TargetEntry) -> bool:
+        """Whether a target takes new work."""
+        return obstacle_of(target, self.emptied_zones) is None
+
     def _drop(self, target_id, reason) -> bool:
         if self.targets.pop(target_id, None) is None:
             return False
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_decoders.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_decoders.py
@@ -20,6 +20,9 @@
         Returns a `RoutingConfig`; raises `ValueError`.
     target : callable
         Returns a `TargetEntry`, or None for an entry that names no target.
+    emptied_zone : callable
+        Takes a key of the operator's table and returns the availability zone that its
+        row empties of requests; None for another row.
     ready_path : str
         Path of the balancer's question.
     """
@@ -29,4 +32,5 @@
     targets_table: str
     config: Callable[[bytes], RoutingConfig]
     target: Callable[[str, bytes | None], TargetEntry | None]
+    emptied_zone: Callable[[str], str | None]
     ready_path: str
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -259,6 +259,10 @@
         self._health.sent(target.id)
         try:
             conn = await self._client.connect(target)
+            if not self._beliefs.may_use(target):
+                # Emptied or drained since it was chosen: a connection may take seconds.
+                self._client.release(target, conn)
+                raise TargetFailure(NotRun("no longer takes new work"))
             # From here on nobody can say that it hasn't run.
             progress.sent.append(target.id)
             progress.sent_seconds = age_of(req)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from swifttide_daemon.gateway._lending_record import LendingRecord, record_period
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._news import News
+from swifttide_daemon.gateway._operator_feed import OperatorFeed
 from swifttide_daemon.gateway._order_keeper import OrderKeeper
 from swifttide_daemon.gateway._passed_feed import PassedFeed
 from swifttide_daemon.gateway._peer import Peer
@@ -161,13 +162,13 @@
             self._store,
             PassedFeed(self._store, self._fleet, self._peers),
             self._decoders,
+            OperatorFeed(self._decoders, self.beliefs, self._take_config, self._log),
             RowFeed(
                 self._decoders,
                 self.beliefs,
                 self._strikes,
                 self._fleet,
                 self._shares,
-                self._take_config,
                 self._log,
             ),
             self._peer_service.find_copy,
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_operator_feed.py
@@ -0,0 +1,69 @@
+"""Turning the operator's rows into beliefs."""
+
+from collections.abc import Callable
+
+from swifttide_core.forwarding import RoutingConfig
+from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway._decoders import Decoders
+from swifttide_daemon.gateway._shared_store import StoredRow
+from swifttide_daemon.telemetry import EventLog
+
+
+class OperatorFeed:
+    """Takes rows of the operator's table: the configuration, and zones to empty.
+
+    Parameters
+    ----------
+    decoders : Decoders
+    beliefs : Beliefs
+    on_config : callable
+        Takes each configuration that comes in force.
+    log : EventLog
+    """
+
+    def __init__(
+        self,
+        decoders: Decoders,
+        beliefs: Beliefs,
+        on_config: Callable[[RoutingConfig], None],
+        log: EventLog,
+    ):
+        self._decoders = decoders
+        self._beliefs = beliefs
+        self._on_config = on_config
+        self._log = log
+
+    def take_all(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take all rows; a zone without one is no longer emptied."""
+        zones = (self._decoders.emptied_zone(r.key.key) for r in rows)
+        self._beliefs.replace_emptied_zones({z for z in zones if z is not None})
+        for row in rows:
+            self._take_config(row)
+
+    def take_changes(self, rows: tuple[StoredRow, ...]) -> int:
+        """Take rows that were written or removed; return the version of the news."""
+        newest = 0
+        for row in rows:
+            if self._take_zone(row) or self._take_config(row):
+                newest = max(newest, row.version)
+        return newest
+
+    def _take_zone(self, row) -> bool:
+        """Take a zone's row; that it is there counts, whatever stands in it."""
+        zone = self._decoders.emptied_zone(row.key.key)
+        if zone is None:
+            return False
+        return self._beliefs.empty_zone(zone, not row.deleted)
+
+    def _take_config(self, row) -> bool:
+        if row.key.key != self._decoders.config_key or row.value is None:
+            return False
+        try:
+            cfg = self._decoders.config(row.value)
+        except ValueError as exc:
+            self._log.error("configuration_unreadable", detail=str(exc))
+            return False
+        if not self._beliefs.take_config(cfg, "store"):
+            return False
+        self._on_config(cfg)
+        return True
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_keeper.py
@@ -153,7 +153,7 @@
         if target is None:
             return None
         place = Place(target, keeper, number)
-        is_usable = target.service == service.name and not target.draining
+        is_usable = target.service == service.name and self._beliefs.may_use(target)
         if not is_usable or target.id in without:
             self.left(place, None)
             return None
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_row_feed.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_row_feed.py
@@ -1,8 +1,5 @@
-"""Turning rows of the store into beliefs."""
+"""Turning rows of targets and hosts into beliefs."""
 
-from collections.abc import Callable
-
-from swifttide_core.forwarding import RoutingConfig
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._decoders import Decoders
 from swifttide_daemon.gateway._fleet import HOST_PREFIX, Fleet
@@ -16,7 +13,7 @@
 
 
 class RowFeed:
-    """Takes rows of the three tables that a host follows.
+    """Takes rows of targets and hosts.
 
     Parameters
     ----------
@@ -25,8 +22,6 @@
     strikes : StrikeKeeper
     fleet : Fleet
     shares : ShareKeeper
-    on_config : callable
-        Takes each configuration that comes in force.
     log : EventLog
     """
 
@@ -37,7 +32,6 @@
         strikes: StrikeKeeper,
         fleet: Fleet,
         shares: ShareKeeper,
-        on_config: Callable[[RoutingConfig], None],
         log: EventLog,
     ):
         self._decoders = decoders
@@ -45,7 +39,6 @@
         self._strikes = strikes
         self._fleet = fleet
         self._shares = shares
-        self._on_config = on_config
         self._log = log
         self._store_up = True
 
@@ -55,22 +48,6 @@
             self._beliefs.store_returned()
         self._store_up = up
 
-    def take_config(self, rows: RowsTuple) -> int:
-        """Take rows of the operator's table; return the version of the news."""
-        newest = 0
-        for row in rows:
-            if row.key.key != self._decoders.config_key or row.value is None:
-                continue
-            try:
-                cfg = self._decoders.config(row.value)
-            except ValueError as exc:
-                self._log.error("configuration_unreadable", detail=str(exc))
-                continue
-            if self._beliefs.take_config(cfg, "store"):
-                newest = max(newest, row.version)
-                self._on_config(cfg)
-        return newest
-
     def take_all_targets(self, rows: RowsTuple) -> None:
         """Take all entries of targets."""
         entries = {}
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_table_feeds.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_table_feeds.py
@@ -5,6 +5,7 @@
 
 from swifttide_daemon.gateway._decoders import Decoders
 from swifttide_daemon.gateway._fleet import TABLE as FLEET_TABLE
+from swifttide_daemon.gateway._operator_feed import OperatorFeed
 from swifttide_daemon.gateway._passed_feed import PassedFeed
 from swifttide_daemon.gateway._relayed_store import RelayedStore
 from swifttide_daemon.gateway._row_feed import RowFeed
@@ -35,6 +36,7 @@
         store: RelayedStore,
         passed: PassedFeed,
         decoders: Decoders,
+        operator_feed: OperatorFeed,
         feed: RowFeed,
         find_copy: Callable[[str], Awaitable[Rows | None]],
         log: EventLog,
@@ -49,8 +51,10 @@
         passed : PassedFeed
             Where targets and hosts are followed: rows that are renewed all the time.
         decoders : Decoders
+        operator_feed : OperatorFeed
+            Takes the operator's rows.
         feed : RowFeed
-            Takes the rows.
+            Takes the others.
         find_copy : callable
             Returns the rows of a table that another host knows, or None.
         log : EventLog
@@ -58,8 +62,8 @@
         config = TableWatch(
             store,
             decoders.config_table,
-            feed.take_config,
-            feed.take_config,
+            operator_feed.take_all,
+            operator_feed.take_changes,
             _ignore,
             find_copy,
             log,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_client.py
@@ -121,6 +121,10 @@
             raise TargetFailure(outcome) from exc
         return conn
 
+    def release(self, target: TargetEntry, conn: ClientConnection) -> None:
+        """Keep a connection that wasn't used for the next request."""
+        self._pool.give_back(target.ip, target.port, conn, None)
+
     async def send(
         self,
         conn: ClientConnection,
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/__init__.py
@@ -1,7 +1,11 @@
 """The print office's platform: its names, formats and calls, and no decisions."""
 
 from swifttide_daemon.platform._dialect import PrintOfficeDialect
-from swifttide_daemon.platform._documents import decode_config, decode_target
+from swifttide_daemon.platform._documents import (
+    decode_config,
+    decode_target,
+    emptied_zone,
+)
 from swifttide_daemon.platform._settings_file import (
     SETTINGS_VARIABLE,
     SettingsError,
@@ -25,5 +29,6 @@
     "SettingsError",
     "decode_config",
     "decode_target",
+    "emptied_zone",
     "read_settings",
 ]
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/__main__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/__main__.py
@@ -21,6 +21,7 @@
     SettingsError,
     decode_config,
     decode_target,
+    emptied_zone,
     read_settings,
 )
 from swifttide_daemon.telemetry import EventLog, NonBlockingHandler
@@ -47,6 +48,7 @@
         TARGETS_TABLE,
         decode_config,
         decode_target,
+        emptied_zone,
         READY_PATH,
     )
     store = PrintOfficeStore(cfg.store_ip, cfg.store_port, pool)
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_documents.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_documents.py
@@ -17,6 +17,8 @@
 
 _MILLISECONDS = 1000.0
 
+_EMPTIED_PREFIX = "evacuate/"
+
 
 def decode_config(value: bytes) -> RoutingConfig:
     """Decode the operator's document.
@@ -39,6 +41,15 @@
         raise ValueError(f"a document without {exc}") from exc
 
 
+def emptied_zone(key: str) -> str | None:
+    """Return the availability zone that a row of the operator empties.
+
+    None for another row. What stands in the row says nothing.
+    """
+    zone = key.removeprefix(_EMPTIED_PREFIX)
+    return zone if zone and zone != key else None
+
+
 def decode_target(target_id: str, value: bytes | None) -> TargetEntry | None:
     """Decode a target's entry; None for one that names no target to use."""
     if value is None:
