ENH Requests stay in the regions to which route and customer bind them

Cause: the configuration's bounds weren't read; a deployment of several regions would have had requests run, and their histories carried, anywhere.

Change: read for routes and customers (both bind); placement, the keeper's answer and entry of programs ask the same pure function as for draining and emptied targets. Turns so bound are stored and read only directly or through hosts of these regions, and no other host keeps them in memory. A zone whose region isn't known is no home. No target there: 503 at once.

Ruled out: caches of a host (its own callers only) and datagrams (no bodies).

--- a/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
@@ -29,6 +29,8 @@
     "worked on it",
     "no_target_in_time": "the time of the request was over before a target was reached",
     "no_target": "no target of the service was in service",
+    "no_target_at_home": "route and customer are bound to regions in which the "
+    "service has no target that takes work",
     "zones_emptied": "the operator had emptied all zones in which the service has "
     "targets; see zone_emptied and zone_taken_back",
     "starting": "the host had just started and knew no configuration yet",
--- a/packages/swifttide_core/src/swifttide_core/forwarding/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/__init__.py
@@ -2,7 +2,8 @@
 
 from swifttide_core.forwarding._choose import Candidate, choose_target
 from swifttide_core.forwarding._customer_terms import CustomerTerms
-from swifttide_core.forwarding._obstacle import Obstacle, obstacle_of
+from swifttide_core.forwarding._homes import Homes, RegionMap, common_homes
+from swifttide_core.forwarding._obstacle import Obstacle, ZoneRules, obstacle_of
 from swifttide_core.forwarding._request_kind import RequestKind
 from swifttide_core.forwarding._request_limits import RequestLimits
 from swifttide_core.forwarding._route import Route, WeightedService
@@ -13,7 +14,9 @@
 __all__ = [
     "Candidate",
     "CustomerTerms",
+    "Homes",
     "Obstacle",
+    "RegionMap",
     "RequestKind",
     "RequestLimits",
     "Route",
@@ -21,6 +24,8 @@
     "ServiceSpec",
     "TargetEntry",
     "WeightedService",
+    "ZoneRules",
     "choose_target",
+    "common_homes",
     "obstacle_of",
 ]
--- a/packages/swifttide_core/src/swifttide_core/forwarding/_customer_terms.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/_customer_terms.py
@@ -16,6 +16,9 @@
         Goes before the priority of a route; None leaves the route's.
     rate_per_second, burst : float
         Over all hosts together; a rate of 0 means no limit.
+    regions : frozenset of str
+        Where its requests may run and be carried, beside what a route says; empty:
+        anywhere.
     """
 
     name: str
@@ -23,3 +26,4 @@
     priority: int | None = None
     rate_per_second: float = 0.0
     burst: float = 0.0
+    regions: frozenset[str] = frozenset()
--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/_homes.py
@@ -0,0 +1,30 @@
+"""Regions to which an operator binds requests."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+Homes = frozenset[str] | None
+"""Regions in which a request may run; None: anywhere."""
+
+
+def common_homes(*bounds: frozenset[str]) -> Homes:
+    """Return the regions that all bounds allow; an empty bound binds nothing."""
+    binding = [b for b in bounds if b]
+    return frozenset.intersection(*binding) if binding else None
+
+
+@dataclass(frozen=True, slots=True)
+class RegionMap:
+    """In which region each availability zone lies.
+
+    Parameters
+    ----------
+    regions : mapping of str to str
+        Region by zone.
+    """
+
+    regions: Mapping[str, str] = field(default_factory=dict)
+
+    def allows(self, zone: str, homes: Homes) -> bool:
+        """Whether a zone lies in one of the homes; one that isn't known doesn't."""
+        return homes is None or self.regions.get(zone) in homes
--- a/packages/swifttide_core/src/swifttide_core/forwarding/_route.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/_route.py
@@ -55,6 +55,8 @@
         How long a turn of this route is kept after its answer.
     max_gap_seconds : float
         Longest pause between events of a stream that is on time.
+    regions : frozenset of str
+        Where its requests may run and be carried; empty: anywhere.
     """
 
     name: str
@@ -72,6 +74,7 @@
     keeps_turns: bool = False
     keep_seconds: float = 0.0
     max_gap_seconds: float = 0.0
+    regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
@@ -3,7 +3,13 @@
 import asyncio
 import random
 
-from swifttide_core.forwarding import CustomerTerms, RequestKind, Route
+from swifttide_core.forwarding import (
+    CustomerTerms,
+    Homes,
+    RequestKind,
+    Route,
+    common_homes,
+)
 from swifttide_core.strikes import Refused, fingerprint_of
 from swifttide_daemon.gateway._account_rows import program_key
 from swifttide_daemon.gateway._beliefs import Beliefs
@@ -78,20 +84,21 @@
         patience = req.patience_seconds or DEFAULT_PATIENCE_SECONDS
         expires_at = req.received_at + min(patience, route.timeout_seconds)
         service = self._beliefs.config.service(self._pick_service(route))
-        self._check_targets(service)
+        homes = _homes_of(route, terms)
+        self._check_targets(service, homes)
         customer = terms.name if terms else ""
         fingerprint = self._check_strikes(req, customer)
         may_be_new = self._may_be_new(req, customer)
         if req.turn.budget_tokens and route.kind is RequestKind.STREAMING:
             self._entry.look(service)
             if may_be_new:
-                await self._check_entry(req, customer, service)
+                await self._check_entry(req, customer, service, homes)
         if terms:
             await self._take_token(req, terms, expires_at, may_be_new)
             progress.rate_seconds = age_of(req)
         try:
             async with asyncio.timeout_at(expires_at):
-                body, reservation = await self._prepare(req, route, customer)
+                body, reservation = await self._prepare(req, route, customer, homes)
         except TimeoutError:
             self._refund(terms)
             raise Refusal(503, "store_too_slow", STORE_RETRY_SECONDS) from None
@@ -108,6 +115,7 @@
             reservation,
             channel,
             fingerprint,
+            homes,
         )
 
     def take_back(self, job: Job) -> None:
@@ -137,10 +145,12 @@
             raise Refusal(401, "unknown_key")
         return route, terms
 
-    def _check_targets(self, service):
+    def _check_targets(self, service, homes):
         """Refuse a request at once that no target may run, before it costs anything."""
-        if self._beliefs.targets_of(service.name):
+        if self._beliefs.targets_of(service.name, homes):
             return
+        if homes is not None and self._beliefs.targets_of(service.name):
+            raise Refusal(503, "no_target_at_home", EMPTIED_RETRY_SECONDS)
         if self._beliefs.emptied_zones:
             raise Refusal(503, "zones_emptied", EMPTIED_RETRY_SECONDS)
         raise Refusal(503, "no_target", random.uniform(0.1, 0.4))
@@ -152,7 +162,7 @@
             return False
         return not self._budgets.knows(customer, turn.program)
 
-    async def _check_entry(self, req, customer, service):
+    async def _check_entry(self, req, customer, service, homes):
         """Refuse a new program where targets have no place for it.
 
         Turned away, a program under way would be lost with all that was spent on it.
@@ -160,7 +170,9 @@
         """
         try:
             program = program_key(customer, req.turn.program)
-            await self._entry.check(req.id, service, program, req.program_seconds)
+            await self._entry.check(
+                req.id, service, program, req.program_seconds, homes
+            )
         except Refusal:
             if not await self._budgets.has_account(customer, req.turn.program):
                 raise
@@ -196,13 +208,15 @@
         picked = random.choices(route.services, weights)[0]
         return picked.service
 
-    async def _prepare(self, req, route, customer) -> tuple[bytes, Reservation | None]:
+    async def _prepare(
+        self, req, route, customer, homes
+    ) -> tuple[bytes, Reservation | None]:
         """Read the history and reserve tokens at the same time.
 
         One after the other they would take a second while the store is slow, and
         callers leave after little more.
         """
-        reading = asyncio.create_task(self._whole_input(req, route, customer))
+        reading = asyncio.create_task(self._whole_input(req, route, customer, homes))
         reserving = asyncio.create_task(self._reserve(req, route, customer))
         try:
             await asyncio.gather(reading, reserving)
@@ -220,12 +234,12 @@
             raise
         return reading.result(), reserving.result()
 
-    async def _whole_input(self, req, route, customer):
+    async def _whole_input(self, req, route, customer, homes):
         """Return what the target is to read: the history, then the new input."""
         if not (route.keeps_turns and req.turn.previous):
             return req.body
         history = await self._turns.transcript(
-            req.id, customer, req.turn.previous, route.keep_seconds
+            req.id, customer, req.turn.previous, route.keep_seconds, homes
         )
         return history + req.body
 
@@ -238,3 +252,8 @@
         return await self._budgets.reserve(
             req.id, customer, turn.program, turn.budget_tokens, turn.most_tokens
         )
+
+
+def _homes_of(route, terms) -> Homes:
+    """Return the regions to which route and customer bind a request."""
+    return common_homes(route.regions, terms.regions if terms else frozenset())
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_answer_relay.py
@@ -141,6 +141,7 @@
             job.req.id,
             transcript,
             job.route.keep_seconds,
+            job.homes,
         )
         while not await keep():
             if self._elsewhere_after() is not None or loop.time() > until:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
@@ -3,7 +3,14 @@
 import asyncio
 from collections.abc import Callable, Set
 
-from swifttide_core.forwarding import RoutingConfig, TargetEntry, obstacle_of
+from swifttide_core.forwarding import (
+    Homes,
+    RegionMap,
+    RoutingConfig,
+    TargetEntry,
+    ZoneRules,
+    obstacle_of,
+)
 from swifttide_daemon.telemetry import EventLog
 
 RETURN_SECONDS = 2.5
@@ -19,18 +26,30 @@
     on_left : callable
         Takes the id of each target that is taken out of service for good.
     log : EventLog
+    regions : RegionMap
+        In which region each zone lies.
     """
 
-    def __init__(self, on_left: Callable[[str], None], log: EventLog):
+    def __init__(
+        self,
+        on_left: Callable[[str], None],
+        log: EventLog,
+        regions: RegionMap | None = None,
+    ):
         self._on_left = on_left
         self._log = log
         self.config: RoutingConfig | None = None
         self.targets: dict[str, TargetEntry] = {}
         self.targets_known = False
-        self.emptied_zones: frozenset[str] = frozenset()
+        self._zones = ZoneRules(regions or RegionMap())
         self._store_back_at = float("-inf")
         self._lapsing: dict[str, float] = {}
 
+    @property
+    def emptied_zones(self) -> Set[str]:
+        """Availability zones to whose targets nothing is to be sent."""
+        return self._zones.emptied
+
     @property
     def complete(self) -> bool:
         """Whether enough is known to serve."""
@@ -62,11 +81,8 @@
         """Take whether a zone is to be empty; return whether that was news."""
         if is_emptied == (zone in self.emptied_zones):
             return False
-        change = {zone}
-        if is_emptied:
-            self.emptied_zones = self.emptied_zones | change
-        else:
-            self.emptied_zones = self.emptied_zones - change
+        emptied = self.emptied_zones ^ {zone}
+        self._zones = ZoneRules(self._zones.regions, frozenset(emptied))
         n_targets = sum(t.zone == zone for t in self.targets.values())
         event = "zone_emptied" if is_emptied else "zone_taken_back"
         self._log.info(event, target_zone=zone, n_targets=n_targets)
@@ -124,15 +140,24 @@
                 del self._lapsing[target_id]
                 self._drop(target_id, "not_back")
 
-    def targets_of(self, service: str) -> list[TargetEntry]:
-        """Return the targets of a service that take new work."""
+    def targets_of(self, service: str, homes: Homes = None) -> list[TargetEntry]:
+        """Return the targets of a service that take new work.
+
+        Parameters
+        ----------
+        service : str
+        homes : frozenset of str or None
+            Regions to which the work is bound.
+        """
         return [
-            t for t in self.targets.values() if t.service == service and self.may_use(t)
+            target
+            for target in self.targets.values()
+            if target.service == service and self.may_use(target, homes)
         ]
 
-    def may_use(self, target: TargetEntry) -> bool:
-        """Whether a target takes new work."""
-        return obstacle_of(target, self.emptied_zones) is None
+    def may_use(self, target: TargetEntry, homes: Homes = None) -> bool:
+        """Whether a target takes new work that is bound to these regions."""
+        return obstacle_of(target, self._zones, homes) is None
 
     def _drop(self, target_id, reason) -> bool:
         if self.targets.pop(target_id, None) is None:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
@@ -6,6 +6,7 @@
 import msgspec
 import xxhash
 
+from swifttide_core.forwarding import Homes, RegionMap
 from swifttide_daemon.gateway._beacon_rounds import ROUND_SECONDS
 from swifttide_daemon.gateway._peer import Peer
 from swifttide_daemon.gateway._shared_store import (
@@ -47,10 +48,13 @@
     ----------
     own : Peer
     log : EventLog
+    regions : RegionMap
+        In which region each zone lies.
     """
 
-    def __init__(self, own: Peer, log: EventLog):
+    def __init__(self, own: Peer, log: EventLog, regions: RegionMap | None = None):
         self.own = own
+        self._regions = regions or RegionMap()
         self._log = log
         self._peers: dict[str, Peer] = {}
         self._heard_at: dict[str, float] = {}
@@ -242,9 +246,20 @@
         """Return the hosts heard lately that reach the store."""
         return [p for p in self.alive() if self._store_up.get(p.ip)]
 
-    def relays(self) -> list[Peer]:
-        """Return the hosts to which the store has room for more calls."""
-        return [p for p in self.with_store() if not self._store_full.get(p.ip)]
+    def relays(self, homes: Homes = None) -> list[Peer]:
+        """Return the hosts to which the store has room for more calls.
+
+        Parameters
+        ----------
+        homes : frozenset of str or None
+            Regions whose hosts may carry the call.
+        """
+        return [
+            peer
+            for peer in self.with_store()
+            if not self._store_full.get(peer.ip)
+            and self._regions.allows(peer.zone, homes)
+        ]
 
 
 def _spread(ip):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -213,6 +213,7 @@
             self._lines.last(job.customer, req) or "",
             job.expires_at - asyncio.get_running_loop().time(),
             frozenset(tried),
+            job.homes,
         )
         if place is not None and not self._health.usable(place.target.id):
             self._order.left(place, None)
@@ -225,7 +226,7 @@
         Targets beyond ``max_attempts`` are asked only when the ones before them have
         ended: then they don't count.
         """
-        targets = self._beliefs.targets_of(job.service.name)
+        targets = self._beliefs.targets_of(job.service.name, job.homes)
         usable = [t for t in targets if t.id not in tried]
         used = {t for t in may_have_run if not self._health.ended(t)}
         if len(used) >= job.route.max_attempts:
@@ -259,7 +260,7 @@
         self._health.sent(target.id)
         try:
             conn = await self._client.connect(target)
-            if not self._beliefs.may_use(target):
+            if not self._beliefs.may_use(target, job.homes):
                 # Emptied or drained since it was chosen: a connection may take seconds.
                 self._client.release(target, conn)
                 raise TargetFailure(NotRun("no longer takes new work"))
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -108,13 +108,13 @@
         self._strikes = StrikeKeeper(log)
         self._prober = TargetProber(self._pool, self._strikes.refused, log)
         self._health = TargetHealth(self._prober.is_down)
-        self.beliefs = Beliefs(self._forget_target, log)
+        self.beliefs = Beliefs(self._forget_target, log, self._cfg.regions)
 
     def _join_fleet(self, direct):
         cfg, log = self._cfg, self._log
         boot = uuid.uuid4().hex[:12]
         own = Peer(cfg.ip, cfg.peer_port, cfg.zone, boot, cfg.cores)
-        self._fleet = Fleet(own, log)
+        self._fleet = Fleet(own, log, cfg.regions)
         self._peers = peers = PeerClient(self._pool)
         self._store = RelayedStore(direct, self._fleet, peers, self._metrics, log)
         self._peer_service = PeerService(
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_job.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from swifttide_core.forwarding import CustomerTerms, Route, ServiceSpec
+from swifttide_core.forwarding import CustomerTerms, Homes, Route, ServiceSpec
 from swifttide_daemon.gateway._caller_channel import CallerChannel
 from swifttide_daemon.gateway._caller_request import CallerRequest
 from swifttide_daemon.gateway._reservation import Reservation
@@ -29,6 +29,8 @@
     channel : CallerChannel
     fingerprint : str
         The same for all requests that would crash the same targets.
+    homes : frozenset of str or None
+        Regions in which it may run and be carried; None: anywhere.
     """
 
     req: CallerRequest
@@ -40,6 +42,7 @@
     reservation: Reservation | None
     channel: CallerChannel
     fingerprint: str
+    homes: Homes = None
 
     @property
     def customer(self) -> str:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_keeper.py
@@ -22,7 +22,7 @@
     TurnId,
     TurnOrder,
 )
-from swifttide_core.forwarding import ServiceSpec, TargetEntry
+from swifttide_core.forwarding import Homes, ServiceSpec, TargetEntry
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._fleet import Fleet
 from swifttide_daemon.gateway._keeper_choice import KeeperChoice
@@ -102,12 +102,18 @@
         self._waiting: dict[int, asyncio.Future[OrderAnswer]] = {}
 
     async def enter(
-        self, service: ServiceSpec, program: str, seconds: float | None
+        self,
+        service: ServiceSpec,
+        program: str,
+        seconds: float | None,
+        homes: Homes = None,
     ) -> Entered | TurnedAway | None:
         """Ask whether a new program may begin; None if the keeper doesn't answer."""
         number = secrets.randbits(NUMBER_BITS)
         seconds = round(seconds or 0.0, 3)
-        ask = AskEntry(service.name, self._own.boot, number, program, seconds)
+        ask = AskEntry(
+            service.name, self._own.boot, number, program, seconds, _listed(homes)
+        )
         answer, _ = await self._ask(service.name, ask)
         if answer is None:
             return None
@@ -123,6 +129,7 @@
         last: str,
         seconds: float,
         without: frozenset[str],
+        homes: Homes = None,
     ) -> Place | None:
         """Ask where a turn goes; None if the keeper doesn't answer or knows no target.
 
@@ -135,6 +142,8 @@
             Until nobody waits for the turn any more.
         without : frozenset of str
             Targets that it must not go to.
+        homes : frozenset of str or None
+            Regions to which the turn is bound.
         """
         number = secrets.randbits(NUMBER_BITS)
         ask = AskPlace(
@@ -147,13 +156,15 @@
             last,
             round(seconds, 3),
             sorted(without)[:MAX_WITHOUT],
+            _listed(homes),
         )
         answer, keeper = await self._ask(service.name, ask)
         target = self._beliefs.targets.get(answer.target) if answer else None
         if target is None:
             return None
         place = Place(target, keeper, number)
-        is_usable = target.service == service.name and self._beliefs.may_use(target)
+        is_usable = target.service == service.name
+        is_usable = is_usable and self._beliefs.may_use(target, homes)
         if not is_usable or target.id in without:
             self.left(place, None)
             return None
@@ -221,7 +232,7 @@
         now = asyncio.get_running_loop().time()
         order = self._order_of(ask.service, now)
         answer = OrderAnswer(ask.boot, ask.number)
-        targets = self._targets(ask.service)
+        targets = self._targets(ask.service, ask.regions)
         match ask:
             case AskEntry(program=program, seconds=seconds):
                 service = self._beliefs.config.service(ask.service)
@@ -251,8 +262,9 @@
             self._log.info("order_kept", service=service)
         return order
 
-    def _targets(self, service) -> list[TargetEntry]:
-        targets = self._beliefs.targets_of(service)
+    def _targets(self, service, regions) -> list[TargetEntry]:
+        homes = None if regions is None else frozenset(regions)
+        targets = self._beliefs.targets_of(service, homes)
         return [t for t in targets if self._health.usable(t.id)] or targets
 
     def _take_left(self, message, sender):
@@ -264,3 +276,7 @@
         now = asyncio.get_running_loop().time()
         first_seconds = seconds if seconds >= 0.0 else None
         order.left(turn, message.target, first_seconds, now, message.is_whole)
+
+
+def _listed(homes: Homes) -> list[str] | None:
+    return None if homes is None else sorted(homes)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_messages.py
@@ -17,6 +17,8 @@
         Key of the program.
     seconds : float
         Until the program should be finished; 0 if it doesn't say.
+    regions : list of str or None
+        To which the program is bound.
     """
 
     service: str
@@ -24,6 +26,7 @@
     number: int
     program: str
     seconds: float = 0.0
+    regions: list[str] | None = None
 
 
 class AskPlace(msgspec.Struct, array_like=True, tag="ask_place"):
@@ -46,6 +49,8 @@
         Until nobody waits for the turn any more.
     without : list of str
         Targets that it must not go to.
+    regions : list of str or None
+        To which the turn is bound.
     """
 
     service: str
@@ -57,6 +62,7 @@
     last: str = ""
     seconds: float = 0.0
     without: list[str] = []
+    regions: list[str] | None = None
 
 
 class OrderAnswer(msgspec.Struct, array_like=True, tag="order"):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_program_entry.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_program_entry.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from swifttide_core.admission import Entered, ProgramGate, TurnedAway
-from swifttide_core.forwarding import ServiceSpec
+from swifttide_core.forwarding import Homes, ServiceSpec
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._order_keeper import OrderKeeper
 from swifttide_daemon.gateway._refusal import Refusal
@@ -51,6 +51,7 @@
         service: ServiceSpec,
         program: str,
         seconds: float | None,
+        homes: Homes = None,
     ) -> None:
         """Let a new program begin; raises `Refusal` where targets have no place.
 
@@ -62,10 +63,12 @@
             Key of the program.
         seconds : float or None
             Until it should be finished; None if it doesn't say.
+        homes : frozenset of str or None
+            Regions to which the program is bound.
         """
         gate = self._gate(service)
         load = self.load(service)
-        verdict = await self._order.enter(service, program, seconds)
+        verdict = await self._order.enter(service, program, seconds, homes)
         by_order = verdict is not None
         match verdict or gate.ask(load, program):
             case Entered():
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
@@ -18,6 +18,7 @@
 import functools
 import random
 
+from swifttide_core.forwarding import Homes
 from swifttide_daemon.gateway._fleet import Fleet
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._peer_client import PeerClient
@@ -118,23 +119,26 @@
         self._full_at = float("-inf")
         self.direct_up = True
 
-    async def commit(self, tx: Transaction) -> Applied | Conflict | Unavailable:
-        """Apply a transaction."""
-        return await self._either(lambda: self._direct.commit(tx), RelayCommit(tx))
+    async def commit(
+        self, tx: Transaction, homes: Homes = None
+    ) -> Applied | Conflict | Unavailable:
+        """Apply a transaction; only hosts in these regions may carry it."""
+        relayed = RelayCommit(tx)
+        return await self._either(lambda: self._direct.commit(tx), relayed, homes)
 
     async def read(
-        self, table: str, part: str, start: str = "", end: str = ""
+        self, table: str, part: str, start: str = "", end: str = "", homes: Homes = None
     ) -> Rows | Unavailable:
-        """Read the rows of a part."""
+        """Read the rows of a part; only hosts in these regions may carry them."""
         relayed = RelayRead(table, part, start, end)
 
         def call():
             return self._direct.read(table, part, start, end)
 
         if start or end:
-            return await self._either(call, relayed)
+            return await self._either(call, relayed, homes)
         # A whole part may be large: read twice at a time it would take twice as long.
-        return await self._one_way(call, relayed, RELAY_SECONDS)
+        return await self._one_way(call, relayed, RELAY_SECONDS, homes)
 
     async def changes(
         self, table: str, after: int, wait_seconds: float
@@ -151,7 +155,7 @@
             wait_seconds + RELAY_SECONDS,
         )
 
-    async def _one_way(self, call, relayed, seconds):
+    async def _one_way(self, call, relayed, seconds, homes=None):
         """Ask the store or, where it doesn't answer this host, another host."""
         outcome = Unavailable("out of reach")
         if self.direct_up:
@@ -162,7 +166,7 @@
                 self._note_full(relayed)
             else:
                 self._doubt(outcome)
-        return await self._relay(relayed, seconds, outcome)
+        return await self._relay(relayed, seconds, outcome, homes)
 
     @property
     def is_full(self) -> bool:
@@ -188,7 +192,7 @@
         self._direct.reconnect()
         self._doubt(Unavailable("no answer yet"))
 
-    async def _either(self, call, relayed):
+    async def _either(self, call, relayed, homes):
         if not self.is_reachable:
             # Known to be down: fail at once, rather than let callers wait in vain.
             return Unavailable("out of reach")
@@ -198,7 +202,7 @@
             usual = CALL_TIMES * self._usual_seconds
             limit = min(MAX_CALL_SECONDS, max(CALL_SECONDS, usual))
             async with asyncio.timeout(limit):
-                outcome = await self._race(call, relayed)
+                outcome = await self._race(call, relayed, homes)
         except TimeoutError:
             outcome = Unavailable("no answer", True)
             if not self.is_full:
@@ -214,12 +218,12 @@
         faded = self._usual_seconds + (seconds - self._usual_seconds) * USUAL_GAIN
         self._usual_seconds = max(seconds, faded)
 
-    async def _race(self, call, relayed):
+    async def _race(self, call, relayed, homes):
         """Try one way after the other, not waiting long for any; take the first answer.
 
         All ways may carry a transaction out: it takes effect once.
         """
-        ways = self._ways(call, relayed)
+        ways = self._ways(call, relayed, homes)
         pause = FULL_PAUSE_SECONDS
         pending: set[asyncio.Task] = set()
         outcome = Unavailable("no way to the store")
@@ -256,12 +260,12 @@
             for task in pending:
                 task.cancel()
 
-    def _ways(self, call, relayed):
+    def _ways(self, call, relayed, homes):
         """Return how the store may be reached, the likeliest way first."""
         direct = [call, call] if self.direct_up else []
         relays = [
             functools.partial(self._ask_peer, peer, relayed)
-            for peer in self._fleet.relays()[:MAX_PEERS]
+            for peer in self._fleet.relays(homes)[:MAX_PEERS]
         ]
         if self.is_full:
             # It may turn only some hosts away.
@@ -282,8 +286,8 @@
                 return answer.unwrap()
         return Unavailable("no answer from a peer", True)
 
-    async def _relay(self, relayed, seconds, outcome):
-        for peer in self._fleet.relays()[:MAX_PEERS]:
+    async def _relay(self, relayed, seconds, outcome, homes):
+        for peer in self._fleet.relays(homes)[:MAX_PEERS]:
             match await self._peers.call(peer, relayed, seconds):
                 case StoreOutcome() as answer:
                     found = answer.unwrap()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
@@ -1,6 +1,8 @@
 """Settings of a gateway."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from swifttide_core.forwarding import RegionMap
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +34,8 @@
         was answered survives the loss of all hosts, but none is answered meanwhile.
     stop_seconds : float
         Time from SIGTERM until the process is killed.
+    regions : RegionMap
+        In which region each availability zone lies.
     """
 
     host: str
@@ -48,3 +52,4 @@
     cores: float = 1.0
     turn_copies: int = 0
     stop_seconds: float = 8.0
+    regions: RegionMap = field(default_factory=RegionMap)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_keeper.py
@@ -4,7 +4,9 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from swifttide_core.forwarding import Homes
 from swifttide_daemon.gateway._fleet import Fleet
+from swifttide_daemon.gateway._home_store import HomeStore, RegionalStore
 from swifttide_daemon.gateway._peer_client import PeerClient
 from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway._row_reaper import RowReaper
@@ -13,7 +15,6 @@
     Put,
     RowKey,
     Rows,
-    SharedStore,
     Transaction,
     Unavailable,
 )
@@ -45,7 +46,7 @@
 
     Parameters
     ----------
-    store : SharedStore
+    store : RegionalStore
     row_bytes : int
         Largest value of a row.
     fleet : Fleet
@@ -67,7 +68,7 @@
 
     def __init__(
         self,
-        store: SharedStore,
+        store: RegionalStore,
         row_bytes: int,
         fleet: Fleet,
         peers: PeerClient,
@@ -88,7 +89,12 @@
         self._cached_bytes = 0
 
     async def transcript(
-        self, request_id: str, customer: str, turn: str, keep_seconds: float
+        self,
+        request_id: str,
+        customer: str,
+        turn: str,
+        keep_seconds: float,
+        homes: Homes = None,
     ) -> bytes:
         """Return the transcript up to the end of a turn.
 
@@ -97,6 +103,8 @@
         request_id, customer, turn : str
         keep_seconds : float
             For how long such turns are kept.
+        homes : frozenset of str or None
+            Regions whose hosts may carry it.
 
         Raises
         ------
@@ -107,7 +115,7 @@
         known = self.in_memory(key)
         if known is not None:
             return known
-        found = await self._store.read(TABLE, key[:2], key, key + "~")
+        found = await self._store_for(homes).read(TABLE, key[:2], key, key + "~")
         if isinstance(found, Rows) and found.rows:
             pieces = sorted((r.key.key, r.value or b"") for r in found.rows)
             transcript = b"".join(value for _, value in pieces)
@@ -138,7 +146,12 @@
         return self.memory.find(key)
 
     async def keep(
-        self, customer: str, turn: str, transcript: bytes, seconds: float
+        self,
+        customer: str,
+        turn: str,
+        transcript: bytes,
+        seconds: float,
+        homes: Homes = None,
     ) -> bool:
         """Store a turn that has ended for some time; return whether it will last.
 
@@ -149,23 +162,29 @@
             self._log.warning("turn_too_long", turn=turn, bytes=len(transcript))
             return False
         key = turn_key(customer, turn)
-        if await self._write(key, transcript, seconds):
+        if await self._write(key, transcript, seconds, homes):
             self._remember(key, transcript)
             return True
+        if homes is not None:
+            # Other hosts would keep it in memory, in whichever region they are.
+            return False
         return await self.memory.keep(key, transcript, seconds)
 
     async def _store_late(self, key, transcript, seconds) -> bool:
         self._remember(key, transcript)
         return await self._write(key, transcript, seconds)
 
-    async def _write(self, key, transcript, seconds) -> bool:
+    def _store_for(self, homes) -> RegionalStore | HomeStore:
+        return self._store if homes is None else HomeStore(self._store, homes)
+
+    async def _write(self, key, transcript, seconds, homes=None) -> bool:
         size = self._piece_bytes
         pieces = [transcript[i : i + size] for i in range(0, len(transcript), size)]
         puts = tuple(
             Put(RowKey(TABLE, key[:2], f"{key}.{i:03}"), piece)
             for i, piece in enumerate(pieces or [b""])
         )
-        match await self._store.commit(Transaction(puts=puts)):
+        match await self._store_for(homes).commit(Transaction(puts=puts)):
             case Applied(version):
                 for put in puts:
                     self._reaper.remove_after(put.key, version, seconds)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_relayed_store.py
@@ -77,7 +77,7 @@
 def relayed(direct, store, log, helped=True, has_room=True):
     fleet = Fleet(Peer("10.0.0.1", 1, "zone-a", "b1"), log)
     fleet.with_store = lambda: [HELPER] if helped else []
-    fleet.relays = lambda: fleet.with_store() if has_room else []
+    fleet.relays = lambda homes=None: fleet.with_store() if has_room else []
     peers = Peers(store)
     return RelayedStore(direct, fleet, peers, GatewayMetrics("h", "z"), log), peers
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_documents.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_documents.py
@@ -107,6 +107,7 @@
         keeps_turns=bool(raw.get("retained")),
         keep_seconds=float(raw.get("retention_s") or 0),
         max_gap_seconds=float(raw.get("gap_target_ms") or 0) / _MILLISECONDS,
+        regions=frozenset(raw.get("allowed_regions") or ()),
     )
 
 
@@ -129,6 +130,7 @@
         priority=int(priority) if priority is not None else None,
         rate_per_second=float(raw.get("rate_per_s") or 0),
         burst=float(raw.get("burst") or 0),
+        regions=frozenset(raw.get("allowed_regions") or ()),
     )
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_settings_file.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_settings_file.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+from swifttide_core.forwarding import RegionMap
 from swifttide_daemon.gateway import GatewaySettings
 
 SETTINGS_VARIABLE = "SWIFTTIDE_SETTINGS"
@@ -63,6 +64,7 @@
         cores=_get(raw, "limits.cpu_fraction", float, 1.0)
         * _get(raw, "limits.cpu_cores", float, 1.0),
         stop_seconds=float(_get(raw, "bounds.grace_s", float, 8.0)),
+        regions=_regions(raw),
     )
 
 
@@ -78,6 +80,11 @@
     return value
 
 
+def _regions(raw) -> RegionMap:
+    zones = _get(raw, "zones", dict, {})
+    return RegionMap({z: r for z, r in zones.items() if isinstance(r, str)})
+
+
 def _address(raw, place: str) -> tuple[str, int]:
     text = _get(raw, place, str)
     ip, colon, port = text.rpartition(":")
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
@@ -10,6 +10,7 @@
 import pytest
 
 from swifttide_core.budgets import N_SLOTS
+from swifttide_core.forwarding import RegionMap
 from swifttide_daemon.gateway import GatewaySettings
 from swifttide_daemon.platform.__main__ import build
 from swifttide_daemon.telemetry import EventLog
@@ -90,11 +91,15 @@
         self.runners: dict[str, Runner] = {}
         self.gateways = []
         self.settings = None
+        self.regions = RegionMap()
         self.ports = []
         self._tasks = []
 
-    async def start(self, routes=ROUTES, n_gateways=1, zones=("zone-a",), **more):
+    async def start(
+        self, routes=ROUTES, n_gateways=1, zones=("zone-a",), regions=None, **more
+    ):
         """Start the store, write a configuration and start gateways."""
+        self.regions = regions or self.regions
         await self.store.server.start()
         self.configure(document(1, routes, **more))
         for i in range(n_gateways):
@@ -142,6 +147,7 @@
             store_ip="127.0.0.1",
             store_port=self.store.server.port,
             stop_seconds=4.0,
+            regions=self.regions,
         )
         stop = asyncio.Event()
         log = EventLog(logging.getLogger("swifttide.test"))
