ENH Each target has a pace that a cold one bears, over all hosts together

Cause: nothing read what a cold target bears, and an entry tells that a target turned cold up to a heartbeat and a feed's pause late.

Change: TargetPace counts what a keeper sent to each target in a second; settled and new keepers, stand-ins and hosts alone have parts that sum up to less than the bound. A turn waits up to 0.3 of its time, a new program is turned away; 503 targets_cold with when to come back. A zone taken back counts as cold. Odd cold times are logged once and clamped.

--- a/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
@@ -31,6 +31,8 @@
     "no_target": "no target of the service was in service",
     "no_target_at_home": "route and customer are bound to regions in which the "
     "service has no target that takes work",
+    "targets_cold": "all targets of the service had had what cold ones bear in a "
+    "second, see target_cold; a send to them would have crashed them",
     "zones_emptied": "the operator had emptied all zones in which the service has "
     "targets; see zone_emptied and zone_taken_back",
     "starting": "the host had just started and knew no configuration yet",
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
@@ -45,6 +45,7 @@
         "store_reached",
         "store_regained",
         "strike",
+        "target_cold",
         "target_left",
         "target_reachable",
         "target_seen",
--- a/packages/swifttide_core/src/swifttide_core/admission/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/__init__.py
@@ -11,28 +11,44 @@
 from swifttide_core.admission._profile_estimates import ProfileEstimates
 from swifttide_core.admission._program_gate import Entered, ProgramGate, TurnedAway
 from swifttide_core.admission._snapshot import QueueSnapshot
+from swifttide_core.admission._target_pace import (
+    ColdTerms,
+    KeeperStanding,
+    Paced,
+    TargetPace,
+)
 from swifttide_core.admission._target_queue import TargetQueue
 from swifttide_core.admission._ticket import Ticket, check_ticket
-from swifttide_core.admission._turn_order import PlaceQuestion, TurnId, TurnOrder
+from swifttide_core.admission._turn_order import (
+    PlaceLater,
+    PlaceQuestion,
+    TurnId,
+    TurnOrder,
+)
 from swifttide_core.admission._working_set import WorkingSet
 
 __all__ = [
     "AdmissionConfig",
     "Admitted",
+    "ColdTerms",
     "ConcurrencyLimit",
     "Decision",
     "DrainRate",
     "Entered",
     "FairQueue",
+    "KeeperStanding",
     "LoadReport",
     "Outcome",
     "OutcomeStatus",
+    "Paced",
+    "PlaceLater",
     "PlaceQuestion",
     "ProfileEstimates",
     "ProgramGate",
     "QueueSnapshot",
     "Queued",
     "Refused",
+    "TargetPace",
     "TargetQueue",
     "Ticket",
     "TurnId",
--- a/packages/swifttide_core/src/swifttide_core/admission/_turn_order.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_turn_order.py
@@ -18,7 +18,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from swifttide_core.admission._program_gate import (
@@ -27,6 +27,7 @@
     Entered,
     TurnedAway,
 )
+from swifttide_core.admission._target_pace import Paced, TargetPace
 from swifttide_core.admission._target_speeds import TargetSpeeds
 from swifttide_core.admission._turn_bound import TurnBound
 from swifttide_core.forwarding import Candidate, TargetEntry, choose_target
@@ -99,6 +100,19 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class PlaceLater:
+    """All targets have had what they may get in this second.
+
+    Parameters
+    ----------
+    seconds : float
+        Until one may get more.
+    """
+
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class _Sent:
     placed_at: float
@@ -130,6 +144,7 @@
         self._turns: dict[str, dict[TurnId, _Sent]] = {}
         self._programs: OrderedDict[str, _Program] = OrderedDict()
         self._speeds = TargetSpeeds()
+        self._pace = TargetPace()
         self._entering: dict[str, float] = {}
         self._bound = TurnBound()
         self._is_full = False
@@ -141,6 +156,7 @@
         targets: Iterable[str],
         places: int,
         now: float,
+        limits: Mapping[str, float] | None = None,
     ) -> Entered | TurnedAway:
         """Let a new program in, or turn it away.
 
@@ -154,6 +170,8 @@
         places : int
             Requests that they run at once.
         now : float
+        limits : mapping of str to float, optional
+            Requests a second that each target may get.
         """
         known = self._know(program, seconds or 0.0, now)
         if known.is_in:
@@ -161,20 +179,38 @@
         if seconds and known.seconds - seconds > LATE_PART * known.seconds:
             return TurnedAway(MAX_RETRY_SECONDS)
         self._is_full = self.load(targets, now) >= self._bound.part * places
-        if self._is_full:
+        if self._is_full or not self._has_pace(limits, now):
             return TurnedAway(MIN_RETRY_SECONDS)
         known.is_in = True
         self._entering[program] = now + ENTRY_SECONDS
         return Entered()
 
     def place(
-        self, question: PlaceQuestion, targets: Iterable[TargetEntry], now: float
-    ) -> TargetEntry | None:
-        """Return the target that a turn goes to, None without any."""
+        self,
+        question: PlaceQuestion,
+        targets: Iterable[TargetEntry],
+        now: float,
+        limits: Mapping[str, float] | None = None,
+    ) -> TargetEntry | PlaceLater | None:
+        """Return the target that a turn goes to, None without any.
+
+        Parameters
+        ----------
+        question : PlaceQuestion
+        targets : iterable of TargetEntry
+        now : float
+        limits : mapping of str to float, optional
+            Requests a second that each target may get.
+        """
         if question.program:
             self._know(question.program, 0.0, now).is_in = True
             self._entering.pop(question.program, None)
         targets = tuple(targets)
+        if limits is not None and targets:
+            paced = Paced.of(self._pace, {t.id: limits[t.id] for t in targets}, now)
+            if not paced.targets:
+                return PlaceLater(paced.wait_seconds)
+            targets = tuple(t for t in targets if t.id in paced.targets)
         typical = self._speeds.typical(now)
         candidates = [
             Candidate(t, self._cost(t, typical, now), is_connected=True)
@@ -188,6 +224,8 @@
             is_calm = n_under_way < CALM_PART * sum(t.capacity for t in targets)
             turns = self._turns.setdefault(found.id, {})
             turns[question.turn] = _Sent(now, now + question.seconds, is_calm)
+            if limits is not None:
+                self._pace.note(found.id, now)
         return found
 
     def left(
@@ -236,6 +274,7 @@
         """Drop what is known of a target that has left."""
         self._turns.pop(target, None)
         self._speeds.forget(target)
+        self._pace.forget(target)
 
     def load(self, targets: Iterable[str], now: float) -> float:
         """Return the turns at targets, and programs that are about to send one."""
@@ -261,6 +300,10 @@
         """Return how many times as long as the others a target needs."""
         return self._speeds.slowness(target, self._speeds.typical(now), now)
 
+    def _has_pace(self, limits, now) -> bool:
+        """Whether some target may get a request now."""
+        return limits is None or bool(Paced.of(self._pace, limits, now).targets)
+
     def _cost(self, target, typical, now) -> float:
         """Return a target's load in turns; a slow one counts as longer."""
         count = self.outstanding(target.id, now)
--- a/packages/swifttide_core/src/swifttide_core/forwarding/_service_spec.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/_service_spec.py
@@ -19,12 +19,18 @@
         that generates none.
     concurrency : int
         Requests that one engine runs at once; 0 where each target says so itself.
+    cold_requests_per_second : float
+        What a cold target bears; 0 where targets are never cold.
+    cold_seconds : float
+        For how long a target is cold after its start.
     """
 
     name: str
     max_connections: int = 64
     tokens_per_event: int = 0
     concurrency: int = 0
+    cold_requests_per_second: float = 0.0
+    cold_seconds: float = 0.0
 
     def places_at(self, target: TargetEntry) -> int:
         """Return the requests that a target runs at once, at least one."""
--- a/packages/swifttide_core/src/swifttide_core/forwarding/_target_entry.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/_target_entry.py
@@ -1,6 +1,6 @@
 """A target as it registered itself."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +22,10 @@
         Whether it has announced that it leaves: no new work.
     started_ms : int
         When its process started; tells a restart under the same id.
+    cold_seconds : float or None
+        For how long it said that it stays cold, from when it wrote the entry; None if
+        what it said makes no sense. Falls with each entry, so it doesn't make two
+        entries differ.
     """
 
     id: str
@@ -32,3 +36,4 @@
     capacity: int
     draining: bool = False
     started_ms: int = 0
+    cold_seconds: float | None = field(default=0.0, compare=False)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
@@ -7,10 +7,12 @@
     Homes,
     RegionMap,
     RoutingConfig,
+    ServiceSpec,
     TargetEntry,
     ZoneRules,
     obstacle_of,
 )
+from swifttide_daemon.gateway._cold_targets import ColdTargets
 from swifttide_daemon.telemetry import EventLog
 
 RETURN_SECONDS = 2.5
@@ -28,6 +30,8 @@
     log : EventLog
     regions : RegionMap
         In which region each zone lies.
+    cold : ColdTargets
+        Told of targets that may be cold.
     """
 
     def __init__(
@@ -35,6 +39,7 @@
         on_left: Callable[[str], None],
         log: EventLog,
         regions: RegionMap | None = None,
+        cold: ColdTargets | None = None,
     ):
         self._on_left = on_left
         self._log = log
@@ -42,6 +47,7 @@
         self.targets: dict[str, TargetEntry] = {}
         self.targets_known = False
         self._zones = ZoneRules(regions or RegionMap())
+        self.cold = cold or ColdTargets(1.0, 0.0, log)
         self._store_back_at = float("-inf")
         self._lapsing: dict[str, float] = {}
 
@@ -83,9 +89,13 @@
             return False
         emptied = self.emptied_zones ^ {zone}
         self._zones = ZoneRules(self._zones.regions, frozenset(emptied))
-        n_targets = sum(t.zone == zone for t in self.targets.values())
+        targets = [t for t in self.targets.values() if t.zone == zone]
         event = "zone_emptied" if is_emptied else "zone_taken_back"
-        self._log.info(event, target_zone=zone, n_targets=n_targets)
+        self._log.info(event, target_zone=zone, n_targets=len(targets))
+        if not is_emptied:
+            # Idle targets may have turned cold since they last said that they weren't.
+            for target in targets:
+                self.cold.mark(target.id, self._spec_of(target).cold_seconds)
         return True
 
     def store_returned(self) -> None:
@@ -104,14 +114,18 @@
         """Take a target's entry; return whether it was news."""
         self._lapsing.pop(entry.id, None)
         known = self.targets.get(entry.id)
+        is_new = known is None or known.started_ms != entry.started_ms
+        turned_cold = self.cold.told(entry, self._spec_of(entry), is_new)
         if known == entry:
-            return False
+            return turned_cold
         self.targets[entry.id] = entry
         self._log.info(
             "target_seen",
             target=entry.id,
             service=entry.service,
+            zone=entry.zone,
             draining=entry.draining,
+            cold_seconds=entry.cold_seconds,
             restarted=known is not None and known.started_ms != entry.started_ms,
         )
         return True
@@ -159,9 +173,15 @@
         """Whether a target takes new work that is bound to these regions."""
         return obstacle_of(target, self._zones, homes) is None
 
+    def _spec_of(self, target) -> ServiceSpec:
+        if self.config is None:
+            return ServiceSpec(target.service)
+        return self.config.service(target.service)
+
     def _drop(self, target_id, reason) -> bool:
         if self.targets.pop(target_id, None) is None:
             return False
+        self.cold.forget(target_id)
         self._on_left(target_id)
         self._log.info("target_left", target=target_id, reason=reason)
         return True
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
@@ -29,6 +29,9 @@
 """A zone counts as out of reach when none of its hosts was heard for so long. Each
 round brings beacons of some of them, in a fleet of any size."""
 
+COUNT_SECONDS = 0.2
+"""Between counts of the hosts that are heard: a beacon's pause."""
+
 FEED_HOSTS = 24
 """Other hosts from which on some ask the store for the others."""
 
@@ -66,6 +69,8 @@
         self._lending: dict[str, frozenset[int]] = {}
         self._away_at: dict[str, float] = {}
         self._lost: set[str] = set()
+        self._heard_part = 1.0
+        self._counted_at = float("-inf")
 
     async def register(self, store: SharedStore) -> None:
         """Write this host's row, however long it takes."""
@@ -166,6 +171,19 @@
         now = asyncio.get_running_loop().time()
         return now < self._heard_until.get(ip, float("-inf"))
 
+    def heard_part(self) -> float:
+        """Return the part of all hosts that are heard, this one included."""
+        now = asyncio.get_running_loop().time()
+        if now - self._counted_at >= COUNT_SECONDS:
+            self._counted_at = now
+            n_heard = sum(self.is_heard(ip) for ip in self._peers)
+            self._heard_part = (1 + n_heard) / self.n_hosts()
+        return self._heard_part
+
+    def n_hosts(self) -> int:
+        """Return the number of hosts that registered, this one included."""
+        return 1 + len(self._peers)
+
     def silent_seconds(self, ip: str) -> float:
         """Return for how long a host hasn't been heard.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
@@ -1,9 +1,11 @@
 """Answering a caller's request with a target's answer."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
+from swifttide_core.admission import PlaceLater
 from swifttide_core.forwarding import (
     Candidate,
     RequestKind,
@@ -17,6 +19,7 @@
 from swifttide_daemon.gateway._caller_channel import CallerChannel
 from swifttide_daemon.gateway._caller_request import CallerRequest
 from swifttide_daemon.gateway._dialect import Dialect
+from swifttide_daemon.gateway._fleet import Fleet
 from swifttide_daemon.gateway._job import Progress, age_of
 from swifttide_daemon.gateway._line_places import LinePlaces
 from swifttide_daemon.gateway._metrics import GatewayMetrics
@@ -38,6 +41,14 @@
 """Targets asked for one request, those that refused it unrun included."""
 
 
+PACE_WAIT_PART = 0.3
+"""Part of a request's time in which it waits for targets that have had enough."""
+
+MIN_PACE_RETRY_SECONDS = 0.1
+MAX_PACE_RETRY_SECONDS = 2.0
+"""When to come back after that: from a few turns to most of a target's cold time."""
+
+
 class Forwarder:
     """Decides on each request and carries it to a target.
 
@@ -49,6 +60,7 @@
     client : TargetClient
     health : TargetHealth
     order : OrderKeeper
+    fleet : Fleet
     admission : Admission
     relay : AnswerRelay
     elsewhere_after : callable
@@ -67,6 +79,7 @@
         client: TargetClient,
         health: TargetHealth,
         order: OrderKeeper,
+        fleet: Fleet,
         admission: Admission,
         relay: AnswerRelay,
         elsewhere_after: Callable[[], float | None],
@@ -81,6 +94,7 @@
         self._client = client
         self._health = health
         self._order = order
+        self._fleet = fleet
         self._lines = LinePlaces()
         self._admission = admission
         self._relay = relay
@@ -155,9 +169,7 @@
         tried: set[str] = set()
         reason = "no_target"
         for _ in range(MAX_SENDS):
-            place = await self._ask_place(job, tried, progress)
-            target = place.target if place else None
-            target = target or self._choose(job, tried, progress.sent)
+            target, place = await self._find_target(job, tried, progress)
             if target is None:
                 break
             n_before = len(progress.sent)
@@ -198,12 +210,45 @@
             case NotRun(refused=True):
                 self._strikes.refused(target.id)
 
-    async def _ask_place(self, job, tried, progress) -> Place | None:
-        """Ask the order where a turn goes.
+    async def _find_target(
+        self, job, tried, progress
+    ) -> tuple[TargetEntry | None, Place | None]:
+        """Return where to send next, and its place in the order if it has one.
+
+        Waits while all targets have had what they may get in this second.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + (job.expires_at - loop.time()) * PACE_WAIT_PART
+        while True:
+            place = await self._ask_place(job, tried, progress)
+            if isinstance(place, Place):
+                return place.target, place
+            found = self._choose(job, tried, progress.sent)
+            match found:
+                case PlaceLater(seconds):
+                    if isinstance(place, PlaceLater):
+                        seconds = min(seconds, place.seconds)
+                    if loop.time() + seconds > until:
+                        # It would be late: the caller can do better.
+                        self._refuse_paced(progress, seconds)
+                    await asyncio.sleep(seconds * random.uniform(1.0, 1.2))
+                case _:
+                    return found, None
+
+    def _refuse_paced(self, progress, seconds):
+        if progress.sent:
+            raise Refusal(502, "targets_cold")
+        retry_after = min(seconds, MAX_PACE_RETRY_SECONDS)
+        raise Refusal(503, "targets_cold", max(retry_after, MIN_PACE_RETRY_SECONDS))
+
+    async def _ask_place(self, job, tried, progress) -> Place | PlaceLater | None:
+        """Ask the order where a turn goes, or a call whose targets may be cold.
 
         One that may have run somewhere goes where that allows, whatever the order.
         """
-        if job.route.kind is not RequestKind.STREAMING or progress.sent:
+        is_ordered = job.route.kind is RequestKind.STREAMING
+        is_ordered = is_ordered or self._beliefs.cold.terms(job.service).binds
+        if not is_ordered or progress.sent:
             return None
         req = job.req
         place = await self._order.place(
@@ -215,13 +260,13 @@
             frozenset(tried),
             job.homes,
         )
-        if place is not None and not self._health.usable(place.target.id):
+        if isinstance(place, Place) and not self._health.usable(place.target.id):
             self._order.left(place, None)
             return None
         return place
 
-    def _choose(self, job, tried, may_have_run) -> TargetEntry | None:
-        """Return the target to send to next, None when none is left.
+    def _choose(self, job, tried, may_have_run) -> TargetEntry | PlaceLater | None:
+        """Return the target to send to next without the order, None when none is left.
 
         Targets beyond ``max_attempts`` are asked only when the ones before them have
         ended: then they don't count.
@@ -234,10 +279,18 @@
         else:
             usable = [t for t in usable if t.id not in used] or usable
         healthy = [t for t in usable if self._health.usable(t.id)] or usable
-        candidates = [self._candidate(target) for target in healthy]
+        cold = self._beliefs.cold
+        n_hosts = self._fleet.n_hosts()
+        allowed, wait_seconds = cold.within_share(job.service, healthy, n_hosts)
+        if healthy and not allowed:
+            return PlaceLater(wait_seconds if math.isfinite(wait_seconds) else 1.0)
+        candidates = [self._candidate(target) for target in allowed]
         last = self._lines.last(job.customer, job.req)
         subject = job.req.subject
-        return choose_target(candidates, self._zone, subject, last, self._host)
+        found = choose_target(candidates, self._zone, subject, last, self._host)
+        if found is not None:
+            cold.sent_alone(found.id)
+        return found
 
     def _candidate(self, target) -> Candidate:
         outstanding = self._health.outstanding(target.id)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -10,6 +10,7 @@
 from swifttide_daemon.gateway._answer_relay import AnswerRelay
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
+from swifttide_daemon.gateway._cold_targets import ColdTargets
 from swifttide_daemon.gateway._connection_pool import ConnectionPool
 from swifttide_daemon.gateway._datagrams import Datagrams
 from swifttide_daemon.gateway._decoders import Decoders
@@ -108,7 +109,8 @@
         self._strikes = StrikeKeeper(log)
         self._prober = TargetProber(self._pool, self._strikes.refused, log)
         self._health = TargetHealth(self._prober.is_down)
-        self.beliefs = Beliefs(self._forget_target, log, self._cfg.regions)
+        cold = ColdTargets(self._cfg.cold_excess, self._cfg.cold_extra, log)
+        self.beliefs = Beliefs(self._forget_target, log, self._cfg.regions, cold)
 
     def _join_fleet(self, direct):
         cfg, log = self._cfg, self._log
@@ -217,6 +219,7 @@
             TargetClient(dialect, self._pool, self._prober),
             self._health,
             self._order,
+            self._fleet,
             Admission(
                 self.beliefs,
                 self._budgets,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_keeper_choice.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_keeper_choice.py
@@ -33,6 +33,19 @@
         """Pass over a keeper that didn't answer."""
         self._suspects[host] = elapsed_seconds() + SUSPECT_SECONDS
 
+    def is_first(self, name: str) -> bool:
+        """Whether this host keeps what has this name, whomever it has passed over."""
+        heard = [
+            host
+            for host in self._holders()
+            if host == self._own_ip or self._fleet.is_heard(host)
+        ]
+        return (keeper_order(name, tuple(heard)) or [self._own_ip])[0] == self._own_ip
+
+    def n_holders(self) -> int:
+        """Return the number of hosts among which keepers are."""
+        return len(self._holders())
+
     def keepers(self, name: str) -> list[str]:
         """Return who keeps what has this name, and who would be next."""
         now = elapsed_seconds()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_keeper.py
@@ -17,6 +17,8 @@
 
 from swifttide_core.admission import (
     Entered,
+    KeeperStanding,
+    PlaceLater,
     PlaceQuestion,
     TurnedAway,
     TurnId,
@@ -24,6 +26,7 @@
 )
 from swifttide_core.forwarding import Homes, ServiceSpec, TargetEntry
 from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway._elapsed_clock import elapsed_seconds
 from swifttide_daemon.gateway._fleet import Fleet
 from swifttide_daemon.gateway._keeper_choice import KeeperChoice
 from swifttide_daemon.gateway._order_messages import (
@@ -46,6 +49,15 @@
 MAX_TURN_SECONDS = 60.0
 """Longest time for which a turn counts whose end is not heard of."""
 
+SETTLE_SECONDS = 1.5
+"""Most hosts agree on a keeper after so long: who had passed it over asks it again."""
+
+IDLE_SECONDS = 1.0
+"""A keeper that wasn't asked for so long has had a successor meanwhile."""
+
+MIN_LATER_SECONDS = 0.01
+"""Shortest wait that is told: some ways to the keeper and back."""
+
 MAX_SUBJECT_CHARS = 64
 MAX_WITHOUT = 8
 """Bounds a question to one packet."""
@@ -68,6 +80,14 @@
     number: int
 
 
+@dataclass(slots=True)
+class _KeptSpan:
+    """Since when a host has kept an order, and when it was last asked."""
+
+    since: float
+    asked_at: float
+
+
 class OrderKeeper:
     """Asks for places, and answers for the services whose order this host keeps.
 
@@ -99,6 +119,7 @@
         self._send = send
         self._log = log
         self._orders: dict[str, TurnOrder] = {}
+        self._spans: dict[str, _KeptSpan] = {}
         self._waiting: dict[int, asyncio.Future[OrderAnswer]] = {}
 
     async def enter(
@@ -130,7 +151,7 @@
         seconds: float,
         without: frozenset[str],
         homes: Homes = None,
-    ) -> Place | None:
+    ) -> Place | PlaceLater | None:
         """Ask where a turn goes; None if the keeper doesn't answer or knows no target.
 
         Parameters
@@ -159,6 +180,8 @@
             _listed(homes),
         )
         answer, keeper = await self._ask(service.name, ask)
+        if answer and answer.retry_seconds > 0.0:
+            return PlaceLater(answer.retry_seconds)
         target = self._beliefs.targets.get(answer.target) if answer else None
         if target is None:
             return None
@@ -212,7 +235,7 @@
             order.forget(target_id)
 
     async def _ask(self, service, ask) -> tuple[OrderAnswer | None, str]:
-        keeper = self._choice.keepers(f"order of {service}")[0]
+        keeper = self._choice.keepers(_order_name(service))[0]
         if keeper == self._own.ip:
             return self._answer(ask, keeper), keeper
         waiting = asyncio.get_running_loop().create_future()
@@ -233,12 +256,15 @@
         order = self._order_of(ask.service, now)
         answer = OrderAnswer(ask.boot, ask.number)
         targets = self._targets(ask.service, ask.regions)
+        service = self._beliefs.config.service(ask.service)
+        limits = self._beliefs.cold.keeper_limits(
+            service, targets, self._standing(ask.service), self._fleet.heard_part()
+        )
         match ask:
             case AskEntry(program=program, seconds=seconds):
-                service = self._beliefs.config.service(ask.service)
                 ids = [t.id for t in targets]
                 places = sum(service.places_at(t) for t in targets)
-                match order.enter(program, seconds, ids, places, now):
+                match order.enter(program, seconds, ids, places, now, limits):
                     case TurnedAway(retry_seconds):
                         answer.retry_seconds = retry_seconds
             case AskPlace():
@@ -251,10 +277,28 @@
                     min(ask.seconds, MAX_TURN_SECONDS),
                 )
                 found = [t for t in targets if t.id not in ask.without]
-                target = order.place(question, found, now)
-                answer.target = target.id if target else ""
+                match order.place(question, found, now, limits):
+                    case TargetEntry(id=target_id):
+                        answer.target = target_id
+                    case PlaceLater(seconds):
+                        answer.retry_seconds = max(MIN_LATER_SECONDS, seconds)
         return answer
 
+    def _standing(self, service) -> KeeperStanding:
+        """Return how sure this host is that no other keeps a service's order."""
+        now = elapsed_seconds()
+        span = self._spans.setdefault(service, _KeptSpan(now, now))
+        name = _order_name(service)
+        is_first = self._choice.is_first(name)
+        if not is_first or now - span.asked_at > IDLE_SECONDS:
+            span.since = now
+        span.asked_at = now
+        if not is_first:
+            return KeeperStanding.standin(self._choice.n_holders())
+        if now - span.since < SETTLE_SECONDS:
+            return KeeperStanding.new()
+        return KeeperStanding.settled()
+
     def _order_of(self, service, now) -> TurnOrder:
         order = self._orders.get(service)
         if order is None:
@@ -278,5 +322,9 @@
         order.left(turn, message.target, first_seconds, now, message.is_whole)
 
 
+def _order_name(service: str) -> str:
+    return f"order of {service}"
+
+
 def _listed(homes: Homes) -> list[str] | None:
     return None if homes is None else sorted(homes)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_messages.py
@@ -76,7 +76,8 @@
     target : str
         Where the turn goes; empty if no target is known.
     retry_seconds : float
-        When a program that was turned away may come back; 0 if it was let in.
+        When a program that was turned away may come back, or a turn ask again; 0 if it
+        was let in.
     """
 
     boot: str
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
@@ -36,6 +36,9 @@
         Time from SIGTERM until the process is killed.
     regions : RegionMap
         In which region each availability zone lies.
+    cold_excess, cold_extra : float
+        A cold target may get this many times what it bears in a second, and so many
+        requests more.
     """
 
     host: str
@@ -53,3 +56,5 @@
     turn_copies: int = 0
     stop_seconds: float = 8.0
     regions: RegionMap = field(default_factory=RegionMap)
+    cold_excess: float = 1.0
+    cold_extra: float = 0.0
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
@@ -25,6 +25,7 @@
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway._caller_request import CallerRequest, TurnTerms
+from swifttide_daemon.gateway._cold_targets import ColdTargets
 from swifttide_daemon.gateway._forwarder import Forwarder
 from swifttide_daemon.gateway._keeper_choice import KeeperChoice
 from swifttide_daemon.gateway._metrics import GatewayMetrics
@@ -69,6 +70,10 @@
 CONFIG = RoutingConfig(1, (ROUTE,), (ServiceSpec(SERVICE, tokens_per_event=1),))
 
 
+COLD_EXCESS = 1.5
+COLD_EXTRA = 5.0
+
+
 def entries_of(engines: dict[str, Engine]) -> dict[str, TargetEntry]:
     """Return what the engines registered."""
     return {target_id: engine.entry for target_id, engine in engines.items()}
@@ -77,10 +82,13 @@
 class Host:
     """The gateway's decisions at one host, from its start on."""
 
-    def __init__(self, ip: str, engines, all_engines, store, log, entry_type, wires):
+    def __init__(
+        self, ip: str, engines, all_engines, store, log, entry_type, wires, config
+    ):
         cfg = GatewaySettings(ip, "zone-a", ip, 1, 2, 3, 4, "10.0.1.1", 5)
-        self.beliefs = Beliefs(lambda target_id: None, log)
-        self.beliefs.take_config(CONFIG, "store")
+        cold = ColdTargets(COLD_EXCESS, COLD_EXTRA, log)
+        self.beliefs = Beliefs(lambda target_id: None, log, cold=cold)
+        self.beliefs.take_config(config, "store")
         self.beliefs.replace_targets(entries_of(engines))
         self.health = TargetHealth(lambda target_id: False)
         heard = HeardHosts(ip, wires)
@@ -107,6 +115,7 @@
             Client(all_engines),
             self.health,
             self.order,
+            heard,
             Admission(self.beliefs, budgets, None, None, strikes, entry),
             relay,
             lambda: None,
@@ -126,6 +135,12 @@
     def is_heard(self, ip: str) -> bool:
         return ip in self._wires.ips_heard()
 
+    def heard_part(self) -> float:
+        return 1.0
+
+    def n_hosts(self) -> int:
+        return len(self._wires.ips_heard())
+
     def by_ip(self, ip: str) -> Peer | None:
         return Peer(ip, 1, "zone-a", "") if self.is_heard(ip) else None
 
@@ -187,10 +202,12 @@
         log,
         seed: int,
         entry_type: type[ProgramEntry] = ProgramEntry,
+        config: RoutingConfig = CONFIG,
     ):
         self.engines = {e.entry.id: e for e in map(Engine, range(n_engines))}
         self.outcomes = Outcomes()
         self._store, self._log, self._entry_type = store, log, entry_type
+        self._config = config
         self._random = random.Random(seed)
         # The gateway draws its times to come back from the shared generator.
         random.seed(seed)
@@ -222,6 +239,7 @@
             self._log,
             self._entry_type,
             self,
+            self._config,
         )
 
     def lose_all(self) -> None:
@@ -236,6 +254,11 @@
             del self._handling[task]
             task.cancel()
 
+    def tell_entry(self, entry: TargetEntry) -> None:
+        """Let all hosts have an engine's entry, as it is written anew."""
+        for host in self._hosts.values():
+            host.beliefs.put_target(entry)
+
     def take_engines(self, count: int) -> None:
         """Take engines out of service; what they run is finished."""
         for target_id in list(self.engines)[:count]:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload_engines.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload_engines.py
@@ -28,9 +28,12 @@
         self.n_waiting = 0
         self.ran: list[str] = []
         """Attempts that it began to run."""
+        self.reached_at: list[float] = []
+        """When each request reached it."""
 
     async def begin(self, attempt: str) -> None:
         """Wait for a place; raises `TargetFailure` where too many wait."""
+        self.reached_at.append(asyncio.get_running_loop().time())
         if self.free.locked() and self.n_waiting >= PLACES:
             raise TargetFailure(NotRun("refused with 503"))
         self.n_waiting += 1
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_cold_targets.py
@@ -0,0 +1,173 @@
+"""Cold targets under a burst, while keepers, hosts and messages are lost."""
+
+import asyncio
+import dataclasses
+import os
+import random
+
+import pytest
+
+from swifttide_core.forwarding import RoutingConfig, ServiceSpec, TargetEntry
+from swifttide_daemon.gateway._cold_targets import MAX_COLD_SECONDS, ColdTargets
+from swifttide_daemon.gateway.tests._overload import (
+    COLD_EXCESS,
+    COLD_EXTRA,
+    N_TURNS,
+    ROUTE,
+    Fleet,
+)
+from swifttide_daemon.gateway.tests._overload_engines import SERVICE
+from swifttide_standins.paused_clock import run_paused
+
+N_HOSTS = 6
+N_ENGINES = 6
+BEARS = 12.0
+MOST = BEARS * COLD_EXCESS + COLD_EXTRA
+COLD_SECONDS = 3.0
+HEARTBEAT_SECONDS = 1.2
+LAG_SECONDS = 1.0
+END = 14.0
+SPEC = ServiceSpec(
+    SERVICE,
+    tokens_per_event=1,
+    cold_requests_per_second=BEARS,
+    cold_seconds=COLD_SECONDS,
+)
+CONFIG = RoutingConfig(1, (ROUTE,), (SPEC,))
+SEEDS = range(1, 1 + int(os.environ.get("SWIFTTIDE_COLD_SEEDS", "4")))
+
+
+class Chills:
+    """Turns engines cold, and tells the hosts later.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    seed : int
+    """
+
+    def __init__(self, fleet: Fleet, seed: int):
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self.spans: list[tuple[str, float, float]] = []
+
+    async def run(self) -> None:
+        """Draw engines that turn cold, hosts and messages that are lost."""
+        kinds = [self._cold, self._cold, self._host_lost, self._frozen, self._lossy]
+        async with asyncio.TaskGroup() as tasks:
+            while self._fleet.now < END - 5.0:
+                tasks.create_task(self._random.choice(kinds)())
+                await asyncio.sleep(self._random.uniform(0.1, 0.8))
+
+    async def _cold(self):
+        loop = asyncio.get_running_loop()
+        engines = list(self._fleet.engines.values())
+        chosen = self._random.sample(engines, self._random.randint(1, N_ENGINES // 2))
+        began = loop.time()
+        until = began + COLD_SECONDS
+        for engine in chosen:
+            self.spans.append((engine.entry.id, began, until))
+        late = self._random.uniform(0.0, HEARTBEAT_SECONDS)
+        await asyncio.sleep(late + self._random.uniform(0.0, LAG_SECONDS))
+        while (left := until - loop.time()) > 0.0:
+            for engine in chosen:
+                self._fleet.tell_entry(
+                    dataclasses.replace(engine.entry, cold_seconds=left)
+                )
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def _host_lost(self):
+        ip = self._random.choice(self._fleet.ips)
+        self._fleet.lose(ip)
+        await asyncio.sleep(self._random.uniform(0.1, 1.5))
+        self._fleet.start(ip)
+
+    async def _frozen(self):
+        with self._fleet.frozen(self._random.choice(self._fleet.ips)):
+            await asyncio.sleep(self._random.uniform(0.2, 2.0))
+
+    async def _lossy(self):
+        self._fleet.lost_beacons = self._random.uniform(0.05, 0.3)
+        await asyncio.sleep(self._random.uniform(0.2, 1.0))
+        self._fleet.lost_beacons = 0.0
+
+
+def most_in_a_second(times: list[float]) -> int:
+    """Return the most times that lie in any one second."""
+    first, most = 0, 0
+    for last, time in enumerate(times):
+        while times[first] < time - 1.0:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+class TestColdTargets:
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_get_no_more_than_they_bear(self, store, log, seed):
+        """Guards against cold targets that crash under what all hosts send at once."""
+
+        async def main():
+            fleet = Fleet(N_HOSTS, N_ENGINES, store, log, seed, config=CONFIG)
+            chills = Chills(fleet, seed)
+            load = fleet.load(2.5 * N_ENGINES * MOST / N_TURNS, END, "burst")
+            telling = asyncio.create_task(fleet.tell())
+            await asyncio.gather(chills.run(), load)
+            telling.cancel()
+            return [
+                most_in_a_second(
+                    [t for t in fleet.engines[id].reached_at if start <= t < end]
+                )
+                for id, start, end in chills.spans
+            ]
+
+        found = run_paused(main())
+        assert found
+        assert max(found) <= MOST, found
+
+    def test_zone_taken_back_counts_as_cold(self, log):
+        """Guards against a rush to targets that turned cold in an emptied zone."""
+
+        async def main():
+            fleet = Fleet(2, 2, None, log, 1, config=CONFIG)
+            beliefs = next(iter(fleet._hosts.values())).beliefs
+            beliefs.empty_zone("zone-a", True)
+            beliefs.empty_zone("zone-a", False)
+            return [beliefs.cold.is_cold(id) for id in fleet.engines]
+
+        assert run_paused(main()) == [True, True]
+
+
+class TestEntries:
+    def entry(self, cold_seconds):
+        return TargetEntry("t1", SERVICE, "ip", 1, "z", 6, cold_seconds=cold_seconds)
+
+    def told(self, log, *entries, is_new=False):
+        async def main():
+            cold = ColdTargets(1.5, 5.0, log)
+            return [cold.told(e, SPEC, is_new) for e in entries], cold
+
+        return run_paused(main())
+
+    def test_turning_cold_is_news_once(self, log):
+        """Guards against other hosts that learn of a cold target late."""
+        entries = [self.entry(s) for s in (0.0, 3.0, 1.8, 0.6)]
+        news, _ = self.told(log, *entries)
+        assert news == [False, True, False, False]
+
+    @pytest.mark.parametrize("seconds", [None, 1e9])
+    def test_odd_time_of_a_new_target_is_taken_as_cold(self, log, seconds):
+        """Guards against a target that says nonsense and is sent all there is."""
+        news, _ = self.told(log, self.entry(seconds), is_new=True)
+        assert news == [True]
+
+    def test_absurd_time_ends(self, log):
+        """Guards against a target that stays cold for ever by one odd entry."""
+
+        async def main():
+            cold = ColdTargets(1.5, 5.0, log)
+            cold.told(self.entry(1e9), SPEC, False)
+            await asyncio.sleep(MAX_COLD_SECONDS + 1.0)
+            return cold.is_cold("t1")
+
+        assert run_paused(main()) is False
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_documents.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_documents.py
@@ -79,10 +79,18 @@
                 capacity=capacity,
                 draining=state == "draining",
                 started_ms=born if isinstance(born, int) else 0,
+                cold_seconds=_cold_seconds(raw),
             )
     return None
 
 
+def _cold_seconds(raw) -> float | None:
+    """Return how long a target stays cold; None where that can't be read."""
+    left = raw.get("cold_left_ms", 0)
+    is_number = isinstance(left, (int, float)) and not isinstance(left, bool)
+    return left / _MILLISECONDS if is_number and left >= 0 else None
+
+
 def _route(raw: dict[str, Any]) -> Route:
     split = raw.get("split")
     if split:
@@ -119,6 +127,8 @@
         max_connections=int(raw.get("max_conns") or 64),
         tokens_per_event=int(engine.get("chunk_tokens") or 0),
         concurrency=int(engine.get("capacity") or 0),
+        cold_requests_per_second=float(raw.get("cold_per_s") or 0),
+        cold_seconds=float(raw.get("cold_start_s") or 0),
     )
 
 
