ENH Store a part of what a customer may exceed its limits by for its programs

Cause: a program makes some 20 requests in one to two seconds, a long one 33; most customers have five to eight requests a second and a burst of one second of that. A single long program needs more than rate and burst bring in its time, so it ends late whatever the order. Bounds are judged over windows of seconds, with an allowance that the settings tell (quota_extra), of which nothing was used.

Change: 0.6 of the allowance is stored beside the burst, none of it at a host's start; sizes of programs are learned by their route.

--- a/packages/swifttide_core/src/swifttide_core/rates/_program_load.py
+++ b/packages/swifttide_core/src/swifttide_core/rates/_program_load.py
@@ -33,6 +33,7 @@
 
 @dataclass(slots=True)
 class _UnderWay:
+    kind: str
     calls: int
     began_at: float
     seen_at: float
@@ -56,7 +57,7 @@
         """Whether a program has made requests of late."""
         return program in self._programs
 
-    def note(self, program: str, has_waited: bool, now: float) -> None:
+    def note(self, program: str, has_waited: bool, now: float, kind: str = "") -> None:
         """Count a request of a program.
 
         Parameters
@@ -65,15 +66,24 @@
         has_waited : bool
             Whether there was no token for it at once.
         now : float
+        kind : str
+            Of the program, which its first request tells.
         """
         known = self._programs.get(program)
         if known is None:
-            known = self._programs[program] = _UnderWay(0, now, now)
+            known = self._programs[program] = _UnderWay(kind, 0, now, now)
         known.calls += 1
         known.seen_at = now
         known.has_waited |= has_waited
 
-    def seconds_until_room(self, level: float, rate: float, now: float) -> float:
+    def seconds_until_room(
+        self,
+        level: float,
+        rate: float,
+        now: float,
+        kind: str = "",
+        seconds: float | None = None,
+    ) -> float:
         """Return when a new program may be let in; 0 for now.
 
         Parameters
@@ -83,17 +93,24 @@
         rate : float
             Tokens that come in a second.
         now : float
+        kind : str
+            Of the new program.
+        seconds : float or None
+            Until it should be finished; None if it doesn't say.
         """
         self._forget(now)
         if not self._programs or rate <= 0.0:
             return 0.0
-        usual = self._sizes.calls
-        needed = usual + sum(
-            max(usual * LEAST_LEFT, usual - p.calls) for p in self._programs.values()
-        )
-        carried = level + rate * self._sizes.seconds * STRETCH
+        usual = self._sizes.of(kind)
+        needed = usual.calls + sum(self._left(p) for p in self._programs.values())
+        carried = level + rate * (seconds or usual.seconds * STRETCH)
         return min(MAX_WAIT_SECONDS, max(0.0, needed - carried) / rate)
 
+    def _left(self, program) -> float:
+        """Return the requests that a program under way is expected to make still."""
+        usual = self._sizes.of(program.kind).calls
+        return max(usual * LEAST_LEFT, usual - program.calls)
+
     def _forget(self, now):
         """Drop programs that have ended, and learn from them."""
         for name, program in list(self._programs.items()):
@@ -102,4 +119,5 @@
                 # Programs that waited for tokens would make any number of others
                 # seem to fit in beside them.
                 length = program.seen_at - program.began_at
-                self._sizes.note(program.calls, None if program.has_waited else length)
+                size = self._sizes.of(program.kind)
+                size.note(program.calls, None if program.has_waited else length)
--- a/packages/swifttide_core/src/swifttide_core/rates/_program_sizes.py
+++ b/packages/swifttide_core/src/swifttide_core/rates/_program_sizes.py
@@ -1,5 +1,6 @@
 """What programs usually take of their customer's rate."""
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 PRIOR_CALLS = 6.0
@@ -18,9 +19,13 @@
 others look large."""
 
 
+MAX_KINDS = 256
+"""Kinds of programs remembered, some 100 bytes each."""
+
+
 @dataclass(slots=True)
-class ProgramSizes:
-    """Means over the programs that one host has seen to their end.
+class ProgramSize:
+    """Means over the programs of one kind that a host has seen to their end.
 
     Parameters
     ----------
@@ -44,3 +49,20 @@
         if seconds is not None:
             seconds = min(seconds, MAX_TIMES * self.seconds)
             self.seconds += gain * (seconds - self.seconds)
+
+
+class ProgramSizes:
+    """Sizes of programs by their kind."""
+
+    def __init__(self):
+        self._kinds: OrderedDict[str, ProgramSize] = OrderedDict()
+
+    def of(self, kind: str) -> ProgramSize:
+        """Return what is known of a kind; a guess before any was seen."""
+        size = self._kinds.get(kind)
+        if size is None:
+            size = self._kinds[kind] = ProgramSize()
+            while len(self._kinds) > MAX_KINDS:
+                self._kinds.popitem(last=False)
+        self._kinds.move_to_end(kind)
+        return size
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
@@ -94,7 +94,7 @@
             if may_be_new:
                 await self._check_entry(req, customer, service, homes)
         if terms:
-            await self._take_token(req, terms, expires_at, may_be_new)
+            await self._take_token(req, terms, expires_at, may_be_new, _kind_of(route))
             progress.rate_seconds = age_of(req)
         try:
             async with asyncio.timeout_at(expires_at):
@@ -177,7 +177,7 @@
             if not await self._budgets.has_account(customer, req.turn.program):
                 raise
 
-    async def _take_token(self, req, terms, expires_at, may_be_new):
+    async def _take_token(self, req, terms, expires_at, may_be_new, kind):
         """Count the request against its customer's rate; raises `Refusal`.
 
         A program that is refused its next call is lost with all that was spent on
@@ -190,7 +190,7 @@
         left = expires_at - asyncio.get_running_loop().time()
         wait = min(MAX_RATE_WAIT_SECONDS, left * RATE_WAIT_PART)
         program = program_key(terms.name, turn.program)[:PROGRAM_KEY_CHARS]
-        await self._rates.take(req.id, terms, wait, program, may_be_new)
+        await self._rates.take(req.id, terms, wait, program, may_be_new, kind)
 
     def _check_strikes(self, req, customer):
         """Refuse a request that crashes whatever runs it; return its fingerprint."""
@@ -254,6 +254,11 @@
         )
 
 
+def _kind_of(route) -> str:
+    """Return the kind of a program by one of its requests; empty for a call."""
+    return route.name if route.kind is RequestKind.STREAMING else ""
+
+
 def _homes_of(route, terms) -> Homes:
     """Return the regions to which route and customer bind a request."""
     return common_homes(route.regions, terms.regions if terms else frozenset())
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -134,7 +134,11 @@
         self._datagrams = Datagrams(self._fleet, log)
         self._isolation = Isolation(self._fleet, self._store, log)
         self._rates = RateKeeper(
-            self._fleet, lambda: self._shares.holders(), self._datagrams.send, log
+            self._fleet,
+            lambda: self._shares.holders(),
+            self._datagrams.send,
+            log,
+            cfg.rate_extra,
         )
         self._record = LendingRecord(
             self._store,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
@@ -64,6 +64,7 @@
 
     program: str
     may_be_new: bool
+    kind: str
     news: asyncio.Event = field(default_factory=asyncio.Event)
     told: Standing | None = None
 
@@ -103,6 +104,8 @@
     send : callable
         Sends a message to an address; it may be lost.
     log : EventLog
+    extra : float
+        Requests by which any customer may exceed its rate and burst.
     """
 
     def __init__(
@@ -111,11 +114,12 @@
         holders: Callable[[], tuple[str, ...]],
         send: Callable[[str, RateMessage], None],
         log: EventLog,
+        extra: float = 0.0,
     ):
         self._own = fleet.own
         self._send = send
         self._log = log
-        self._shares = RateShares(fleet, holders, send, self._grant)
+        self._shares = RateShares(fleet, holders, send, self._grant, extra)
         self._accounts: dict[str, _Account] = {}
 
     @property
@@ -142,6 +146,7 @@
         wait_seconds: float,
         program: str = "",
         may_be_new: bool = False,
+        kind: str = "",
     ) -> None:
         """Count a request; raises `Refusal` when it is over the rate.
 
@@ -156,6 +161,8 @@
             Key of the program that it belongs to; empty without one.
         may_be_new : bool
             Whether it may be the first of its program.
+        kind : str
+            Of the program; empty where the request doesn't tell.
         """
         if terms.rate_per_second <= 0:
             return
@@ -165,7 +172,7 @@
             return
         # Drawn at random: who can't read it can't forge an answer to it.
         number = secrets.randbits(NUMBER_BITS)
-        question = account.waiting[number] = _Question(program, may_be_new)
+        question = account.waiting[number] = _Question(program, may_be_new, kind)
         try:
             seconds = await self._wait(terms, number, question, wait_seconds)
         finally:
@@ -244,7 +251,9 @@
         if keeper == self._own.ip:
             asker, program = self._asker(number), question.program
             question.tell(
-                self._shares.ask(terms, asker, patience, program, question.may_be_new)
+                self._shares.ask(
+                    terms, asker, patience, program, question.may_be_new, question.kind
+                )
             )
             return await question.hear(0.0)
         ask = AskRate(
@@ -254,6 +263,7 @@
             round(patience, 3),
             question.program,
             question.may_be_new,
+            kind=question.kind,
         )
         self._send(keeper, ask)
         standing = await question.hear(ANSWER_SECONDS)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_messages.py
@@ -23,6 +23,8 @@
     ip : str
         Address of the host that asked first, where another one passes the question
         on; empty otherwise.
+    kind : str
+        Of the program, by its turns' route; empty where it isn't known.
     """
 
     customer: str
@@ -32,6 +34,7 @@
     program: str = ""
     may_be_new: bool = False
     ip: str = ""
+    kind: str = ""
 
 
 class RateAnswer(msgspec.Struct, array_like=True, tag="rate"):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_shares.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_shares.py
@@ -34,6 +34,11 @@
 """Part of its share of the burst that a host has at its start. Whoever ran here
 before may just have spent the burst; a quarter stays within the rule's allowance."""
 
+EXTRA_PART = 0.6
+"""Part of the requests by which a customer may exceed its limits that is stored for it:
+a program makes its requests within a second or two. The rest is for what is spent twice
+where hosts are lost."""
+
 HAND_SECONDS = 0.2
 """Between handings-on: a tenth of a second's delay on average for a token that comes
 in, against five messages a second to each keeper."""
@@ -70,6 +75,8 @@
         Sends a message to an address; it may be lost.
     on_granted : callable
         Takes the number of a request of this host that got its token.
+    extra : float
+        Requests by which any customer may exceed its rate and burst.
 
     Attributes
     ----------
@@ -83,6 +90,7 @@
         holders: Callable[[], tuple[str, ...]],
         send: Callable[[str, RateMessage], None],
         on_granted: Callable[[str, int], None],
+        extra: float = 0.0,
     ):
         self._fleet = fleet
         self._own = fleet.own
@@ -92,6 +100,7 @@
         self._customers: dict[str, _Customer] = {}
         self._number = 0
         self._sizes = ProgramSizes()
+        self._extra = EXTRA_PART * extra
         self.share = 0.0
 
     async def run(self) -> None:
@@ -133,6 +142,7 @@
         wait_seconds: float,
         program: str = "",
         may_be_new: bool = False,
+        kind: str = "",
     ) -> Standing:
         """Ask for a token here."""
         known = self.customer(terms)
@@ -142,7 +152,7 @@
         if is_new:
             wait_seconds = 0.0
             seconds = known.programs.seconds_until_room(
-                known.pool.level, terms.rate_per_second, now
+                known.pool.level, terms.rate_per_second, now, kind
             )
             if seconds > 0.0:
                 return Short(seconds)
@@ -152,7 +162,7 @@
             self._serve_later(known)
         # Counted once: a program that waits would seem larger the longer it waits.
         if program and not asks_again and not isinstance(standing, Short):
-            known.programs.note(program, isinstance(standing, Queued), now)
+            known.programs.note(program, isinstance(standing, Queued), now, kind)
         return standing
 
     def leave(self, customer: str, asker: Asker) -> None:
@@ -173,7 +183,12 @@
             return
         asker = Asker(asking, ask.boot, ask.number)
         standing = self.ask(
-            known.terms, asker, ask.wait_seconds, ask.program, ask.may_be_new
+            known.terms,
+            asker,
+            ask.wait_seconds,
+            ask.program,
+            ask.may_be_new,
+            ask.kind,
         )
         answer = RateAnswer(ask.customer, ask.boot, ask.number)
         match standing:
@@ -202,17 +217,20 @@
     def customer(self, terms: CustomerTerms) -> "_Customer":
         """Return what is kept of a customer, under its limits as they are now."""
         now = elapsed_seconds()
-        rate, burst = terms.rate_per_second, max(1.0, terms.burst)
+        rate = terms.rate_per_second
+        burst = max(1.0, terms.burst) + self._extra
+        # What may be exceeded isn't there for whoever starts: it may just be spent.
+        level = START_LEVEL * (1.0 - self._extra / burst)
         known = self._customers.get(terms.name)
         if known is None:
-            local = LocalShare(rate, burst, self.share, START_LEVEL, now)
+            local = LocalShare(rate, burst, self.share, level, now)
             pool = RatePool(rate, burst, now)
             known = _Customer(terms, local, pool, ProgramLoad(self._sizes))
             self._customers[terms.name] = known
             return known
         if known.terms is not terms or known.local.share != self.share:
             known.terms = terms
-            known.local.follow(rate, burst, self.share, START_LEVEL, now)
+            known.local.follow(rate, burst, self.share, level, now)
             known.pool.follow(rate, burst, now)
         return known
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
@@ -36,6 +36,8 @@
         Time from SIGTERM until the process is killed.
     regions : RegionMap
         In which region each availability zone lies.
+    rate_extra : float
+        Requests by which a customer may exceed its rate and burst.
     cold_excess, cold_extra : float
         A cold target may get this many times what it bears in a second, and so many
         requests more.
@@ -56,5 +58,6 @@
     turn_copies: int = 0
     stop_seconds: float = 8.0
     regions: RegionMap = field(default_factory=RegionMap)
+    rate_extra: float = 0.0
     cold_excess: float = 1.0
     cold_extra: float = 0.0
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_rate_hosts.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_rate_hosts.py
@@ -13,6 +13,9 @@
 WINDOW = 5.0
 """Seconds in which a customer's requests are counted."""
 
+EXTRA = 20.0
+"""Requests by which the rule lets a customer exceed its limits in a window."""
+
 MAX_HOLDERS = 12
 
 
@@ -25,9 +28,22 @@
     customers : tuple of CustomerTerms
     loss, doubled : float
         Part of the messages that are lost, and that come twice.
+    seed : int
+    extra : float
+        Requests by which a customer may exceed its limits, as the hosts know it.
     """
 
-    def __init__(self, log, n_hosts, customers=(TERMS,), loss=0.0, doubled=0.0, seed=0):
+    def __init__(
+        self,
+        log,
+        n_hosts,
+        customers=(TERMS,),
+        loss=0.0,
+        doubled=0.0,
+        seed=0,
+        extra=0.0,
+    ):
+        self.extra = extra
         self.rng = random.Random(seed)
         self.log = log
         self.loss = loss
@@ -48,7 +64,7 @@
             if peer.ip != own.ip:
                 fleet.heard(peer, True)
         fleet.is_heard = lambda ip: not {own.ip, ip} & self.away
-        keeper = RateKeeper(fleet, self.holders, self.sender(own), self.log)
+        keeper = RateKeeper(fleet, self.holders, self.sender(own), self.log, self.extra)
         holds = own.ip in self.holders()
         keeper.share = 1.0 / len(self.holders()) if holds else 0.0
         keeper.follow(self.customers)
@@ -104,7 +120,7 @@
 def allowed(terms):
     """Return what the rule lets a customer have in a window."""
     owed = terms.rate_per_second * WINDOW + terms.burst
-    return owed * 1.1 + 20
+    return owed * 1.1 + EXTRA
 
 
 class CentralBucket:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_program_rates.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_program_rates.py
@@ -7,6 +7,7 @@
 from swifttide_core.forwarding import CustomerTerms
 from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway.tests._rate_hosts import (
+    EXTRA,
     Hosts,
     allowed,
 )
@@ -111,6 +112,30 @@
 
         assert sum(run_paused(main(seed)) for seed in range(6)) >= 80
 
+    def test_program_of_more_requests_than_its_rate_brings_in_time(self, log):
+        """Guards against long programs of small customers that all end late."""
+        terms = CustomerTerms("c", (), None, 8.0, 8.0)
+        n_stages, width, stage_seconds = 11, 3, 0.13
+
+        async def main():
+            hosts = Hosts(log, 9, (terms,), extra=EXTRA)
+            loop, seconds = asyncio.get_running_loop(), []
+            for i in range(3):
+                await asyncio.sleep(6.0)
+                began, keeper = loop.time(), hosts.keepers[f"h{i}"]
+                for stage in range(n_stages):
+                    calls = [
+                        keeper.take("r", terms, 1.5, f"p{i}", stage == 0, "check")
+                        for _ in range(width)
+                    ]
+                    await asyncio.gather(*calls)
+                    await asyncio.sleep(stage_seconds)
+                seconds.append(loop.time() - began)
+            return seconds
+
+        aim = 1.3 * n_stages * stage_seconds + 0.2
+        assert max(run_paused(main())) <= aim
+
     def test_request_that_asks_again_counts_once(self, log):
         """A request of a program waits for its token and asks again meanwhile. Counted
         each time, programs that had to wait would seem larger than they are, and fewer
@@ -126,7 +151,7 @@
                 await keeper.take("r", terms, 1.5, "p")
             await asyncio.sleep(2.0)
             await keeper.take("r", terms, 1.5, "q", True)
-            return keeper._shares._sizes
+            return keeper._shares._sizes.of("")
 
         sizes = run_paused(main())
         assert sizes.n_seen == 1
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_keeper.py
@@ -7,6 +7,7 @@
 from swifttide_core.forwarding import CustomerTerms
 from swifttide_daemon.gateway._rate_messages import HandRate, RateAnswer
 from swifttide_daemon.gateway.tests._rate_hosts import (
+    EXTRA,
     TERMS,
     CentralBucket,
     Hosts,
@@ -72,12 +73,13 @@
 
         assert run_paused(main()) >= 115
 
+    @pytest.mark.parametrize("extra", [0.0, EXTRA])
     @pytest.mark.parametrize("seed", range(8))
-    def test_never_more_than_the_rate(self, log, seed):
+    def test_never_more_than_the_rate(self, log, seed, extra):
         """A customer sends many times its rate at all hosts, and messages get lost."""
 
         async def main():
-            hosts = Hosts(log, 10, loss=0.2 * (seed % 3), seed=seed)
+            hosts = Hosts(log, 10, loss=0.2 * (seed % 3), seed=seed, extra=extra)
             await asyncio.sleep(2.0)
             tasks = []
             for i in range(1200):
@@ -90,8 +92,9 @@
 
         assert run_paused(main()) <= allowed(TERMS)
 
+    @pytest.mark.parametrize("extra", [0.0, EXTRA])
     @pytest.mark.parametrize("seed", range(12))
-    def test_never_more_than_the_rate_as_hosts_fail(self, log, seed):
+    def test_never_more_than_the_rate_as_hosts_fail(self, log, seed, extra):
         """Hosts are killed, frozen and cut off, each on its own or many at a time,
         and messages are lost and doubled, while a customer sends far beyond its rate.
         A host that wakes believes at first that it still keeps the tokens.
@@ -100,7 +103,7 @@
 
         async def main():
             n_hosts = 24
-            hosts = Hosts(log, n_hosts, (terms,), 0.02, 0.1, seed)
+            hosts = Hosts(log, n_hosts, (terms,), 0.02, 0.1, seed, extra)
             await asyncio.sleep(4.0)
             tasks = []
             for i in range(3000):
@@ -123,14 +126,15 @@
 
         assert run_paused(main()) <= allowed(terms)
 
+    @pytest.mark.parametrize("extra", [0.0, EXTRA])
     @pytest.mark.parametrize("seed", range(4))
-    def test_forged_messages_lift_no_rate(self, log, seed):
+    def test_forged_messages_lift_no_rate(self, log, seed, extra):
         """A host's address sends tokens that nobody took out of a share, claims the
         whole burst, answers questions that nobody asked, and repeats itself.
         """
 
         async def main():
-            hosts = Hosts(log, 9, seed=seed)
+            hosts = Hosts(log, 9, seed=seed, extra=extra)
             await asyncio.sleep(2.0)
             tasks = []
             for i in range(1200):
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_settings_file.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_settings_file.py
@@ -65,6 +65,7 @@
         * _get(raw, "limits.cpu_cores", float, 1.0),
         stop_seconds=float(_get(raw, "bounds.grace_s", float, 8.0)),
         regions=_regions(raw),
+        rate_extra=float(_get(raw, "bounds.quota_extra", float, 0.0)),
         cold_excess=float(_get(raw, "bounds.cold_excess", float, 1.0)),
         cold_extra=float(_get(raw, "bounds.cold_extra", float, 0.0)),
     )
