--- a/benchmarks/front_ends.py
+++ b/benchmarks/front_ends.py
@@ -56,7 +56,7 @@
     import logging
 
     from swifttide_core.forwarding import RequestLimits
-    from swifttide_daemon.gateway._frontend import Frontend
+    from swifttide_daemon.gateway.callers._frontend import Frontend
     from swifttide_daemon.platform import PrintOfficeDialect
     from swifttide_daemon.telemetry import EventLog
 
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -14,7 +14,7 @@
 import sys
 from dataclasses import dataclass
 
-from swifttide_daemon.gateway._program_entry import ProgramEntry
+from swifttide_daemon.gateway.callers._program_entry import ProgramEntry
 from swifttide_daemon.gateway.tests._overload import N_TURNS, Fleet
 from swifttide_daemon.gateway.tests._overload_engines import PLACES, TURN_SECONDS
 from swifttide_daemon.gateway.tests.conftest import FakeStore
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/__init__.py
@@ -1,16 +1,15 @@
 """Forwarding callers' requests to targets, over all hosts of a fleet."""
 
-from swifttide_daemon.gateway._caller_request import CallerRequest, TurnTerms
-from swifttide_daemon.gateway._connection_pool import ConnectionPool
-from swifttide_daemon.gateway._dialect import BadRequest, Dialect
-from swifttide_daemon.gateway._http_fields import (
+from swifttide_daemon.gateway._settings import GatewaySettings
+from swifttide_daemon.gateway.callers._caller_request import CallerRequest, TurnTerms
+from swifttide_daemon.gateway.callers._dialect import BadRequest, Dialect
+from swifttide_daemon.gateway.callers._http_fields import (
     Fields,
     all_values,
     end_to_end,
     first_value,
 )
-from swifttide_daemon.gateway._settings import GatewaySettings
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Condition,
     Conflict,
@@ -23,7 +22,8 @@
     Transaction,
     Unavailable,
 )
-from swifttide_daemon.gateway._target_answer import (
+from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
+from swifttide_daemon.gateway.targets._target_answer import (
     AnswerHead,
     MayHaveRun,
     NotRun,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
@@ -12,7 +12,7 @@
     ZoneRules,
     obstacle_of,
 )
-from swifttide_daemon.gateway._cold_targets import ColdTargets
+from swifttide_daemon.gateway.targets._cold_targets import ColdTargets
 from swifttide_daemon.telemetry import EventLog
 
 RETURN_SECONDS = 2.5
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_departure.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_departure.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Callable
 
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._frontend import Frontend
-from swifttide_daemon.gateway._lending_record import LendingRecord
-from swifttide_daemon.gateway._peer_service import PeerService
-from swifttide_daemon.gateway._shared_store import SharedStore
-from swifttide_daemon.gateway._token_lender import TokenLender
-from swifttide_daemon.gateway._turn_memory import TurnMemory
+from swifttide_daemon.gateway.budgets._lending_record import LendingRecord
+from swifttide_daemon.gateway.budgets._token_lender import TokenLender
+from swifttide_daemon.gateway.callers._frontend import Frontend
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer_service import PeerService
+from swifttide_daemon.gateway.store._shared_store import SharedStore
+from swifttide_daemon.gateway.turns._turn_memory import TurnMemory
 from swifttide_daemon.telemetry import EventLog
 
 UNREADY_SECONDS = 2.5
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -6,53 +6,52 @@
 from collections.abc import Callable
 
 from swifttide_core.forwarding import RequestLimits, RoutingConfig
-from swifttide_daemon.gateway._admission import Admission
-from swifttide_daemon.gateway._answer_relay import AnswerRelay
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
-from swifttide_daemon.gateway._cold_targets import ColdTargets
-from swifttide_daemon.gateway._connection_pool import ConnectionPool
-from swifttide_daemon.gateway._datagrams import Datagrams
-from swifttide_daemon.gateway._decoders import Decoders
 from swifttide_daemon.gateway._departure import Departure
-from swifttide_daemon.gateway._dialect import Dialect
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._forwarder import Forwarder
-from swifttide_daemon.gateway._frontend import Frontend
-from swifttide_daemon.gateway._isolation import Isolation
-from swifttide_daemon.gateway._keeper_choice import KeeperChoice
-from swifttide_daemon.gateway._lending_record import LendingRecord, record_period
 from swifttide_daemon.gateway._metrics import GatewayMetrics
-from swifttide_daemon.gateway._news import News
-from swifttide_daemon.gateway._operator_feed import OperatorFeed
-from swifttide_daemon.gateway._order_keeper import OrderKeeper
-from swifttide_daemon.gateway._passed_feed import PassedFeed
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._peer_client import PeerClient
-from swifttide_daemon.gateway._peer_server import PeerServer
-from swifttide_daemon.gateway._peer_service import PeerService
-from swifttide_daemon.gateway._program_entry import ProgramEntry
-from swifttide_daemon.gateway._rate_keeper import RateKeeper
-from swifttide_daemon.gateway._relayed_store import RelayedStore
-from swifttide_daemon.gateway._row_feed import RowFeed
-from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_daemon.gateway._settings import GatewaySettings
 from swifttide_daemon.gateway._settings_watch import SettingsWatch
-from swifttide_daemon.gateway._share_keeper import MAX_HOLDERS, ShareKeeper
-from swifttide_daemon.gateway._shared_store import SharedStore
-from swifttide_daemon.gateway._status_server import (
-    NOT_READY,
-    OK,
-    StatusPage,
-    StatusServer,
+from swifttide_daemon.gateway._status_pages import StatusPages
+from swifttide_daemon.gateway._status_server import StatusServer
+from swifttide_daemon.gateway.budgets._budget_keeper import BudgetKeeper
+from swifttide_daemon.gateway.budgets._lending_record import (
+    LendingRecord,
+    record_period,
 )
-from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
-from swifttide_daemon.gateway._table_feeds import TableFeeds
-from swifttide_daemon.gateway._target_client import TargetClient
-from swifttide_daemon.gateway._target_health import TargetHealth
-from swifttide_daemon.gateway._target_prober import TargetProber
-from swifttide_daemon.gateway._token_lender import TokenLender
-from swifttide_daemon.gateway._turn_keeper import TurnKeeper
+from swifttide_daemon.gateway.budgets._token_lender import TokenLender
+from swifttide_daemon.gateway.callers._admission import Admission
+from swifttide_daemon.gateway.callers._answer_relay import AnswerRelay
+from swifttide_daemon.gateway.callers._dialect import Dialect
+from swifttide_daemon.gateway.callers._forwarder import Forwarder
+from swifttide_daemon.gateway.callers._frontend import Frontend
+from swifttide_daemon.gateway.callers._program_entry import ProgramEntry
+from swifttide_daemon.gateway.peers._datagrams import Datagrams
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._isolation import Isolation
+from swifttide_daemon.gateway.peers._keeper_choice import KeeperChoice
+from swifttide_daemon.gateway.peers._news import News
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.peers._peer_client import PeerClient
+from swifttide_daemon.gateway.peers._peer_server import PeerServer
+from swifttide_daemon.gateway.peers._peer_service import PeerService
+from swifttide_daemon.gateway.rates._rate_keeper import RateKeeper
+from swifttide_daemon.gateway.rates._share_keeper import MAX_HOLDERS, ShareKeeper
+from swifttide_daemon.gateway.store._decoders import Decoders
+from swifttide_daemon.gateway.store._operator_feed import OperatorFeed
+from swifttide_daemon.gateway.store._passed_feed import PassedFeed
+from swifttide_daemon.gateway.store._relayed_store import RelayedStore
+from swifttide_daemon.gateway.store._row_feed import RowFeed
+from swifttide_daemon.gateway.store._row_reaper import RowReaper
+from swifttide_daemon.gateway.store._shared_store import SharedStore
+from swifttide_daemon.gateway.store._table_feeds import TableFeeds
+from swifttide_daemon.gateway.targets._cold_targets import ColdTargets
+from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
+from swifttide_daemon.gateway.targets._order_keeper import OrderKeeper
+from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
+from swifttide_daemon.gateway.targets._target_client import TargetClient
+from swifttide_daemon.gateway.targets._target_health import TargetHealth
+from swifttide_daemon.gateway.targets._target_prober import TargetProber
+from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
 from swifttide_daemon.telemetry import EventLog
 
 CHANGEABLE = frozenset({"stop_seconds"})
@@ -60,9 +59,6 @@
 
 METRICS_PATH = "/metrics"
 
-SHARE_WAIT_SECONDS = 4.0
-"""Longest time that a new host waits to learn who holds the customers' rates."""
-
 HOUSEKEEPING_SECONDS = 0.15
 """Between looks at idle connections, lapsed targets and whether it is cut off."""
 
@@ -97,7 +93,6 @@
         self._decoders = decoders
         self._log = log
         self._settings_watch = SettingsWatch(read_settings, self._apply_settings, log)
-        self._started_at = float("inf")
         self._metrics = GatewayMetrics(cfg.host, cfg.zone)
         self._watch_targets()
         self._join_fleet(store)
@@ -244,8 +239,20 @@
             dialect, self._limits, self._may_keep, self._forwarder.handle, log
         )
         ready_path = self._decoders.ready_path
-        self._ready = StatusServer(ready_path, self._ready_page, log)
-        self._metrics_server = StatusServer(METRICS_PATH, self._metrics_page, log)
+        self._pages = StatusPages(
+            self.beliefs,
+            self._fleet,
+            self._store,
+            self._isolation,
+            self._rates,
+            self._shares,
+            self._entry,
+            self._lender,
+            self._metrics,
+            self._may_keep,
+        )
+        self._ready = StatusServer(ready_path, self._pages.ready, log)
+        self._metrics_server = StatusServer(METRICS_PATH, self._pages.metrics, log)
         self._departure = Departure(
             self._front,
             self._fleet,
@@ -276,7 +283,7 @@
         """Serve until ``stop`` is set, then leave without cutting a request."""
         cfg = self._cfg
         self._log.info("start", ip=cfg.ip, port=cfg.caller_port)
-        self._started_at = asyncio.get_running_loop().time()
+        self._pages.started_at = asyncio.get_running_loop().time()
         await self._datagrams.listen(cfg.ip, cfg.peer_port)
         await self._peer_server.listen(cfg.ip, cfg.peer_port)
         async with asyncio.TaskGroup() as tasks:
@@ -311,31 +318,7 @@
         return self._store.is_reachable
 
     def _is_ready(self) -> bool:
-        """Whether new connections are welcome.
-
-        A host that doesn't know who holds the customers' rates would refuse what the
-        others could serve; it waits for that, but not for long.
-        """
-        waited = asyncio.get_running_loop().time() - self._started_at
-        has_rates = bool(self._shares.holders()) or waited > SHARE_WAIT_SECONDS
-        return self.beliefs.complete and has_rates and self._may_keep()
-
-    def _ready_page(self) -> StatusPage:
-        return OK if self._is_ready() else NOT_READY
-
-    def _metrics_page(self) -> StatusPage:
-        believe = self._metrics.believe
-        cfg = self.beliefs.config
-        believe("config_version", cfg.version if cfg else 0)
-        believe("targets", len(self.beliefs.targets))
-        believe("peers_heard", len(self._fleet.alive()))
-        believe("rate_share", self._rates.share)
-        believe("program_share", self._entry.least_share())
-        believe("store_up", float(self._store.direct_up))
-        believe("slots_lending", len(self._lender.slots()))
-        believe("isolated", float(self._isolation.active))
-        body, content_type = self._metrics.render()
-        return StatusPage(OK.status, body, content_type)
+        return self._pages.is_ready()
 
     def _may_keep(self) -> bool:
         """Whether callers may use their connections again."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_account_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_account_rows.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from swifttide_core.budgets import ProgramAccount, held_back
-from swifttide_daemon.gateway._shared_store import RowKey
+from swifttide_daemon.gateway.store._shared_store import RowKey
 
 TABLE = "budgets"
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
@@ -13,18 +13,18 @@
     TurnSizes,
     grant_tokens,
 )
-from swifttide_daemon.gateway._account_rows import (
+from swifttide_daemon.gateway.budgets._account_rows import (
     TABLE,
     account_place,
     decode_account,
     encode_account,
     program_key,
 )
-from swifttide_daemon.gateway._peer_messages import AskTokens, HandedTokens, Loan
-from swifttide_daemon.gateway._refusal import Refusal
-from swifttide_daemon.gateway._reservation import KnownProgram, Reservation
-from swifttide_daemon.gateway._row_reaper import RowReaper
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.budgets._reservation import KnownProgram, Reservation
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.peers._peer_messages import AskTokens, HandedTokens, Loan
+from swifttide_daemon.gateway.store._row_reaper import RowReaper
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Condition,
     Conflict,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_lending_record.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_lending_record.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from swifttide_core.budgets import MIN_WAIT_MS, LendingState
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.budgets._token_lender import TokenLender
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Condition,
     Conflict,
@@ -18,7 +19,6 @@
     StoredRow,
     Transaction,
 )
-from swifttide_daemon.gateway._token_lender import TokenLender
 from swifttide_daemon.telemetry import EventLog
 
 TABLE = "lending"
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_token_lender.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_token_lender.py
@@ -27,8 +27,8 @@
     held_back,
     slot_of,
 )
-from swifttide_daemon.gateway._budget_keeper import Collect
-from swifttide_daemon.gateway._peer_messages import AskTokens, HandSlots, Loan
+from swifttide_daemon.gateway.budgets._budget_keeper import Collect
+from swifttide_daemon.gateway.peers._peer_messages import AskTokens, HandSlots, Loan
 from swifttide_daemon.telemetry import EventLog
 
 MAX_LOANS = 20_000
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""A caller's request, from its first byte to the end of its answer."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
@@ -11,18 +11,18 @@
     common_homes,
 )
 from swifttide_core.strikes import Refused, fingerprint_of
-from swifttide_daemon.gateway._account_rows import program_key
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
-from swifttide_daemon.gateway._caller_channel import CallerChannel
-from swifttide_daemon.gateway._caller_request import CallerRequest
-from swifttide_daemon.gateway._job import Job, Progress, age_of
-from swifttide_daemon.gateway._program_entry import ProgramEntry
-from swifttide_daemon.gateway._rate_keeper import RateKeeper
-from swifttide_daemon.gateway._refusal import Refusal
-from swifttide_daemon.gateway._reservation import Reservation
-from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
-from swifttide_daemon.gateway._turn_keeper import TurnKeeper
+from swifttide_daemon.gateway.budgets._account_rows import program_key
+from swifttide_daemon.gateway.budgets._budget_keeper import BudgetKeeper
+from swifttide_daemon.gateway.budgets._reservation import Reservation
+from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
+from swifttide_daemon.gateway.callers._caller_request import CallerRequest
+from swifttide_daemon.gateway.callers._job import Job, Progress, age_of
+from swifttide_daemon.gateway.callers._program_entry import ProgramEntry
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.rates._rate_keeper import RateKeeper
+from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
+from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
 
 MAX_RATE_WAIT_SECONDS = 1.5
 """Longest wait for a customer's rate: a turn of a program is sent again twice, and
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
@@ -6,14 +6,14 @@
 
 from swifttide_core.forwarding import RequestKind
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._dialect import Dialect
-from swifttide_daemon.gateway._event_reader import EventReader
-from swifttide_daemon.gateway._job import age_of
 from swifttide_daemon.gateway._metrics import GatewayMetrics
-from swifttide_daemon.gateway._refusal import Refusal
-from swifttide_daemon.gateway._target_answer import MayHaveRun, TargetFailure
-from swifttide_daemon.gateway._target_client import PROMISES, TargetExchange
-from swifttide_daemon.gateway._turn_keeper import TurnKeeper
+from swifttide_daemon.gateway.callers._dialect import Dialect
+from swifttide_daemon.gateway.callers._event_reader import EventReader
+from swifttide_daemon.gateway.callers._job import age_of
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.targets._target_answer import MayHaveRun, TargetFailure
+from swifttide_daemon.gateway.targets._target_client import PROMISES, TargetExchange
+from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
 from swifttide_daemon.telemetry import EventLog
 
 KEEP_SECONDS = 1.8
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_dialect.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_dialect.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
-from swifttide_daemon.gateway._caller_request import CallerRequest
-from swifttide_daemon.gateway._http_fields import Fields
-from swifttide_daemon.gateway._target_answer import AnswerHead
+from swifttide_daemon.gateway.callers._caller_request import CallerRequest
+from swifttide_daemon.gateway.callers._http_fields import Fields
+from swifttide_daemon.gateway.targets._target_answer import AnswerHead
 
 
 class BadRequest(Exception):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -12,29 +12,29 @@
     TargetEntry,
     choose_target,
 )
-from swifttide_daemon.gateway._account_rows import program_key
-from swifttide_daemon.gateway._admission import Admission
-from swifttide_daemon.gateway._answer_relay import AnswerRelay
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._caller_channel import CallerChannel
-from swifttide_daemon.gateway._caller_request import CallerRequest
-from swifttide_daemon.gateway._dialect import Dialect
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._job import Progress, age_of
-from swifttide_daemon.gateway._line_places import LinePlaces
 from swifttide_daemon.gateway._metrics import GatewayMetrics
-from swifttide_daemon.gateway._order_keeper import OrderKeeper, Place
-from swifttide_daemon.gateway._refusal import Refusal
-from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
-from swifttide_daemon.gateway._target_answer import (
+from swifttide_daemon.gateway.budgets._account_rows import program_key
+from swifttide_daemon.gateway.callers._admission import Admission
+from swifttide_daemon.gateway.callers._answer_relay import AnswerRelay
+from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
+from swifttide_daemon.gateway.callers._caller_request import CallerRequest
+from swifttide_daemon.gateway.callers._dialect import Dialect
+from swifttide_daemon.gateway.callers._job import Progress, age_of
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.targets._order_keeper import OrderKeeper, Place
+from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
+from swifttide_daemon.gateway.targets._target_answer import (
     MayHaveRun,
     NotRun,
     TargetFailure,
 )
-from swifttide_daemon.gateway._target_client import (
+from swifttide_daemon.gateway.targets._target_client import (
     TargetClient,
 )
-from swifttide_daemon.gateway._target_health import TargetHealth
+from swifttide_daemon.gateway.targets._target_health import TargetHealth
+from swifttide_daemon.gateway.turns._line_places import LinePlaces
 from swifttide_daemon.telemetry import EventLog
 
 MAX_SENDS = 5
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_frontend.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_frontend.py
@@ -6,12 +6,12 @@
 import h11
 
 from swifttide_core.forwarding import RequestLimits
-from swifttide_daemon.gateway._caller_channel import CallerChannel
-from swifttide_daemon.gateway._caller_request import CallerRequest
-from swifttide_daemon.gateway._dialect import BadRequest, Dialect
-from swifttide_daemon.gateway._http_fields import all_values
-from swifttide_daemon.gateway._refusal import Refusal
 from swifttide_daemon.gateway._sockets import tune
+from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
+from swifttide_daemon.gateway.callers._caller_request import CallerRequest
+from swifttide_daemon.gateway.callers._dialect import BadRequest, Dialect
+from swifttide_daemon.gateway.callers._http_fields import all_values
+from swifttide_daemon.gateway.callers._refusal import Refusal
 from swifttide_daemon.telemetry import EventLog
 
 READ_BYTES = 65_536
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from swifttide_core.forwarding import CustomerTerms, Homes, Route, ServiceSpec
-from swifttide_daemon.gateway._caller_channel import CallerChannel
-from swifttide_daemon.gateway._caller_request import CallerRequest
-from swifttide_daemon.gateway._reservation import Reservation
+from swifttide_daemon.gateway.budgets._reservation import Reservation
+from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
+from swifttide_daemon.gateway.callers._caller_request import CallerRequest
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_program_entry.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_program_entry.py
@@ -5,9 +5,9 @@
 from swifttide_core.admission import Entered, ProgramGate, TurnedAway
 from swifttide_core.forwarding import Homes, ServiceSpec
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._order_keeper import OrderKeeper
-from swifttide_daemon.gateway._refusal import Refusal
-from swifttide_daemon.gateway._target_health import TargetHealth
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.targets._order_keeper import OrderKeeper
+from swifttide_daemon.gateway.targets._target_health import TargetHealth
 from swifttide_daemon.telemetry import EventLog
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beacon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from swifttide_daemon.gateway._beacon_rounds import ROUND_SECONDS
+from swifttide_daemon.gateway.peers._beacon_rounds import ROUND_SECONDS
 
 
 class Beacon(msgspec.Struct, array_like=True, tag="beacon"):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beacon_rounds.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_rounds.py
@@ -16,7 +16,7 @@
 
 import xxhash
 
-from swifttide_daemon.gateway._peer import Peer
+from swifttide_daemon.gateway.peers._peer import Peer
 
 ROUND_SECONDS = 0.2
 """Between rounds; a fifth of a turn's usual time, so counts are fresh enough."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_datagrams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
@@ -10,18 +10,18 @@
 
 import msgspec
 
-from swifttide_daemon.gateway._beacon import Beacon
-from swifttide_daemon.gateway._beacon_rounds import ROUND_SECONDS, beacon_groups
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._order_messages import (
+from swifttide_daemon.gateway.peers._beacon import Beacon
+from swifttide_daemon.gateway.peers._beacon_rounds import ROUND_SECONDS, beacon_groups
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.rates._rate_messages import RateMessage
+from swifttide_daemon.gateway.targets._order_messages import (
     AskEntry,
     AskPlace,
     OrderAnswer,
     OrderMessage,
     TurnLeft,
 )
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._rate_messages import RateMessage
 from swifttide_daemon.telemetry import EventLog
 
 Datagram = Beacon | RateMessage | OrderMessage
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
@@ -7,9 +7,9 @@
 import xxhash
 
 from swifttide_core.forwarding import Homes, RegionMap
-from swifttide_daemon.gateway._beacon_rounds import ROUND_SECONDS
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.peers._beacon_rounds import ROUND_SECONDS
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Put,
     RowKey,
@@ -195,14 +195,20 @@
             heard_at = self._missed_at.setdefault(ip, now)
         return now - heard_at
 
-    def is_alone(self) -> bool:
-        """Whether all hosts of other zones, or all hosts at all, have fallen silent."""
+    def is_alone(self, seconds: float = ZONE_HEARD_SECONDS) -> bool:
+        """Whether all hosts of other zones, or all hosts at all, have fallen silent.
+
+        Parameters
+        ----------
+        seconds : float
+            For how long other zones have been silent.
+        """
         now = asyncio.get_running_loop().time()
         zones = {p.zone for p in self._peers.values()} - {self.own.zone}
         if not zones:
             return bool(self._peers) and not self.alive()
         return not any(
-            now - self._zone_heard_at.get(zone, float("-inf")) < ZONE_HEARD_SECONDS
+            now - self._zone_heard_at.get(zone, float("-inf")) < seconds
             for zone in zones
         )
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_isolation.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_isolation.py
@@ -2,14 +2,18 @@
 
 import asyncio
 
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._relayed_store import RelayedStore
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.store._relayed_store import RelayedStore
 from swifttide_daemon.telemetry import EventLog
 
 BALANCER_SECONDS = 2.1
 """Time until the balancer has taken out a host that isn't ready: it asks each second
 and counts two misses."""
 
+DOUBT_SECONDS = 0.45
+"""After two rounds without a beacon of another zone it is found out whether the store
+is there, while the rest of the silence passes."""
+
 MIN_ELSEWHERE_SECONDS = 0.15
 """Shortest pause before a caller tries another host."""
 
@@ -62,7 +66,7 @@
         return max(MIN_ELSEWHERE_SECONDS, BALANCER_SECONDS - since)
 
     def _is_cut_off(self):
-        if not self._fleet.is_alone():
+        if not self._fleet.is_alone(DOUBT_SECONDS):
             return False
         self._store.doubt()
-        return not self._store.is_reachable
+        return self._fleet.is_alone() and not self._store.is_reachable
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_keeper_choice.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_keeper_choice.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from swifttide_core.rates import keeper_order
-from swifttide_daemon.gateway._elapsed_clock import elapsed_seconds
-from swifttide_daemon.gateway._fleet import Fleet
+from swifttide_daemon.gateway.peers._elapsed_clock import elapsed_seconds
+from swifttide_daemon.gateway.peers._fleet import Fleet
 
 SUSPECT_SECONDS = 0.5
 """A keeper that didn't answer is passed over for so long; one that has died is no
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_news.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_news.py
@@ -1,14 +1,14 @@
 """What a host tells the others in its beacons, and what it takes from theirs."""
 
-from swifttide_daemon.gateway._beacon import Beacon
-from swifttide_daemon.gateway._order_keeper import OrderKeeper
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._relayed_store import RelayedStore
-from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
-from swifttide_daemon.gateway._table_watch import TableWatch
-from swifttide_daemon.gateway._target_health import TargetHealth
-from swifttide_daemon.gateway._token_lender import TokenLender
-from swifttide_daemon.gateway._turn_memory import TurnMemory
+from swifttide_daemon.gateway.budgets._token_lender import TokenLender
+from swifttide_daemon.gateway.peers._beacon import Beacon
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.store._relayed_store import RelayedStore
+from swifttide_daemon.gateway.store._table_watch import TableWatch
+from swifttide_daemon.gateway.targets._order_keeper import OrderKeeper
+from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
+from swifttide_daemon.gateway.targets._target_health import TargetHealth
+from swifttide_daemon.gateway.turns._turn_memory import TurnMemory
 
 MAX_STRIKES = 8
 """Crashes told in one beacon: some 100 bytes each, in a datagram of one packet."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_client.py
@@ -5,15 +5,15 @@
 import h11
 import msgspec
 
-from swifttide_daemon.gateway._connection_pool import ConnectionPool
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._peer_messages import (
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.peers._peer_messages import (
     PeerAnswer,
     PeerRequest,
     decode_answer,
     encode,
 )
-from swifttide_daemon.gateway._peer_server import MAX_BODY_BYTES, PATH
+from swifttide_daemon.gateway.peers._peer_server import MAX_BODY_BYTES, PATH
+from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
 
 
 class PeerClient:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from swifttide_core.budgets import ReleaseVerdict
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Conflict,
     HistoryLost,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_server.py
@@ -6,13 +6,13 @@
 import h11
 import msgspec
 
-from swifttide_daemon.gateway._peer_messages import (
+from swifttide_daemon.gateway._sockets import tune
+from swifttide_daemon.gateway.peers._peer_messages import (
     PeerAnswer,
     PeerRequest,
     decode_request,
     encode,
 )
-from swifttide_daemon.gateway._sockets import tune
 from swifttide_daemon.telemetry import EventLog
 
 PATH = "/peer"
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_peer_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_service.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 
 from swifttide_core.budgets import ReleaseVerdict, slot_of
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._peer_client import PeerClient
-from swifttide_daemon.gateway._peer_messages import (
+from swifttide_daemon.gateway.budgets._budget_keeper import BudgetKeeper
+from swifttide_daemon.gateway.budgets._token_lender import TokenLender
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer_client import PeerClient
+from swifttide_daemon.gateway.peers._peer_messages import (
     AskRelease,
     AskTokens,
     Done,
@@ -28,10 +29,9 @@
     StoreOutcome,
     TakeTokens,
 )
-from swifttide_daemon.gateway._shared_store import Rows, SharedStore, Unavailable
-from swifttide_daemon.gateway._table_watch import TableWatch
-from swifttide_daemon.gateway._token_lender import TokenLender
-from swifttide_daemon.gateway._turn_keeper import TurnKeeper
+from swifttide_daemon.gateway.store._shared_store import Rows, SharedStore, Unavailable
+from swifttide_daemon.gateway.store._table_watch import TableWatch
+from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
 from swifttide_daemon.telemetry import EventLog
 
 MAX_COPIES = 3
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Customers' rates over all hosts."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_rate_keeper.py
@@ -19,15 +19,15 @@
 
 from swifttide_core.forwarding import CustomerTerms
 from swifttide_core.rates import Asker, Granted, Queued, Short, Standing
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._rate_messages import (
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.rates._rate_messages import (
     AskRate,
     HandRate,
     RateAnswer,
     RateMessage,
 )
-from swifttide_daemon.gateway._rate_shares import RateShares
-from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway.rates._rate_shares import RateShares
 from swifttide_daemon.telemetry import EventLog
 
 ANSWER_SECONDS = 0.03
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_rate_shares.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_rate_shares.py
@@ -20,10 +20,10 @@
     Short,
     Standing,
 )
-from swifttide_daemon.gateway._elapsed_clock import elapsed_seconds
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._keeper_choice import KeeperChoice
-from swifttide_daemon.gateway._rate_messages import (
+from swifttide_daemon.gateway.peers._elapsed_clock import elapsed_seconds
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._keeper_choice import KeeperChoice
+from swifttide_daemon.gateway.rates._rate_messages import (
     AskRate,
     HandRate,
     RateAnswer,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_share_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_keeper.py
@@ -21,9 +21,9 @@
 import msgspec
 
 from swifttide_core.budgets import plan_slots
-from swifttide_daemon.gateway._fleet import TABLE, Fleet
-from swifttide_daemon.gateway._rate_keeper import RateKeeper
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.peers._fleet import TABLE, Fleet
+from swifttide_daemon.gateway.rates._rate_keeper import RateKeeper
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Condition,
     Conflict,
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""Rows of the shared store: how they are reached, followed and removed."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_home_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_home_store.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from swifttide_core.forwarding import Homes
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Conflict,
     Rows,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_operator_feed.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_operator_feed.py
@@ -4,8 +4,8 @@
 
 from swifttide_core.forwarding import RoutingConfig
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._decoders import Decoders
-from swifttide_daemon.gateway._shared_store import StoredRow
+from swifttide_daemon.gateway.store._decoders import Decoders
+from swifttide_daemon.gateway.store._shared_store import StoredRow
 from swifttide_daemon.telemetry import EventLog
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_passed_feed.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_passed_feed.py
@@ -13,11 +13,11 @@
 
 import asyncio
 
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._peer_client import PeerClient
-from swifttide_daemon.gateway._peer_messages import FollowTable, StoreOutcome
-from swifttide_daemon.gateway._relayed_store import RelayedStore
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer_client import PeerClient
+from swifttide_daemon.gateway.peers._peer_messages import FollowTable, StoreOutcome
+from swifttide_daemon.gateway.store._relayed_store import RelayedStore
+from swifttide_daemon.gateway.store._shared_store import (
     HistoryLost,
     Rows,
     Unavailable,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_relayed_store.py
@@ -19,16 +19,16 @@
 import random
 
 from swifttide_core.forwarding import Homes
-from swifttide_daemon.gateway._fleet import Fleet
 from swifttide_daemon.gateway._metrics import GatewayMetrics
-from swifttide_daemon.gateway._peer_client import PeerClient
-from swifttide_daemon.gateway._peer_messages import (
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer_client import PeerClient
+from swifttide_daemon.gateway.peers._peer_messages import (
     RelayChanges,
     RelayCommit,
     RelayRead,
     StoreOutcome,
 )
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Conflict,
     HistoryLost,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_row_feed.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_row_feed.py
@@ -1,12 +1,12 @@
 """Turning rows of targets and hosts into beliefs."""
 
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._decoders import Decoders
-from swifttide_daemon.gateway._fleet import HOST_PREFIX, Fleet
-from swifttide_daemon.gateway._share_keeper import KEY as SHARES_KEY
-from swifttide_daemon.gateway._share_keeper import ShareKeeper
-from swifttide_daemon.gateway._shared_store import StoredRow
-from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
+from swifttide_daemon.gateway.peers._fleet import HOST_PREFIX, Fleet
+from swifttide_daemon.gateway.rates._share_keeper import KEY as SHARES_KEY
+from swifttide_daemon.gateway.rates._share_keeper import ShareKeeper
+from swifttide_daemon.gateway.store._decoders import Decoders
+from swifttide_daemon.gateway.store._shared_store import StoredRow
+from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
 from swifttide_daemon.telemetry import EventLog
 
 RowsTuple = tuple[StoredRow, ...]
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_row_reaper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_row_reaper.py
@@ -15,7 +15,7 @@
 import asyncio
 import heapq
 
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Condition,
     Conflict,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_table_feeds.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_table_feeds.py
@@ -3,14 +3,14 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from swifttide_daemon.gateway._decoders import Decoders
-from swifttide_daemon.gateway._fleet import TABLE as FLEET_TABLE
-from swifttide_daemon.gateway._operator_feed import OperatorFeed
-from swifttide_daemon.gateway._passed_feed import PassedFeed
-from swifttide_daemon.gateway._relayed_store import RelayedStore
-from swifttide_daemon.gateway._row_feed import RowFeed
-from swifttide_daemon.gateway._shared_store import Rows
-from swifttide_daemon.gateway._table_watch import BUSY_PAUSE_SECONDS, TableWatch
+from swifttide_daemon.gateway.peers._fleet import TABLE as FLEET_TABLE
+from swifttide_daemon.gateway.store._decoders import Decoders
+from swifttide_daemon.gateway.store._operator_feed import OperatorFeed
+from swifttide_daemon.gateway.store._passed_feed import PassedFeed
+from swifttide_daemon.gateway.store._relayed_store import RelayedStore
+from swifttide_daemon.gateway.store._row_feed import RowFeed
+from swifttide_daemon.gateway.store._shared_store import Rows
+from swifttide_daemon.gateway.store._table_watch import BUSY_PAUSE_SECONDS, TableWatch
 from swifttide_daemon.telemetry import EventLog
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_table_watch.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_table_watch.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.store._shared_store import (
     HistoryLost,
     Rows,
     SharedStore,
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: connections to them, their answers, health, order and pace."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_connection_pool.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_connection_pool.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from swifttide_daemon.gateway._http_client import ClientConnection
+from swifttide_daemon.gateway.targets._http_client import ClientConnection
 
 IDLE_SECONDS = 4.0
 """How long a connection is kept whose other end names no timeout of its own."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_http_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_http_client.py
@@ -5,8 +5,8 @@
 
 import h11
 
-from swifttide_daemon.gateway._http_fields import Fields
 from swifttide_daemon.gateway._sockets import CONNECT_SECONDS, tune
+from swifttide_daemon.gateway.callers._http_fields import Fields
 
 READ_BYTES = 65_536
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_order_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_keeper.py
@@ -26,17 +26,17 @@
 )
 from swifttide_core.forwarding import Homes, ServiceSpec, TargetEntry
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._elapsed_clock import elapsed_seconds
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._keeper_choice import KeeperChoice
-from swifttide_daemon.gateway._order_messages import (
+from swifttide_daemon.gateway.peers._elapsed_clock import elapsed_seconds
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._keeper_choice import KeeperChoice
+from swifttide_daemon.gateway.targets._order_messages import (
     AskEntry,
     AskPlace,
     OrderAnswer,
     OrderMessage,
     TurnLeft,
 )
-from swifttide_daemon.gateway._target_health import TargetHealth
+from swifttide_daemon.gateway.targets._target_health import TargetHealth
 from swifttide_daemon.telemetry import EventLog
 
 ANSWER_SECONDS = 0.03
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_silence_guard.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_silence_guard.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from swifttide_core.forwarding import TargetEntry
-from swifttide_daemon.gateway._http_client import ClientConnection
-from swifttide_daemon.gateway._target_prober import TargetProber
+from swifttide_daemon.gateway.targets._http_client import ClientConnection
+from swifttide_daemon.gateway.targets._target_prober import TargetProber
 
 SILENCE_SECONDS = 0.4
 """Silence after which a target is asked whether it can still be reached: events come
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_answer.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_answer.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from swifttide_daemon.gateway._http_fields import Fields
+from swifttide_daemon.gateway.callers._http_fields import Fields
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_client.py
@@ -3,17 +3,17 @@
 import h11
 
 from swifttide_core.forwarding import TargetEntry
-from swifttide_daemon.gateway._connection_pool import ConnectionPool
-from swifttide_daemon.gateway._dialect import Dialect
-from swifttide_daemon.gateway._http_client import ClientConnection
-from swifttide_daemon.gateway._silence_guard import SilenceGuard
-from swifttide_daemon.gateway._target_answer import (
+from swifttide_daemon.gateway.callers._dialect import Dialect
+from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
+from swifttide_daemon.gateway.targets._http_client import ClientConnection
+from swifttide_daemon.gateway.targets._silence_guard import SilenceGuard
+from swifttide_daemon.gateway.targets._target_answer import (
     AnswerHead,
     MayHaveRun,
     NotRun,
     TargetFailure,
 )
-from swifttide_daemon.gateway._target_prober import TargetProber
+from swifttide_daemon.gateway.targets._target_prober import TargetProber
 
 MAX_STRAY_ANSWERS = 4
 """Answers to earlier requests that are skipped on one connection."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_target_health.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_health.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from swifttide_daemon.gateway._target_answer import MayHaveRun, NotRun
+from swifttide_daemon.gateway.targets._target_answer import MayHaveRun, NotRun
 
 REST_SECONDS = 1.0
 """How long a target is left alone after a failure; it is tried again when no other
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._peer_service import PeerService
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.peers._peer_service import PeerService
 
 
 class Calls:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_lending_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_lending_fleet.py
@@ -3,16 +3,16 @@
 import asyncio
 import random
 
-from swifttide_daemon.gateway._account_rows import program_key
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
-from swifttide_daemon.gateway._fleet import Fleet as HeardHosts
-from swifttide_daemon.gateway._lending_record import LendingRecord
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._refusal import Refusal
-from swifttide_daemon.gateway._row_reaper import RowReaper
-from swifttide_daemon.gateway._share_keeper import KEY, ShareKeeper
-from swifttide_daemon.gateway._shared_store import RowKey, StoredRow, Unavailable
-from swifttide_daemon.gateway._token_lender import TokenLender
+from swifttide_daemon.gateway.budgets._account_rows import program_key
+from swifttide_daemon.gateway.budgets._budget_keeper import BudgetKeeper
+from swifttide_daemon.gateway.budgets._lending_record import LendingRecord
+from swifttide_daemon.gateway.budgets._token_lender import TokenLender
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.peers._fleet import Fleet as HeardHosts
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.rates._share_keeper import KEY, ShareKeeper
+from swifttide_daemon.gateway.store._row_reaper import RowReaper
+from swifttide_daemon.gateway.store._shared_store import RowKey, StoredRow, Unavailable
 from swifttide_daemon.gateway.tests._hosts import Calls, peer_service
 from swifttide_standins.paused_clock import run_paused
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
@@ -20,22 +20,22 @@
     TargetEntry,
     WeightedService,
 )
-from swifttide_daemon.gateway._admission import Admission
-from swifttide_daemon.gateway._answer_relay import AnswerRelay
 from swifttide_daemon.gateway._beliefs import Beliefs
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
-from swifttide_daemon.gateway._caller_request import CallerRequest, TurnTerms
-from swifttide_daemon.gateway._cold_targets import ColdTargets
-from swifttide_daemon.gateway._forwarder import Forwarder
-from swifttide_daemon.gateway._keeper_choice import KeeperChoice
 from swifttide_daemon.gateway._metrics import GatewayMetrics
-from swifttide_daemon.gateway._order_keeper import OrderKeeper
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._program_entry import ProgramEntry
-from swifttide_daemon.gateway._row_reaper import RowReaper
 from swifttide_daemon.gateway._settings import GatewaySettings
-from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
-from swifttide_daemon.gateway._target_health import TargetHealth
+from swifttide_daemon.gateway.budgets._budget_keeper import BudgetKeeper
+from swifttide_daemon.gateway.callers._admission import Admission
+from swifttide_daemon.gateway.callers._answer_relay import AnswerRelay
+from swifttide_daemon.gateway.callers._caller_request import CallerRequest, TurnTerms
+from swifttide_daemon.gateway.callers._forwarder import Forwarder
+from swifttide_daemon.gateway.callers._program_entry import ProgramEntry
+from swifttide_daemon.gateway.peers._keeper_choice import KeeperChoice
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.store._row_reaper import RowReaper
+from swifttide_daemon.gateway.targets._cold_targets import ColdTargets
+from swifttide_daemon.gateway.targets._order_keeper import OrderKeeper
+from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
+from swifttide_daemon.gateway.targets._target_health import TargetHealth
 from swifttide_daemon.gateway.tests._overload_engines import (
     SERVICE,
     TURN_SECONDS,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload_engines.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload_engines.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from swifttide_core.forwarding import TargetEntry
-from swifttide_daemon.gateway._target_answer import (
+from swifttide_daemon.gateway.targets._target_answer import (
     AnswerHead,
     NotRun,
     TargetFailure,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_rate_hosts.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_rate_hosts.py
@@ -4,10 +4,10 @@
 import random
 
 from swifttide_core.forwarding import CustomerTerms
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._rate_keeper import RateKeeper
-from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.rates._rate_keeper import RateKeeper
 
 TERMS = CustomerTerms("c", rate_per_second=15.0, burst=15.0)
 WINDOW = 5.0
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_beacon_rounds.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_beacon_rounds.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from swifttide_daemon.gateway._beacon_rounds import (
+from swifttide_daemon.gateway.peers._beacon_rounds import (
     OTHER_ZONE_PEERS,
     OWN_ZONE_PEERS,
     beacon_groups,
 )
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._peer import Peer
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_standins.paused_clock import run_paused
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from swifttide_daemon.gateway._account_rows import program_key
-from swifttide_daemon.gateway._budget_keeper import BudgetKeeper
-from swifttide_daemon.gateway._refusal import Refusal
-from swifttide_daemon.gateway._row_reaper import RowReaper
+from swifttide_daemon.gateway.budgets._account_rows import program_key
+from swifttide_daemon.gateway.budgets._budget_keeper import BudgetKeeper
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.store._row_reaper import RowReaper
 from swifttide_daemon.gateway.tests._hosts import Calls, peer_service
 from swifttide_standins.paused_clock import run_paused
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_cold_targets.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_cold_targets.py
@@ -8,7 +8,7 @@
 import pytest
 
 from swifttide_core.forwarding import RoutingConfig, ServiceSpec, TargetEntry
-from swifttide_daemon.gateway._cold_targets import MAX_COLD_SECONDS, ColdTargets
+from swifttide_daemon.gateway.targets._cold_targets import MAX_COLD_SECONDS, ColdTargets
 from swifttide_daemon.gateway.tests._overload import (
     COLD_EXCESS,
     COLD_EXTRA,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_event_reader.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_event_reader.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from swifttide_daemon.gateway._event_reader import MAX_EVENT_BYTES, EventReader
+from swifttide_daemon.gateway.callers._event_reader import MAX_EVENT_BYTES, EventReader
 
 
 class TestEventReader:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_kept_budgets.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_kept_budgets.py
@@ -6,7 +6,7 @@
 import pytest
 
 from swifttide_core.budgets import slot_of
-from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway.callers._refusal import Refusal
 from swifttide_daemon.gateway.tests._lending_fleet import (
     CUSTOMER,
     KEY_OF_PROGRAM,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_line_places.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_line_places.py
@@ -1,7 +1,7 @@
 """Where lines were served last."""
 
-from swifttide_daemon.gateway._caller_request import CallerRequest, TurnTerms
-from swifttide_daemon.gateway._line_places import MAX_LINES, LinePlaces
+from swifttide_daemon.gateway.callers._caller_request import CallerRequest, TurnTerms
+from swifttide_daemon.gateway.turns._line_places import MAX_LINES, LinePlaces
 
 
 def turn(line, prompt_tokens=500):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_overload_faults.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_overload_faults.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from swifttide_daemon.gateway._order_messages import (
+from swifttide_daemon.gateway.targets._order_messages import (
     AskEntry,
     AskPlace,
     OrderAnswer,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_passed_feed.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_passed_feed.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from swifttide_daemon.gateway._fleet import FEED_HOSTS, N_FEEDERS, Fleet
-from swifttide_daemon.gateway._passed_feed import PassedFeed
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._peer_messages import FollowTable, StoreOutcome
-from swifttide_daemon.gateway._shared_store import Unavailable
-from swifttide_daemon.gateway._table_watch import TableWatch
+from swifttide_daemon.gateway.peers._fleet import FEED_HOSTS, N_FEEDERS, Fleet
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.peers._peer_messages import FollowTable, StoreOutcome
+from swifttide_daemon.gateway.store._passed_feed import PassedFeed
+from swifttide_daemon.gateway.store._shared_store import Unavailable
+from swifttide_daemon.gateway.store._table_watch import TableWatch
 from swifttide_standins.paused_clock import run_paused
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_program_rates.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_program_rates.py
@@ -5,7 +5,7 @@
 import pytest
 
 from swifttide_core.forwarding import CustomerTerms
-from swifttide_daemon.gateway._refusal import Refusal
+from swifttide_daemon.gateway.callers._refusal import Refusal
 from swifttide_daemon.gateway.tests._rate_hosts import (
     EXTRA,
     Hosts,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_keeper.py
@@ -5,7 +5,7 @@
 import pytest
 
 from swifttide_core.forwarding import CustomerTerms
-from swifttide_daemon.gateway._rate_messages import HandRate, RateAnswer
+from swifttide_daemon.gateway.rates._rate_messages import HandRate, RateAnswer
 from swifttide_daemon.gateway.tests._rate_hosts import (
     EXTRA,
     TERMS,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_relayed_store.py
@@ -4,17 +4,17 @@
 
 import pytest
 
-from swifttide_daemon.gateway._fleet import Fleet
 from swifttide_daemon.gateway._metrics import GatewayMetrics
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._peer_messages import (
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.peers._peer_messages import (
     RelayChanges,
     RelayCommit,
     RelayRead,
     StoreOutcome,
 )
-from swifttide_daemon.gateway._relayed_store import RelayedStore
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.store._relayed_store import RelayedStore
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Put,
     RowKey,
@@ -22,7 +22,7 @@
     Transaction,
     Unavailable,
 )
-from swifttide_daemon.gateway._table_watch import TableWatch
+from swifttide_daemon.gateway.store._table_watch import TableWatch
 from swifttide_standins.paused_clock import run_paused
 
 HELPER = Peer("10.0.0.2", 1, "zone-a", "b2")
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_row_reaper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_row_reaper.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from swifttide_daemon.gateway._row_reaper import MARGIN_SECONDS, RowReaper
-from swifttide_daemon.gateway._shared_store import RowKey
+from swifttide_daemon.gateway.store._row_reaper import MARGIN_SECONDS, RowReaper
+from swifttide_daemon.gateway.store._shared_store import RowKey
 from swifttide_standins.paused_clock import run_paused
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_share_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_share_keeper.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._share_keeper import KEY, MAX_HOLDERS, ShareKeeper
-from swifttide_daemon.gateway._shared_store import RowKey, StoredRow, Unavailable
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.rates._share_keeper import KEY, MAX_HOLDERS, ShareKeeper
+from swifttide_daemon.gateway.store._shared_store import RowKey, StoredRow, Unavailable
 from swifttide_standins.paused_clock import run_paused
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_strike_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_strike_keeper.py
@@ -4,7 +4,7 @@
 
 from swifttide_core.forwarding import TargetEntry
 from swifttide_core.strikes import Clear, Refused
-from swifttide_daemon.gateway._strike_keeper import StrikeKeeper
+from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
 from swifttide_standins.paused_clock import run_paused
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_table_watch.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_table_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from swifttide_daemon.gateway._table_watch import TableWatch
+from swifttide_daemon.gateway.store._table_watch import TableWatch
 from swifttide_standins.paused_clock import run_paused
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_target_health.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_target_health.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from swifttide_daemon.gateway._target_health import TOLD_BEACONS, TargetHealth
+from swifttide_daemon.gateway.targets._target_health import TOLD_BEACONS, TargetHealth
 from swifttide_standins.paused_clock import run_paused
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_target_prober.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_target_prober.py
@@ -4,8 +4,8 @@
 
 from swifttide_core.forwarding import TargetEntry
 from swifttide_daemon.gateway import ConnectionPool
-from swifttide_daemon.gateway._http_client import ClientConnection
-from swifttide_daemon.gateway._target_prober import TRIES, TargetProber
+from swifttide_daemon.gateway.targets._http_client import ClientConnection
+from swifttide_daemon.gateway.targets._target_prober import TRIES, TargetProber
 from swifttide_standins.paused_clock import run_paused
 
 TARGET = TargetEntry("t1", "s", "10.0.0.1", 1, "zone-a", 12)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_token_lender.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_token_lender.py
@@ -7,7 +7,7 @@
 import pytest
 
 from swifttide_core.budgets import ReleaseVerdict, slot_of
-from swifttide_daemon.gateway._peer_messages import AskTokens
+from swifttide_daemon.gateway.peers._peer_messages import AskTokens
 from swifttide_daemon.gateway.tests._lending_fleet import (
     KEY_OF_PROGRAM,
     MOST,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_keeper.py
@@ -4,18 +4,18 @@
 
 import pytest
 
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._peer import Peer
-from swifttide_daemon.gateway._peer_messages import (
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.peers._peer_messages import (
     Done,
     DropCopies,
     FoundTurn,
     KeepCopy,
     ReadTurn,
 )
-from swifttide_daemon.gateway._refusal import Refusal
-from swifttide_daemon.gateway._row_reaper import RowReaper
-from swifttide_daemon.gateway._turn_keeper import TurnKeeper, turn_key
+from swifttide_daemon.gateway.store._row_reaper import RowReaper
+from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper, turn_key
 from swifttide_standins.paused_clock import run_paused
 
 KEEP_SECONDS = 60.0
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/turns/__init__.py
@@ -0,0 +1,1 @@
+"""Turns whose history the fleet keeps, and where their prompts lie."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_line_places.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/turns/_line_places.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from swifttide_daemon.gateway._caller_request import CallerRequest
+from swifttide_daemon.gateway.callers._caller_request import CallerRequest
 
 MAX_LINES = 5_000
 """Lines that are remembered, some 300 bytes each: those of half a minute at the busiest
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/turns/_turn_keeper.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 
 from swifttide_core.forwarding import Homes
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._home_store import HomeStore, RegionalStore
-from swifttide_daemon.gateway._peer_client import PeerClient
-from swifttide_daemon.gateway._refusal import Refusal
-from swifttide_daemon.gateway._row_reaper import RowReaper
-from swifttide_daemon.gateway._shared_store import (
+from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer_client import PeerClient
+from swifttide_daemon.gateway.store._home_store import HomeStore, RegionalStore
+from swifttide_daemon.gateway.store._row_reaper import RowReaper
+from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Put,
     RowKey,
@@ -18,7 +18,7 @@
     Transaction,
     Unavailable,
 )
-from swifttide_daemon.gateway._turn_memory import TurnMemory
+from swifttide_daemon.gateway.turns._turn_memory import TurnMemory
 from swifttide_daemon.telemetry import EventLog
 
 TABLE = "turns"
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_turn_memory.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/turns/_turn_memory.py
@@ -19,9 +19,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from swifttide_daemon.gateway._fleet import Fleet
-from swifttide_daemon.gateway._peer_client import PeerClient
-from swifttide_daemon.gateway._peer_messages import (
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer_client import PeerClient
+from swifttide_daemon.gateway.peers._peer_messages import (
     Done,
     DropCopies,
     FoundTurn,
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/__main__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/__main__.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 from swifttide_daemon.gateway import ConnectionPool, GatewaySettings
-from swifttide_daemon.gateway._decoders import Decoders
 from swifttide_daemon.gateway._gateway import Gateway
 from swifttide_daemon.gateway._run import run_gateway
+from swifttide_daemon.gateway.store._decoders import Decoders
 from swifttide_daemon.platform import (
     CONFIG_KEY,
     CONFIG_TABLE,
