--- a/packages/swifttide_standins/src/swifttide_standins/print_office/_runner.py
+++ b/packages/swifttide_standins/src/swifttide_standins/print_office/_runner.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Callable
 
+from swifttide_standins.print_office._cold_start import ColdStart
 from swifttide_standins.print_office._http_server import HttpServer, Reply, Request
 
 Script = Callable[[Request], Reply | None]
@@ -24,6 +25,8 @@
         Takes a request and returns its reply, or None to break off.
     ran : list of Request
         Requests that it began to run.
+    cold_start : ColdStart or None
+        Makes it crash under more than it bears.
     left : list of str
         Ids of requests whose connection was closed while they ran.
     """
@@ -35,6 +38,7 @@
         self.script: Script = self.events(3)
         self.run_seconds = 0.0
         self.ran: list[Request] = []
+        self.cold_start: ColdStart | None = None
         self.left: list[str] = []
         self.server = HttpServer(self._handle)
 
@@ -92,6 +96,8 @@
     async def _handle(self, request: Request) -> Reply | None:
         if request.fields.get("swifttide-expect-instance") != self.id:
             return Reply(421, {"Swifttide-Instance-Id": self.id})
+        if self.cold_start is not None and self.cold_start.crashes():
+            return None
         reply = self.script(request)
         if reply is not None and "Swifttide-Not-Executed" in reply.fields:
             return reply
