--- a/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
@@ -1,23 +1,17 @@
 """``swifttide explain``: one request's timeline and cause from the hosts' logs."""
 
-import json
-import sys
-from collections.abc import Iterable
 from dataclasses import dataclass
-from datetime import datetime
-from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import cappa
 from expression import Error, Ok, Result
 
 from swifttide_cli.commands._causes import cause_of
+from swifttide_cli.commands._log_lines import read_lines, seconds_of
 from swifttide_cli.commands._options import Options
 from swifttide_cli.exit_codes import ExitCode
 from swifttide_cli.output import Failure, Report
 
-STDIN = "-"
-
 BEFORE_SECONDS = 5.0
 """How long before a request's first line a change of a host's state is shown: a host
 notices a lost peer, target or store within two seconds, and outages last seconds."""
@@ -92,12 +86,9 @@
 
     def __call__(self, options: Options) -> Result[Report, Failure]:
         """Run the command."""
-        try:
-            lines = [line for f in self.files or [STDIN] for line in _read(f)]
-        except OSError as exc:
-            message = f"{exc.filename}: can't be read ({type(exc).__name__})"
-            advice = "check the names of the files."
-            return Error(Failure(ExitCode.INVALID, message, advice))
+        return read_lines(self.files).bind(self._explain)
+
+    def _explain(self, lines) -> Result[Report, Failure]:
         own = [line for line in lines if line.get("request_id") == self.request_id]
         if not own:
             return Error(self._not_found())
@@ -113,28 +104,9 @@
         )
 
 
-def _read(file: str) -> Iterable[dict[str, Any]]:
-    """Yield the lines of a log; what a collector put before the JSON is skipped."""
-    if file == STDIN:
-        yield from _decode(sys.stdin)
-        return
-    with Path(file).open(encoding="utf-8", errors="replace") as text:
-        yield from _decode(text)
-
-
-def _decode(text: Iterable[str]) -> Iterable[dict[str, Any]]:
-    for line in text:
-        try:
-            found = json.loads(line[max(0, line.find("{")) :])
-        except ValueError:
-            continue
-        if isinstance(found, dict) and "event" in found and "time" in found:
-            yield found
-
-
 def _report(request_id, own, lines) -> Report:
-    own.sort(key=_seconds)
-    first, last = _seconds(own[0]), _seconds(own[-1])
+    own.sort(key=seconds_of)
+    first, last = seconds_of(own[0]), seconds_of(own[-1])
     hosts = {line.get("host") for line in own}
     targets = {line["target"] for line in own if "target" in line}
     around = [
@@ -142,14 +114,14 @@
         for line in lines
         if line.get("host") in hosts
         and line["event"] in STATE_EVENTS
-        and first - BEFORE_SECONDS <= _seconds(line) <= last
+        and first - BEFORE_SECONDS <= seconds_of(line) <= last
         and _concerns(line, targets)
     ]
     around += _lasting(lines, hosts, targets, first - BEFORE_SECONDS)
-    timeline = sorted([*around, *own], key=_seconds)
+    timeline = sorted([*around, *own], key=seconds_of)
     rows = tuple(
         (
-            f"{_seconds(line) - first:+.3f}",
+            f"{seconds_of(line) - first:+.3f}",
             line.get("host"),
             line["event"],
             _details(line),
@@ -173,12 +145,12 @@
     """
     ends = {end: begin for begin, end in LASTING.items()}
     current = {}
-    for line in sorted(lines, key=_seconds):
+    for line in sorted(lines, key=seconds_of):
         event = line["event"]
         state = ends.get(event, event)
         if state not in LASTING or line.get("host") not in hosts:
             continue
-        if _seconds(line) >= before or not _concerns(line, targets):
+        if seconds_of(line) >= before or not _concerns(line, targets):
             continue
         place = (line["host"], state, line.get("target"))
         if event in ends:
@@ -193,9 +165,5 @@
     return "target" not in line or line["target"] in targets
 
 
-def _seconds(line) -> float:
-    return datetime.fromisoformat(line["time"]).timestamp()
-
-
 def _details(line) -> str:
     return " ".join(f"{k}={v}" for k, v in line.items() if k not in _HIDDEN)
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_swifttide.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_swifttide.py
@@ -9,6 +9,7 @@
 from swifttide_cli.commands._check import Check
 from swifttide_cli.commands._config import Config
 from swifttide_cli.commands._customer import CustomerCommand
+from swifttide_cli.commands._decompose import Decompose
 from swifttide_cli.commands._explain import Explain
 from swifttide_cli.commands._hosts import Hosts
 from swifttide_cli.commands._key import Key
@@ -26,6 +27,7 @@
     Check
     | Config
     | CustomerCommand
+    | Decompose
     | Explain
     | Hosts
     | Key
