--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
@@ -6,6 +6,7 @@
 from swifttide_core.forwarding import (
     Homes,
     RegionMap,
+    RequestLimits,
     RoutingConfig,
     ServiceSpec,
     TargetEntry,
@@ -61,6 +62,11 @@
         """Whether enough is known to serve."""
         return self.config is not None and self.targets_known
 
+    @property
+    def limits(self) -> RequestLimits:
+        """Bounds on callers' requests, by default before any is configured."""
+        return self.config.limits if self.config else RequestLimits()
+
     def take_config(self, cfg: RoutingConfig, source: str) -> bool:
         """Put a configuration in force, unless it is older than the one in force.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -1,15 +1,15 @@
 """One gateway: its parts, its start and its stop."""
 
 import asyncio
-import dataclasses
 import uuid
 from collections.abc import Callable
 
-from swifttide_core.forwarding import RequestLimits, RoutingConfig
+from swifttide_core.forwarding import RoutingConfig
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._departure import Departure
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._settings import GatewaySettings
+from swifttide_daemon.gateway._settings_change import SettingsChange
 from swifttide_daemon.gateway._settings_watch import SettingsWatch
 from swifttide_daemon.gateway._status_pages import StatusPages
 from swifttide_daemon.gateway._status_server import StatusServer
@@ -54,9 +54,6 @@
 from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
 from swifttide_daemon.telemetry import EventLog
 
-CHANGEABLE = frozenset({"stop_seconds"})
-"""Settings that are taken while the process runs."""
-
 METRICS_PATH = "/metrics"
 
 HOUSEKEEPING_SECONDS = 0.15
@@ -236,7 +233,11 @@
             log,
         )
         self._front = Frontend(
-            dialect, self._limits, self._may_keep, self._forwarder.handle, log
+            dialect,
+            lambda: self.beliefs.limits,
+            self._may_keep,
+            self._forwarder.handle,
+            log,
         )
         ready_path = self._decoders.ready_path
         self._pages = StatusPages(
@@ -317,17 +318,10 @@
     def _is_store_there(self) -> bool:
         return self._store.is_reachable
 
-    def _is_ready(self) -> bool:
-        return self._pages.is_ready()
-
     def _may_keep(self) -> bool:
         """Whether callers may use their connections again."""
         return not self._front.stopping and not self._isolation.active
 
-    def _limits(self) -> RequestLimits:
-        cfg = self.beliefs.config
-        return cfg.limits if cfg else RequestLimits()
-
     async def _keep_house(self):
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
@@ -350,13 +344,10 @@
 
     def _apply_settings(self, cfg: GatewaySettings) -> None:
         """Take new settings; those that name addresses need a restart."""
-        fields = dataclasses.fields(cfg)
-        old = self._cfg
-        changed = [
-            f.name for f in fields if getattr(cfg, f.name) != getattr(old, f.name)
-        ]
-        in_force = [name for name in changed if name in CHANGEABLE]
-        new_values = {name: getattr(cfg, name) for name in in_force}
-        self._cfg = dataclasses.replace(old, **new_values)
-        needs_restart = [name for name in changed if name not in CHANGEABLE]
-        self._log.info("settings_taken", in_force=in_force, needs_restart=needs_restart)
+        change = SettingsChange.between(self._cfg, cfg)
+        self._cfg = change.settings
+        self._log.info(
+            "settings_taken",
+            in_force=list(change.in_force),
+            needs_restart=list(change.needs_restart),
+        )
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
@@ -155,7 +155,7 @@
         self._tasks.append((asyncio.create_task(gateway.run(stop)), stop))
         self.gateways.append(gateway)
         self.ports.append((cfg.ip, *ports))
-        await until(gateway._is_ready)
+        await until(gateway._pages.is_ready)
 
     def stop(self, number=0):
         """Send SIGTERM's equivalent to a gateway; return its task."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_path_with_faults.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_path_with_faults.py
@@ -156,10 +156,10 @@
             await asyncio.sleep(1.5)
             during_outage = await site.send("/lookup/1")
             site.kill(1)
-            await until(lambda: not cut._is_ready())
+            await until(lambda: not cut._pages.is_ready())
             cut_off = await site.send("/lookup/1")
             site.store.refuse = False
-            await until(cut._is_ready)
+            await until(cut._pages.is_ready)
             return during_outage, cut_off, await site.send("/lookup/1")
 
         answers = play(scenario, n_gateways=2, zones=("zone-a", "zone-b"))
