PERF The order's keeper is told to which targets a host has connections

Cause: the keeper placed turns as if each host had a connection to each target.

Costs elsewhere: some 200 bytes more in a question.

--- a/packages/swifttide_core/src/swifttide_core/admission/_turn_order.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_turn_order.py
@@ -90,6 +90,8 @@
         Target of the turn before; empty where it isn't known.
     seconds : float
         Until nobody waits for it any more.
+    connected : frozenset of str
+        Targets to which its host has an idle connection.
     """
 
     turn: TurnId
@@ -98,6 +100,7 @@
     subject: str
     last: str
     seconds: float
+    connected: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,7 +216,7 @@
             targets = tuple(t for t in targets if t.id in paced.targets)
         typical = self._speeds.typical(now)
         candidates = [
-            Candidate(t, self._cost(t, typical, now), is_connected=True)
+            Candidate(t, self._cost(t, typical, now), t.id in question.connected)
             for t in targets
         ]
         found = choose_target(
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -189,7 +189,7 @@
             lambda: self._shares.slots,
             self._record.lends_in,
             self._record.is_in_doubt,
-            lambda: not self._is_store_there(),
+            lambda: not self._store.is_reachable,
             self._peer_service.collect_tokens,
             self._budgets.charge,
             self._record.tell,
@@ -201,7 +201,7 @@
             self._fleet,
             self._peers,
             cfg.turn_copies,
-            self._is_store_there,
+            lambda: self._store.is_reachable,
             self._record.is_certain,
             self._reaper,
             log,
@@ -315,9 +315,6 @@
         n_hosts = min(MAX_HOLDERS, len(self._fleet.all()) + 1)
         return record_period(n_hosts, self._cfg.store_writes_per_second)
 
-    def _is_store_there(self) -> bool:
-        return self._store.is_reachable
-
     def _may_keep(self) -> bool:
         """Whether callers may use their connections again."""
         return not self._front.stopping and not self._isolation.active
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -259,12 +259,17 @@
             job.expires_at - asyncio.get_running_loop().time(),
             frozenset(tried),
             job.homes,
+            self._connected(job),
         )
         if isinstance(place, Place) and not self._health.usable(place.target.id):
             self._order.left(place, None)
             return None
         return place
 
+    def _connected(self, job) -> list[str]:
+        targets = self._beliefs.targets_of(job.service.name, job.homes)
+        return [t.id for t in targets if self._client.is_connected(t)]
+
     def _choose(self, job, tried, may_have_run) -> TargetEntry | PlaceLater | None:
         """Return the target to send to next without the order, None when none is left.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_keeper.py
@@ -12,7 +12,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from swifttide_core.admission import (
@@ -60,6 +60,7 @@
 
 MAX_SUBJECT_CHARS = 64
 MAX_WITHOUT = 8
+MAX_CONNECTED = 16
 """Bounds a question to one packet."""
 
 
@@ -151,6 +152,7 @@
         seconds: float,
         without: frozenset[str],
         homes: Homes = None,
+        connected: Iterable[str] = (),
     ) -> Place | PlaceLater | None:
         """Ask where a turn goes; None if the keeper doesn't answer or knows no target.
 
@@ -165,6 +167,8 @@
             Targets that it must not go to.
         homes : frozenset of str or None
             Regions to which the turn is bound.
+        connected : iterable of str
+            Targets to which this host has an idle connection.
         """
         number = secrets.randbits(NUMBER_BITS)
         ask = AskPlace(
@@ -178,6 +182,7 @@
             round(seconds, 3),
             sorted(without)[:MAX_WITHOUT],
             _listed(homes),
+            sorted(connected)[:MAX_CONNECTED],
         )
         answer, keeper = await self._ask(service.name, ask)
         if answer and answer.retry_seconds > 0.0:
@@ -275,6 +280,7 @@
                     ask.subject,
                     ask.last,
                     min(ask.seconds, MAX_TURN_SECONDS),
+                    frozenset(ask.connected),
                 )
                 found = [t for t in targets if t.id not in ask.without]
                 match order.place(question, found, now, limits):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_messages.py
@@ -51,6 +51,8 @@
         Targets that it must not go to.
     regions : list of str or None
         To which the turn is bound.
+    connected : list of str
+        Targets to which the host has an idle connection.
     """
 
     service: str
@@ -63,6 +65,7 @@
     seconds: float = 0.0
     without: list[str] = []
     regions: list[str] | None = None
+    connected: list[str] = []
 
 
 class OrderAnswer(msgspec.Struct, array_like=True, tag="order"):
