FIX A new keeper of the order turns no program away for its small pace

Cause, by reading: for 1.5 s after each change of the keeper its pace is 0.3 of the usual one, and a new program was let in only while it had some left, though hosts send on within shares of their own. Keepers change with each loss or replacement of one of twelve hosts.

Change: entry asks for the pace of a settled keeper; the bound on sends stays as it is. The test failed before.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_keeper.py
@@ -262,13 +262,14 @@
         answer = OrderAnswer(ask.boot, ask.number)
         targets = self._targets(ask.service, ask.regions)
         service = self._beliefs.config.service(ask.service)
-        limits = self._beliefs.cold.keeper_limits(
-            service, targets, self._standing(ask.service), self._fleet.heard_part()
-        )
+        standing = self._standing(ask.service)
         match ask:
             case AskEntry(program=program, seconds=seconds):
                 ids = [t.id for t in targets]
                 places = sum(service.places_at(t) for t in targets)
+                # A new keeper's small pace is no reason to turn programs away: hosts
+                # have shares of their own meanwhile.
+                limits = self._limits(service, targets, KeeperStanding.settled())
                 match order.enter(program, seconds, ids, places, now, limits):
                     case TurnedAway(retry_seconds):
                         answer.retry_seconds = retry_seconds
@@ -283,6 +284,7 @@
                     frozenset(ask.connected),
                 )
                 found = [t for t in targets if t.id not in ask.without]
+                limits = self._limits(service, found, standing)
                 match order.place(question, found, now, limits):
                     case TargetEntry(id=target_id):
                         answer.target = target_id
@@ -290,6 +292,10 @@
                         answer.retry_seconds = max(MIN_LATER_SECONDS, seconds)
         return answer
 
+    def _limits(self, service, targets, standing) -> dict[str, float] | None:
+        heard_part = self._fleet.heard_part()
+        return self._beliefs.cold.keeper_limits(service, targets, standing, heard_part)
+
     def _standing(self, service) -> KeeperStanding:
         """Return how sure this host is that no other keeps a service's order."""
         now = elapsed_seconds()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_cold_targets.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_cold_targets.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from swifttide_core.admission import Entered, PlaceLater
 from swifttide_core.forwarding import RoutingConfig, ServiceSpec, TargetEntry
 from swifttide_daemon.gateway.targets._cold_targets import MAX_COLD_SECONDS, ColdTargets
 from swifttide_daemon.gateway.tests._overload import (
@@ -125,6 +126,22 @@
         assert found
         assert max(found) <= MOST, found
 
+    def test_new_keeper_turns_no_program_away_for_its_small_pace(self, log):
+        """Guards against programs refused for seconds after each loss of a keeper."""
+
+        async def main():
+            fleet = Fleet(1, 1, None, log, 1, config=CONFIG)
+            order = next(iter(fleet._hosts.values())).order
+            places = [
+                await order.place(SPEC, f"p{i}", "", "", 4.0, frozenset())
+                for i in range(6)
+            ]
+            return places, await order.enter(SPEC, "new", 2.0)
+
+        places, entered = run_paused(main())
+        assert isinstance(places[-1], PlaceLater)
+        assert entered == Entered()
+
     def test_zone_taken_back_counts_as_cold(self, log):
         """Guards against a rush to targets that turned cold in an emptied zone."""
 
