PERF Wider pace of warm targets, smaller parts for whoever else may send

Cause: 0.6 of the bound for each warm target carries 552 turns a second at 24 of them; the burst asks for more, and entry refuses where all targets have had theirs.

--- a/packages/swifttide_core/src/swifttide_core/admission/_target_pace.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_target_pace.py
@@ -25,17 +25,17 @@
 """Part of the rate that a cold target bears that one keeper uses: two keepers at once,
 and the shares of hosts without one, then stay within the bound together."""
 
-WARM_PART = 0.6
+WARM_PART = 0.66
 """Part of the bound that a target gets which isn't known to be cold: new keepers and
 hosts that find none send beyond it."""
 
-NEW_PART = 0.3
+NEW_PART = 0.25
 """Part of its pace that a host uses which hasn't been the keeper for long."""
 
-STANDIN_PART = 0.1
+STANDIN_PART = 0.05
 """Part that all hosts use together which are asked in the keeper's place."""
 
-ALONE_PART = 0.15
+ALONE_PART = 0.08
 """Part of the bound that all hosts without a keeper use together."""
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_keeper.py
@@ -50,7 +50,8 @@
 """Longest time for which a turn counts whose end is not heard of."""
 
 SETTLE_SECONDS = 1.5
-"""Most hosts agree on a keeper after so long: who had passed it over asks it again."""
+"""What a predecessor placed lies beyond the second in which requests are counted, and
+who had passed a keeper over asks it again."""
 
 IDLE_SECONDS = 1.0
 """A keeper that wasn't asked for so long has had a successor meanwhile."""
