--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_keeper.py
@@ -224,7 +224,7 @@
                 waiting = self._waiting.get(number)
                 if waiting is not None and not waiting.done():
                     waiting.set_result(message)
-            case AskEntry() | AskPlace() if self._fleet.by_ip(sender) is not None:
+            case AskEntry() | AskPlace() if self._may_answer(sender):
                 self._send(sender, self._answer(message, sender))
             case TurnLeft():
                 self._take_left(message, sender)
@@ -257,6 +257,11 @@
         finally:
             del self._waiting[ask.number]
 
+    def _may_answer(self, sender) -> bool:
+        """Whether a question may be answered; a host that starts knows nothing yet."""
+        is_known = self._fleet.by_ip(sender) is not None
+        return is_known and self._beliefs.config is not None
+
     def _answer(self, ask: AskEntry | AskPlace, sender: str) -> OrderAnswer:
         now = asyncio.get_running_loop().time()
         order = self._order_of(ask.service, now)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_cold_targets.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_cold_targets.py
@@ -10,6 +10,7 @@
 from swifttide_core.admission import Entered, PlaceLater
 from swifttide_core.forwarding import RoutingConfig, ServiceSpec, TargetEntry
 from swifttide_daemon.gateway.targets._cold_targets import MAX_COLD_SECONDS, ColdTargets
+from swifttide_daemon.gateway.targets._order_messages import AskEntry, AskPlace
 from swifttide_daemon.gateway.tests._overload import (
     COLD_EXCESS,
     COLD_EXTRA,
@@ -142,6 +143,25 @@
         assert isinstance(places[-1], PlaceLater)
         assert entered == Entered()
 
+    def test_host_that_starts_answers_no_question(self, log):
+        """Guards against an error at a host that doesn't know its configuration yet."""
+
+        async def main():
+            fleet = Fleet(2, 1, None, log, 1, config=CONFIG)
+            asking, starting = fleet.ips
+            host = fleet._hosts[starting]
+            host.beliefs.config = None
+            sent = []
+            host.order._send = lambda ip, message: sent.append(message)
+            for ask in (
+                AskEntry(SERVICE, "boot", 1, "p"),
+                AskPlace(SERVICE, "boot", 2, "p", "zone-a"),
+            ):
+                host.order.take_message(ask, asking)
+            return sent
+
+        assert run_paused(main()) == []
+
     def test_zone_taken_back_counts_as_cold(self, log):
         """Guards against a rush to targets that turned cold in an emptied zone."""
 
