--- a/Makefile
+++ b/Makefile
@@ -76,7 +76,11 @@
 # Rate and burst, and retries, against baselines; the same figures on every run.
 bench-limits: setup
 	$(BIN)/python -m benchmarks.limits
-.PHONY: bench-overload
+.PHONY: bench-overload bench-program-rates
+
+# Programs of customers at their rate, by several ways of letting requests in.
+bench-program-rates: setup
+	$(BIN)/python -m benchmarks.program_rates
 
 # Bursts and a loss of all hosts, with and without the gate for new programs.
 bench-overload: setup
--- a/benchmarks/program_rates.py
+++ b/benchmarks/program_rates.py
@@ -103,14 +103,11 @@
         Tokens that are stored beyond the burst.
     by_kind : bool
         Whether sizes are learned for each kind.
-    own_time : bool
-        Whether a program's own aim says how long its requests may take.
     """
 
     name: str
     extra: float = 0.0
     by_kind: bool = False
-    own_time: bool = False
 
 
 WAYS = (
@@ -119,8 +116,6 @@
     Way("12 more stored", extra=12.0),
     Way("15 more stored", extra=15.0),
     Way("12 more, sizes by kind", extra=12.0, by_kind=True),
-    Way("12 more, own time", extra=12.0, own_time=True),
-    Way("12 more, both", extra=12.0, by_kind=True, own_time=True),
 )
 
 
@@ -293,14 +288,9 @@
         return (program.kind.name,) if self._way.by_kind else ()
 
     def _until_room(self, customer, program) -> float:
-        more = {}
-        if self._way.by_kind:
-            more["kind"] = program.kind.name
-        if self._way.own_time:
-            left = program.begins_at + program.aim_seconds - self.now
-            more["seconds"] = max(0.0, left)
+        kind = program.kind.name if self._way.by_kind else ""
         return customer.load.seconds_until_room(
-            customer.pool.level, customer.rate, self.now, **more
+            customer.pool.level, customer.rate, self.now, kind
         )
 
 
--- a/packages/swifttide_core/src/swifttide_core/rates/_program_load.py
+++ b/packages/swifttide_core/src/swifttide_core/rates/_program_load.py
@@ -82,7 +82,6 @@
         rate: float,
         now: float,
         kind: str = "",
-        seconds: float | None = None,
     ) -> float:
         """Return when a new program may be let in; 0 for now.
 
@@ -95,15 +94,13 @@
         now : float
         kind : str
             Of the new program.
-        seconds : float or None
-            Until it should be finished; None if it doesn't say.
         """
         self._forget(now)
         if not self._programs or rate <= 0.0:
             return 0.0
         usual = self._sizes.of(kind)
         needed = usual.calls + sum(self._left(p) for p in self._programs.values())
-        carried = level + rate * (seconds or usual.seconds * STRETCH)
+        carried = level + rate * usual.seconds * STRETCH
         return min(MAX_WAIT_SECONDS, max(0.0, needed - carried) / rate)
 
     def _left(self, program) -> float:
