FIX Two outages of the store in a row take no target out of service

Cause: the store was back at 7.95 s and away again from 8.5 s (it turned calls away) to 12.9 s. Entries that had lapsed in the first outage had 2.5 s from its end to come back; the second one kept targets from renewing them, and at 10.45 s each host took out all that hadn't: 70 times target_left (not_back).

Ruled out: the check of targets before a request is let in (it came with emptied zones, but only refuses what found no target before as well).

Change: while the store doesn't answer, nobody is taken out for a lapsed entry, and entries have their whole time from its return. The test fails without it (there was no way to say that the store is lost).

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
@@ -50,6 +50,7 @@
         self._zones = ZoneRules(regions or RegionMap())
         self.cold = cold or ColdTargets(1.0, 0.0, log)
         self._store_back_at = float("-inf")
+        self._is_store_away = False
         self._lapsing: dict[str, float] = {}
 
     @property
@@ -104,9 +105,16 @@
                 self.cold.mark(target.id, self._spec_of(target).cold_seconds)
         return True
 
+    def store_lost(self) -> None:
+        """Note that the store doesn't answer: targets can't renew their entries."""
+        self._is_store_away = True
+
     def store_returned(self) -> None:
-        """Note that the store answers again."""
+        """Note that the store answers again; entries have their time from now on."""
+        self._is_store_away = False
         self._store_back_at = asyncio.get_running_loop().time()
+        until = self._store_back_at + RETURN_SECONDS
+        self._lapsing = dict.fromkeys(self._lapsing, until)
 
     def replace_targets(self, entries: dict[str, TargetEntry]) -> None:
         """Take the whole list: what isn't on it has left."""
@@ -154,6 +162,8 @@
 
     def drop_lapsed(self) -> None:
         """Take out targets whose entries didn't come back."""
+        if self._is_store_away:
+            return
         now = asyncio.get_running_loop().time()
         for target_id, until in list(self._lapsing.items()):
             if now >= until:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_row_feed.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_row_feed.py
@@ -46,6 +46,8 @@
         """Note whether the store answered."""
         if up and not self._store_up:
             self._beliefs.store_returned()
+        elif not up and self._store_up:
+            self._beliefs.store_lost()
         self._store_up = up
 
     def take_all_targets(self, rows: RowsTuple) -> None:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_beliefs.py
@@ -25,6 +25,30 @@
 
 
 class TestTargets:
+    def test_second_outage_right_after_the_first_takes_no_target_out(self, log):
+        """Guards against a fleet without targets between two outages of the store."""
+
+        async def main():
+            beliefs = Beliefs(lambda id: None, log)
+            beliefs.replace_targets({"t1": target("t1"), "t2": target("t2")})
+            beliefs.store_lost()
+            beliefs.store_returned()
+            beliefs.remove_target("t1")
+            await asyncio.sleep(0.5)
+            beliefs.store_lost()
+            await asyncio.sleep(4.0)
+            beliefs.drop_lapsed()
+            during = set(beliefs.targets)
+            beliefs.store_returned()
+            await asyncio.sleep(RETURN_SECONDS - 0.1)
+            beliefs.drop_lapsed()
+            after = set(beliefs.targets)
+            await asyncio.sleep(0.2)
+            beliefs.drop_lapsed()
+            return during, after, set(beliefs.targets)
+
+        assert run_paused(main()) == ({"t1", "t2"}, {"t1", "t2"}, {"t2"})
+
     def test_entries_that_lapsed_in_an_outage_have_time_to_come_back(self, log):
         """The store was away, and all targets' entries lapsed meanwhile.
 
