--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/__init__.py
@@ -0,0 +1,5 @@
+"""Order in which programs and turns get the places of targets, without I/O."""
+
+from swifttide_core.scheduling._work_class import WorkClass
+
+__all__ = ["WorkClass"]
