--- /dev/null
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
@@ -0,0 +1,279 @@
+"""Admission of new programs to a service by rank, customer and predicted wait.
+
+Load pattern: a burst of programs of the lowest rank needs several times the slots that
+more urgent work leaves free, and one customer may send a multiple of its usual. Without
+ranks, programs of all ranks are refused alike; without a queue, a program is refused
+that a slot becoming free within milliseconds could have served.
+
+A program is admitted while the turns outstanding and waiting, and the slots that more
+urgent ranks needed recently, stay below the limit of its route. Otherwise it waits if
+it is predicted to be admitted early enough to end by its deadline. Otherwise it is
+refused, and a slot is reserved for its return at the announced time. Work of a less
+urgent rank counts against a more urgent program only up to its guaranteed share.
+"""
+
+from collections.abc import Callable
+
+from swifttide_core.admission import ProgramAdmitted, ProgramRefused
+from swifttide_core.scheduling._fair_shares import FairShares
+from swifttide_core.scheduling._known_programs import KnownProgram, KnownPrograms
+from swifttide_core.scheduling._load_limit import load_limit
+from swifttide_core.scheduling._outstanding_turns import OutstandingTurns
+from swifttide_core.scheduling._program_times import ProgramTimes
+from swifttide_core.scheduling._rank_demand import RankDemand
+from swifttide_core.scheduling._requests import (
+    AdmissionGrant,
+    AdmissionWithdrawn,
+    ProgramQueued,
+    ProgramRequest,
+    TurnId,
+)
+from swifttide_core.scheduling._wait_queue import MIN_RANK_FRACTION
+from swifttide_core.scheduling._waiting_requests import WaitingRequests
+
+MAX_WAIT_SECONDS = 1.0
+"""Longest time that a new program waits; a caller who is told when to come back can do
+something else meanwhile."""
+
+WAIT_SLACK_FRACTION = 0.5
+"""Part of a program's slack that may pass until it is admitted. The rest is left for
+the waits of its turns."""
+
+MIN_RETRY_SECONDS = 0.2
+"""Shortest retry time that is announced to a caller."""
+
+MAX_RETRY_SECONDS = 1.2
+"""Longest retry time that is announced to a caller: predictions further ahead are
+uncertain, and callers give up after few attempts."""
+
+QUEUED_RETRY_SECONDS = 0.25
+"""Time after which a host asks again for a program that waits, in case the decision was
+lost on the way."""
+
+ABANDONED_SECONDS = 1.25
+"""Time after which a waiting program is dropped if its host, which asks each
+`QUEUED_RETRY_SECONDS`, hasn't asked again: the host is lost."""
+
+BUSY_FRACTION = 0.8
+"""Part of the limit from which on a program that can't end in time is refused. Below it
+such a program takes no slot from one that can."""
+
+
+class ProgramAdmission:
+    """Decides which new programs are admitted, wait or are refused.
+
+    Parameters
+    ----------
+    turns : OutstandingTurns
+    n_waiting_turns : callable
+        Returns the number of waiting turns of programs under way, by rank.
+    n_unattributed : callable
+        Takes the time and returns the number of turns that only other hosts have
+        reported, whose rank isn't known.
+    times : ProgramTimes
+    shares : FairShares
+    """
+
+    def __init__(
+        self,
+        turns: OutstandingTurns,
+        n_waiting_turns: Callable[[], dict[int, int]],
+        n_unattributed: Callable[[float], float],
+        times: ProgramTimes,
+        shares: FairShares,
+    ):
+        self._turns = turns
+        self._n_waiting_turns = n_waiting_turns
+        self._n_unattributed = n_unattributed
+        self._times = times
+        self._shares = shares
+        self._demand = RankDemand()
+        self._waiting: WaitingRequests[ProgramRequest] = WaitingRequests(
+            False, ABANDONED_SECONDS
+        )
+        self.programs = KnownPrograms()
+
+    def waiting_counts(self) -> dict[tuple[int, str], int]:
+        """Return the number of waiting programs by rank and customer."""
+        return self._waiting.counts()
+
+    def admit(
+        self, request: ProgramRequest, capacity: float, is_paced: bool, now: float
+    ) -> ProgramAdmitted | ProgramQueued | ProgramRefused:
+        """Admit, queue or refuse a program; one that has started is always admitted.
+
+        Parameters
+        ----------
+        request : ProgramRequest
+        capacity : float
+            Slots of the targets in service.
+        is_paced : bool
+            Whether no target may get a further request now.
+        now : float
+            Monotonic seconds.
+        """
+        seconds_left = request.seconds_left or 0.0
+        known = self.programs.touch(request.program, request.work, seconds_left, now)
+        if known.is_admitted:
+            return ProgramAdmitted()
+        self.observe_demand(now)
+        if self._is_too_late(request, capacity, now):
+            self._waiting.remove(request.id)
+            return ProgramRefused(MAX_RETRY_SECONDS)
+        is_next = self.programs.has_reservation(
+            request.program, now
+        ) or not self._waiting.count_ahead(request, self._shares, now)
+        if is_next and not is_paced and self._fits(request, capacity, now):
+            self._waiting.remove(request.id)
+            self.programs.admit(request.program, now)
+            return ProgramAdmitted()
+        wait = self.predicted_wait(request, capacity, now)
+        may_wait = self._allowed_wait(request, known)
+        if (
+            not is_paced
+            and wait <= may_wait
+            and self._waiting.add(request, now + may_wait, now)
+        ):
+            return ProgramQueued(QUEUED_RETRY_SECONDS)
+        self._waiting.remove(request.id)
+        return self._refuse(request, wait, now)
+
+    def grant_waiting(
+        self,
+        capacity_for: Callable[[ProgramRequest], float],
+        now: float,
+    ) -> list[AdmissionGrant | AdmissionWithdrawn]:
+        """Admit the waiting programs that fit now, and refuse those that are too late.
+
+        Parameters
+        ----------
+        capacity_for : callable
+            Returns the slots of the targets in service for a request; 0 while none may
+            get a further request.
+        now : float
+            Monotonic seconds.
+        """
+        decisions: list[AdmissionGrant | AdmissionWithdrawn] = []
+        for request in self._waiting.expire(now):
+            wait = self.predicted_wait(request, capacity_for(request), now)
+            refused = self._refuse(request, wait, now)
+            decisions.append(AdmissionWithdrawn(request.id, refused.retry_seconds))
+        while len(self._waiting):
+            request = self._waiting.next(
+                self._shares, now, self._fits_now(capacity_for, now)
+            )
+            if request is None:
+                break
+            self.programs.admit(request.program, now)
+            decisions.append(AdmissionGrant(request.id))
+        return decisions
+
+    def withdraw(self, request_id: TurnId) -> None:
+        """Forget a waiting program whose caller has left."""
+        self._waiting.remove(request_id)
+
+    def observe_demand(self, now: float) -> None:
+        """Record the slots that each rank occupies or waits for now."""
+        self._demand.observe(self._counts(now), now)
+
+    def reserved_above(self, rank: int, now: float) -> float:
+        """Return the slots that are kept free for more urgent ranks."""
+        return self._demand.reserved_above(rank, self._counts(now), now)
+
+    def limit(self, route: str, capacity: float) -> float:
+        """Return how many turns may be outstanding or waiting, for a route."""
+        return load_limit(
+            capacity,
+            self._times.tolerable_wait(route),
+            self._times.turn_seconds(route),
+            self._times.low_load_turn_seconds(route),
+        )
+
+    def load(self, rank: int, capacity: float, now: float) -> float:
+        """Return the slots that count against a program of a rank.
+
+        Less urgent work counts up to its guaranteed share, since its turns wait behind
+        those of the rank.
+        """
+        counts = self._counts(now)
+        own = sum(n for other, n in counts.items() if other <= rank)
+        below = sum(n for other, n in counts.items() if other > rank)
+        unattributed = self._n_unattributed(now)
+        return own + unattributed + min(below, MIN_RANK_FRACTION * capacity)
+
+    def predicted_wait(
+        self, request: ProgramRequest, capacity: float, now: float
+    ) -> float:
+        """Return the seconds after which a program is predicted to be admitted."""
+        route, rank = request.work.route, request.work.rank
+        above = sum(n for other, n in self._counts(now).items() if other < rank)
+        reserved = self.reserved_above(rank, now)
+        slots = max(MIN_RANK_FRACTION * capacity, capacity - above - reserved, 1.0)
+        n_turns = max(1.0, self._times.turns_per_program(route))
+        turn_seconds = max(0.001, self._times.turn_seconds(route))
+        programs_per_second = slots / (n_turns * turn_seconds)
+        load = self.load(rank, capacity, now) + reserved
+        excess = max(0.0, load - self.limit(route, capacity))
+        ahead = self._waiting.count_ahead(request, self._shares, now)
+        n_before = ahead + self.programs.n_reserved() + excess + 1
+        return n_before / programs_per_second
+
+    def _counts(self, now) -> dict[int, float]:
+        counts = self._turns.by_rank()
+        for more in (self._n_waiting_turns(), self.programs.count_pending(now)):
+            for rank, n in more.items():
+                counts[rank] = counts.get(rank, 0.0) + n
+        return counts
+
+    def _fits(self, request, capacity, now) -> bool:
+        rank = request.work.rank
+        load = self.load(rank, capacity, now) + self.reserved_above(rank, now)
+        if self.programs.has_reservation(request.program, now):
+            load -= 1.0
+        return load < self.limit(request.work.route, capacity)
+
+    def _is_too_late(self, request, capacity, now) -> bool:
+        """Return whether a program can't end in time and slots are scarce."""
+        if request.seconds_left is None:
+            return False
+        route, rank = request.work.route, request.work.rank
+        if request.seconds_left >= self._times.needed_seconds(route):
+            return False
+        load = self.load(rank, capacity, now) + self.reserved_above(rank, now)
+        return load >= BUSY_FRACTION * self.limit(route, capacity)
+
+    def _fits_now(self, capacity_for, now) -> Callable[[ProgramRequest], bool]:
+        """Return a function that tells whether a waiting program fits now.
+
+        Programs of the same rank and route fit alike, so each pair is decided once.
+        """
+        known: dict[tuple[int, str], bool] = {}
+
+        def fits(request) -> bool:
+            pair = (request.work.rank, request.work.route)
+            if pair not in known:
+                capacity = capacity_for(request)
+                known[pair] = capacity > 0 and self._fits(request, capacity, now)
+            return known[pair]
+
+        return fits
+
+    def _allowed_wait(self, request, known: KnownProgram) -> float:
+        """Return how long a program may wait so that it still ends by its deadline."""
+        if request.seconds_left is None:
+            return MAX_WAIT_SECONDS
+        route = request.work.route
+        slowdown = self._times.turn_seconds(route) - self._times.low_load_turn_seconds(
+            route
+        )
+        needed = self._times.needed_seconds(route) + max(
+            0.0, slowdown
+        ) * self._times.turns_per_program(route)
+        slack = known.first_seconds_left - needed
+        waited = known.first_seconds_left - request.seconds_left
+        return min(MAX_WAIT_SECONDS, WAIT_SLACK_FRACTION * slack - waited)
+
+    def _refuse(self, request, wait, now) -> ProgramRefused:
+        retry_seconds = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
+        self.programs.reserve(request.program, now + retry_seconds)
+        return ProgramRefused(retry_seconds)
