ENH Placement of turns by predicted completion time

Cause: turns are placed by the number of outstanding turns. A target that takes 2.4 times as long, or is in a slow phase of 0.6 s, gets as many turns as a fast one. Change: `TargetSpeeds` learns the usual times of a service and each target's ratio to them, with a slow and a fast part. `predict` gives wait, prefill, decoding, network cost, delay of other turns and memory penalty in seconds. `choose_by_completion` takes the least cost and prices fast slots while they are scarce. Nothing uses the package yet.

--- a/packages/swifttide_core/src/swifttide_core/placement/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/placement/__init__.py
@@ -1,3 +1,25 @@
 """Placement of turns at the targets that are predicted to complete them first."""
 
-__all__ = []
+from swifttide_core.placement._choose_by_completion import Choice, choose_by_completion
+from swifttide_core.placement._observation import SpeedEstimate, TurnObservation
+from swifttide_core.placement._prediction import (
+    PlacementCandidate,
+    Prediction,
+    TargetLoad,
+    TurnDemand,
+    predict,
+)
+from swifttide_core.placement._target_speeds import TargetSpeeds
+
+__all__ = [
+    "Choice",
+    "PlacementCandidate",
+    "Prediction",
+    "SpeedEstimate",
+    "TargetLoad",
+    "TargetSpeeds",
+    "TurnDemand",
+    "TurnObservation",
+    "choose_by_completion",
+    "predict",
+]
