ENH Wait queue, fair shares, rank demand and program times of the scheduler

Cause: in bursts, turns are ordered by arrival and a fixed slowdown bounds the load, so that urgent programs and usual customers are refused like those that cause the burst. Change: `FairShares` and `RankDemand` keep recent service and need; `WaitQueue` orders waiting work by program in progress, guaranteed minimum, rank, customer and age; `ProgramTimes` learns by route what wait callers tolerate. None is used yet.

--- a/packages/swifttide_core/src/swifttide_core/scheduling/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/__init__.py
@@ -1,5 +1,8 @@
 """Order in which programs and turns get the places of targets, without I/O."""
 
+from swifttide_core.scheduling._fair_shares import FairShares
+from swifttide_core.scheduling._program_times import ProgramTimes
+from swifttide_core.scheduling._rank_demand import RankDemand
 from swifttide_core.scheduling._requests import (
     AdmissionGrant,
     AdmissionWithdrawn,
@@ -11,17 +14,23 @@
     TurnQueued,
     TurnResult,
 )
+from swifttide_core.scheduling._wait_queue import Waiter, WaitQueue
 from swifttide_core.scheduling._work_class import WorkClass
 
 __all__ = [
     "AdmissionGrant",
     "AdmissionWithdrawn",
+    "FairShares",
     "PlacementGrant",
     "PlacementRequest",
     "ProgramQueued",
     "ProgramRequest",
+    "ProgramTimes",
+    "RankDemand",
     "TurnId",
     "TurnQueued",
     "TurnResult",
+    "WaitQueue",
+    "Waiter",
     "WorkClass",
 ]
