ENH Scheduler joins queue, shares, times and placement

Change: service is recorded when a turn is placed, waits count as turn time, the memory bound counts the tokens of each event.

--- a/packages/swifttide_core/src/swifttide_core/placement/_choose_by_completion.py
+++ b/packages/swifttide_core/src/swifttide_core/placement/_choose_by_completion.py
@@ -72,7 +72,10 @@
         return None
     prompt_tokens = demand.prompt_tokens
     n_events = event_count(demand)
-    terms = [prediction_terms(c, prompt_tokens, n_events) for c in candidates]
+    per_event = demand.tokens_per_event
+    terms = [
+        prediction_terms(c, prompt_tokens, n_events, per_event) for c in candidates
+    ]
     costs = [w + r + d + n + o + m for w, r, d, n, o, m in terms]
     slack = demand.slack_seconds
     if slack is not None and slack > 0.0:
--- a/packages/swifttide_core/src/swifttide_core/placement/_prediction.py
+++ b/packages/swifttide_core/src/swifttide_core/placement/_prediction.py
@@ -15,9 +15,6 @@
 REMAINING_EVENTS = USUAL_EVENTS / 2
 """Mean number of events that turns in progress have yet to send."""
 
-TOKENS_PER_EVENT = 1.0
-"""Output tokens per event; an engine sends an event for each token."""
-
 MIN_SLOWDOWN = 0.01
 """Lower bound of the growth per other turn, so that equal targets share the load even
 where none was learned. One more turn in a batch slows the others by about 1%."""
@@ -67,6 +64,8 @@
     prompt_tokens : int
     n_events : float
         Expected number of events; 0 if unknown.
+    tokens_per_event : float
+        Output tokens in one event.
     slack_seconds : float or None
         Time that the turn may take longer than at a fast target and still be in time;
         None if unknown, which counts as no slack.
@@ -74,6 +73,7 @@
 
     prompt_tokens: int = 0
     n_events: float = 0.0
+    tokens_per_event: float = 1.0
     slack_seconds: float | None = None
 
 
@@ -148,7 +148,12 @@
 def predict(candidate: PlacementCandidate, demand: TurnDemand) -> Prediction:
     """Return the predicted times of a turn at a target."""
     return Prediction(
-        *prediction_terms(candidate, demand.prompt_tokens, event_count(demand))
+        *prediction_terms(
+            candidate,
+            demand.prompt_tokens,
+            event_count(demand),
+            demand.tokens_per_event,
+        )
     )
 
 
@@ -158,7 +163,10 @@
 
 
 def prediction_terms(
-    candidate: PlacementCandidate, prompt_tokens: int, n_events: float
+    candidate: PlacementCandidate,
+    prompt_tokens: int,
+    n_events: float,
+    tokens_per_event: float,
 ) -> tuple[float, float, float, float, float, float]:
     """Return the fields of a `Prediction`, without the cost of creating one.
 
@@ -192,7 +200,7 @@
     delay = n_others * (read + n_delayed * gap * slowdown)
     memory = 0.0
     if load.token_capacity > 0:
-        needed = load.tokens + prompt_tokens + n_events * TOKENS_PER_EVENT
+        needed = load.tokens + prompt_tokens + n_events * tokens_per_event
         if needed > load.token_capacity:
             memory = MEMORY_PENALTY_SECONDS * needed / load.token_capacity
     return wait, read, decode, network, delay, memory
--- a/packages/swifttide_core/src/swifttide_core/placement/tests/test_choose_by_completion.py
+++ b/packages/swifttide_core/src/swifttide_core/placement/tests/test_choose_by_completion.py
@@ -120,7 +120,7 @@
         """Guards against the last fast slots going to turns that could wait."""
         targets = [candidate(f"f{i}", n_outstanding, 0.7) for i in range(4)]
         targets += [candidate(f"s{i}", 0.0, 1.7) for i in range(2)]
-        assert chosen_id(targets, TurnDemand(0, 4, slack))[0] == expected
+        assert chosen_id(targets, TurnDemand(0, 4, slack_seconds=slack))[0] == expected
 
 
 class TestReplay:
--- a/packages/swifttide_core/src/swifttide_core/scheduling/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/__init__.py
@@ -6,6 +6,7 @@
 from swifttide_core.scheduling._requests import (
     AdmissionGrant,
     AdmissionWithdrawn,
+    Eligible,
     PlacementGrant,
     PlacementRequest,
     ProgramQueued,
@@ -14,12 +15,14 @@
     TurnQueued,
     TurnResult,
 )
+from swifttide_core.scheduling._turn_scheduler import TurnScheduler
 from swifttide_core.scheduling._wait_queue import Waiter, WaitQueue
 from swifttide_core.scheduling._work_class import WorkClass
 
 __all__ = [
     "AdmissionGrant",
     "AdmissionWithdrawn",
+    "Eligible",
     "FairShares",
     "PlacementGrant",
     "PlacementRequest",
@@ -30,6 +33,7 @@
     "TurnId",
     "TurnQueued",
     "TurnResult",
+    "TurnScheduler",
     "WaitQueue",
     "Waiter",
     "WorkClass",
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_load_limit.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_load_limit.py
@@ -12,9 +12,10 @@
 measured slowdown does.
 """
 
-WAIT_SAFETY = 0.5
-"""Part of the tolerable wait that is planned for on average; the rest covers waits that
-are longer than the mean."""
+WAIT_FRACTION = 0.75
+"""Part of the remaining tolerable wait that may be spent in the queue. Measured turn
+times include their waits, so a queue of this length uses up less than half of what
+callers tolerate on average; the rest covers waits that are longer than the mean."""
 
 MAX_QUEUE_FRACTION = 0.5
 """Longest queue that is planned for, in slots of all targets. With a long queue, work
@@ -41,13 +42,13 @@
         Seconds by which a turn may take longer than at low load, on average over the
         turns of a program.
     turn_seconds, low_load_turn_seconds : float
-        Mean time of a turn at its target, recently and at low load, in seconds.
+        Mean time of a turn with its wait, recently and at low load, in seconds.
     """
     slowdown = max(0.0, turn_seconds - low_load_turn_seconds)
     headroom = tolerable_wait - slowdown
     if headroom < 0.0:
         fraction = max(MIN_LIMIT_FRACTION, tolerable_wait / slowdown)
     else:
-        queue = WAIT_SAFETY * headroom / max(turn_seconds, 0.001)
+        queue = WAIT_FRACTION * headroom / max(turn_seconds, 0.001)
         fraction = 1.0 + min(MAX_QUEUE_FRACTION, queue)
     return capacity * fraction
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_outstanding_turns.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_outstanding_turns.py
@@ -42,6 +42,8 @@
         Turns at the target when this one was placed.
     placed_at, expires_at : float
         Monotonic seconds.
+    waited_seconds : float
+        Time that it waited for a slot.
     is_low_load : bool
         Whether most slots of all targets were free when it was placed.
     """
@@ -56,6 +58,7 @@
     n_others: int
     placed_at: float
     expires_at: float
+    waited_seconds: float
     is_low_load: bool
 
 
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_turn_placement.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_turn_placement.py
@@ -30,18 +30,27 @@
     Parameters
     ----------
     turns : OutstandingTurns
+
+    Attributes
+    ----------
+    speeds : TargetSpeeds
+    memory_tokens : int
+        Tokens that the memory of one target holds; 0 if unknown.
+    tokens_per_event : int
+        Output tokens in one event.
     """
 
     def __init__(self, turns: OutstandingTurns):
         self._turns = turns
         self._cached = CachedPrompts()
         self.speeds = TargetSpeeds()
+        self.memory_tokens = 0
+        self.tokens_per_event = 1
 
     def choose(
         self,
         request: PlacementRequest,
         targets: Sequence[TargetEntry],
-        memory_tokens: int,
         slack_seconds: float | None,
         now: float,
     ) -> TargetEntry | None:
@@ -51,8 +60,6 @@
         ----------
         request : PlacementRequest
         targets : sequence of TargetEntry
-        memory_tokens : int
-            Tokens that the memory of one target holds; 0 if unknown.
         slack_seconds : float or None
             Time by which the turn may take longer than on the fastest target; None if
             unknown.
@@ -69,7 +76,7 @@
                     self._turns.count(target.id, now),
                     target.capacity,
                     self._turns.tokens(target.id),
-                    memory_tokens,
+                    self.memory_tokens,
                 ),
                 self.cached_tokens(request, target.id, now),
                 target.zone != request.zone,
@@ -77,9 +84,14 @@
             )
             for target in targets
         ]
-        demand = TurnDemand(request.prompt_tokens, request.n_events, slack_seconds)
+        demand = TurnDemand(
+            request.prompt_tokens,
+            request.n_events,
+            self.tokens_per_event,
+            slack_seconds,
+        )
         choice = choose_by_completion(
-            candidates, demand, request.zone + request.prompt_prefix
+            candidates, demand, request.program + request.branch
         )
         return choice.target if choice else None
 
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
@@ -99,8 +99,19 @@
         self._rate_limiter = TargetRateLimiter()
         self._targets: dict[str, TargetEntry] = {}
         self._expired_at = now
-        self.memory_tokens = 0
-        """Tokens that the memory of one target holds; 0 if unknown."""
+
+    def describe_targets(self, memory_tokens: int, tokens_per_event: int) -> None:
+        """Set what the service's configuration says of each of its targets.
+
+        Parameters
+        ----------
+        memory_tokens : int
+            Tokens that the memory of one target holds; 0 if unknown.
+        tokens_per_event : int
+            Output tokens in one event; 0 if unknown.
+        """
+        self._placement.memory_tokens = memory_tokens
+        self._placement.tokens_per_event = tokens_per_event or 1
 
     def admit_program(
         self,
@@ -219,8 +230,10 @@
         if ended is None:
             return
         seconds = now - ended.placed_at
-        self._shares.record(ended.work, seconds, now)
+        expected = self._times.turn_seconds(ended.work.route)
+        self._shares.record(ended.work, seconds - expected, now)
         if result.is_complete and ended.program:
+            seconds += ended.waited_seconds
             self._times.turn_ended(ended.program, seconds, ended.is_low_load, now)
         entry = self._targets.get(target)
         if entry is not None:
@@ -307,7 +320,7 @@
             self._targets[target.id] = target
         free = [t for t in targets if self._n_free(t, now) > 0]
         chosen = self._placement.choose(
-            request, free or targets, self.memory_tokens, self._slack(request), now
+            request, free or targets, self._slack(request), now
         )
         if chosen is None:
             return None
@@ -327,9 +340,15 @@
                 int(self._turns.count(chosen.id, now)),
                 now,
                 now + request.remaining_seconds,
+                request.waited_seconds,
                 n_all < LOW_LOAD_FRACTION * slots,
             ),
         )
+        # The difference to the actual time follows at the turn's end. Recorded only
+        # then, a rank without service would take every free slot for a whole turn.
+        self._shares.record(
+            request.work, self._times.turn_seconds(request.work.route), now
+        )
         if is_limited:
             self._rate_limiter.record(chosen.id, now)
         self._admission.observe_demand(now)
