--- a/packages/swifttide_core/src/swifttide_core/scheduling/_known_programs.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_known_programs.py
@@ -127,16 +127,14 @@
                 del self._reserved[program]
                 known.reserved_from = None
 
-    def count_pending(self, now: float) -> dict[int, float]:
-        """Return the slots held for programs without a turn yet, by rank."""
-        counts: Counter[int] = Counter()
-        for known in self._entering.values():
-            counts[known.work.rank] += 1
-        for known in self._reserved.values():
-            if known.reserved_from <= now:
-                counts[known.work.rank] += 1
+    def count_entering(self) -> dict[int, float]:
+        """Return the slots held for admitted programs without a turn yet, by rank."""
+        counts = Counter(known.work.rank for known in self._entering.values())
         return {rank: float(n) for rank, n in counts.items()}
 
-    def n_reserved(self) -> int:
-        """Return the number of refused programs that have a reservation."""
-        return len(self._reserved)
+    def reservations(self, now: float) -> list[tuple[WorkClass, bool]]:
+        """Return the class of each reservation, and whether its time has come."""
+        return [
+            (known.work, known.reserved_from <= now)
+            for known in self._reserved.values()
+        ]
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
@@ -215,12 +215,26 @@
         load = self.load(rank, capacity, now) + reserved
         excess = max(0.0, load - self.limit(route, capacity))
         ahead = self._waiting.count_ahead(request, self._shares, now)
-        n_before = ahead + self.programs.n_reserved() + excess + 1
+        n_before = ahead + self._n_reserved_before(request, False, now) + excess + 1
         return n_before / programs_per_second
 
+    def _n_reserved_before(self, request, is_due, now) -> int:
+        """Return how many reservations go before a new program.
+
+        A customer that got more than the asking one doesn't, or the returns of its
+        burst would take the slots of the others.
+        """
+        service = self._shares.customer_service(request.work, now)
+        n = 0
+        for work, has_come in self.programs.reservations(now):
+            if (has_come or not is_due) and work.rank <= request.work.rank:
+                is_same = work == request.work
+                n += is_same or self._shares.customer_service(work, now) <= service
+        return n
+
     def _counts(self, now) -> dict[int, float]:
         counts = self._turns.by_rank()
-        for more in (self._n_waiting_turns(), self.programs.count_pending(now)):
+        for more in (self._n_waiting_turns(), self.programs.count_entering()):
             for rank, n in more.items():
                 counts[rank] = counts.get(rank, 0.0) + n
         return counts
@@ -228,8 +242,8 @@
     def _fits(self, request, capacity, now) -> bool:
         rank = request.work.rank
         load = self.load(rank, capacity, now) + self.reserved_above(rank, now)
-        if self.programs.has_reservation(request.program, now):
-            load -= 1.0
+        if not self.programs.has_reservation(request.program, now):
+            load += self._n_reserved_before(request, True, now)
         return load < self.limit(request.work.route, capacity)
 
     def _is_too_late(self, request, capacity, now) -> bool:
