FIX A zone that is cut off is seen as isolated also while its hosts are replaced

Cause: a host that starts reports that it reaches the store before the store has answered it once. In a zone that was cut off for 6 s while its hosts were restarted, the others took it for a relay, were isolated 2.5 s late, and left the state twice. Change: beacons report the store as reached only after an answer; a host that hears no other zone and got no answer for 0.25 s takes no new connections.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_status_pages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_status_pages.py
@@ -76,7 +76,12 @@
         """
         waited = asyncio.get_running_loop().time() - self.started_at
         has_rates = bool(self._shares.holders()) or waited > MAX_SHARE_WAIT_SECONDS
-        return self._beliefs.is_complete and has_rates and self._may_reuse_connections()
+        return (
+            self._beliefs.is_complete
+            and has_rates
+            and not self._isolation.is_suspected
+            and self._may_reuse_connections()
+        )
 
     def ready(self) -> StatusPage:
         """Return the page for the load balancer's readiness probe."""
@@ -92,7 +97,7 @@
         set_belief("peers_heard", len(self._fleet.alive()))
         set_belief("rate_share", self._rates.share)
         set_belief("program_share", self._entry.min_admitted_fraction())
-        set_belief("store_up", float(self._store.direct_up))
+        set_belief("store_up", float(self._store.is_known_up))
         set_belief("slots_lending", len(self._lender.lending_slots()))
         set_belief("isolated", float(self._isolation.active))
         body, content_type = self._metrics.render()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_exchange.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_exchange.py
@@ -72,7 +72,7 @@
             zone=own.zone,
             boot=own.boot,
             number=number,
-            store_up=self._store.direct_up,
+            store_up=self._store.is_known_up,
             store_full=self._store.is_throttled,
             away_seconds=self._memory.seconds_since_outage(),
             config_change=self._config_watch.newest_change,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_isolation.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_isolation.py
@@ -14,6 +14,10 @@
 """Time without a beacon from other zones after which the store is probed: two beacon
 rounds. The probe runs while the rest of the zone timeout passes."""
 
+STORE_SILENCE_SECONDS = 0.25
+"""Time without an answer of the store, which is probed each `update` while no other
+zone is heard, after which the host may be isolated. A probe takes some milliseconds."""
+
 MIN_RETRY_SECONDS = 0.15
 """Shortest delay before a caller retries on another host."""
 
@@ -40,6 +44,10 @@
     ----------
     active : bool
         Whether the host is isolated, as of the last `update`.
+    is_suspected : bool
+        Whether no other zone is heard and the store hasn't answered for a moment. Such
+        a host takes no new connections, so that callers reach other zones the sooner
+        if it is isolated.
     """
 
     def __init__(self, fleet: Fleet, store: RelayedStore, log: EventLog):
@@ -48,6 +56,7 @@
         self._log = log
         self._since = 0.0
         self.active = False
+        self.is_suspected = False
 
     def update(self) -> None:
         """Check the connectivity again and log a change of the state."""
@@ -73,6 +82,8 @@
 
     def _is_isolated(self):
         if not self._fleet.is_partitioned(STORE_PROBE_DELAY_SECONDS):
+            self.is_suspected = False
             return False
         self._store.probe_store()
+        self.is_suspected = self._store.seconds_since_answer > STORE_SILENCE_SECONDS
         return self._fleet.is_partitioned() and not self._store.is_reachable
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_relayed_store.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_relayed_store.py
@@ -29,6 +29,7 @@
     RelayRead,
     StoreOutcome,
 )
+from swifttide_daemon.gateway.store._call_latency import CallLatency
 from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Conflict,
@@ -40,31 +41,6 @@
 )
 from swifttide_daemon.telemetry import EventLog
 
-HEDGE_DELAY_SECONDS = 0.2
-"""Time after which a call without an answer is sent again, first on a new connection
-and then through another host. It is fifteen times the usual duration of a call. The
-answer may have been lost, or the connection may be dead."""
-
-CALL_TIMEOUT_SECONDS = 1.0
-"""Timeout for all attempts of a call together, while the store works normally."""
-
-HEDGE_LATENCY_FACTOR = 1.5
-"""Multiple of the recent call latency after which the next attempt starts, if that is
-later than `HEDGE_DELAY_SECONDS`. A slow store still answers, and duplicate calls would
-slow it down further."""
-
-TIMEOUT_LATENCY_FACTOR = 3.0
-"""Multiple of the recent call latency after which a call times out, if that is later
-than `CALL_TIMEOUT_SECONDS`."""
-
-MAX_CALL_TIMEOUT_SECONDS = 2.0
-"""Upper limit of the timeout of a call: callers disconnect after two seconds without an
-event."""
-
-LATENCY_DECAY_WEIGHT = 0.2
-"""Weight of a new latency sample that is below the recent latency. A sample above it
-replaces the recent latency at once."""
-
 PROBE_INTERVAL_SECONDS = 0.2
 """Mean time between probes of a store that did not answer."""
 
@@ -109,7 +85,8 @@
     Attributes
     ----------
     direct_up : bool
-        Whether this host reaches the store directly.
+        Whether calls go to the store directly. A host that starts assumes so until a
+        call fails.
     """
 
     def __init__(
@@ -126,16 +103,37 @@
         self._metrics = metrics
         self._log = log
         self._probe: asyncio.Task | None = None
-        self._recent_latency_seconds = 0.0
+        self._latency = CallLatency()
         self._throttled_at = float("-inf")
         self.direct_up = True
+        self._answered_at: float | None = None
+
+    @property
+    def is_known_up(self) -> bool:
+        """Whether the store has answered this host, and still does.
+
+        Other hosts rely on this. If a host that starts within a partition reported that
+        it reaches the store, its zone would not count as isolated.
+        """
+        return self.direct_up and self._answered_at is not None
+
+    @property
+    def seconds_since_answer(self) -> float:
+        """Time since the store last answered this host; infinite if it never did."""
+        if self._answered_at is None:
+            return float("inf")
+        return asyncio.get_running_loop().time() - self._answered_at
 
     async def commit(
         self, tx: Transaction, homes: AllowedRegions = None
     ) -> Applied | Conflict | Unavailable:
         """Apply a transaction; only hosts in these regions may relay it."""
         relayed = RelayCommit(tx)
-        return await self._hedged_call(lambda: self._direct.commit(tx), relayed, homes)
+
+        def call():
+            return self._call_directly(self._direct.commit(tx))
+
+        return await self._hedged_call(call, relayed, homes)
 
     async def read(
         self,
@@ -149,7 +147,7 @@
         relayed = RelayRead(table, part, start, end)
 
         def call():
-            return self._direct.read(table, part, start, end)
+            return self._call_directly(self._direct.read(table, part, start, end))
 
         if start or end:
             return await self._hedged_call(call, relayed, homes)
@@ -168,11 +166,20 @@
         use targets that have been withdrawn.
         """
         return await self._direct_then_relay(
-            lambda: self._direct.changes(table, after, wait_seconds),
+            lambda: self._call_directly(
+                self._direct.changes(table, after, wait_seconds)
+            ),
             RelayChanges(table, after, wait_seconds),
             wait_seconds + RELAY_TIMEOUT_SECONDS,
         )
 
+    async def _call_directly(self, call):
+        """Await a call to the store, and note whether the store has answered."""
+        outcome = await call
+        if not isinstance(outcome, Unavailable) or outcome.throttled:
+            self._answered_at = asyncio.get_running_loop().time()
+        return outcome
+
     async def _direct_then_relay(self, call, relayed, seconds, homes=None):
         """Call the store and, if it does not answer this host, use a relay."""
         outcome = Unavailable("store unreachable from this host")
@@ -220,9 +227,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         try:
-            usual = TIMEOUT_LATENCY_FACTOR * self._recent_latency_seconds
-            limit = min(MAX_CALL_TIMEOUT_SECONDS, max(CALL_TIMEOUT_SECONDS, usual))
-            async with asyncio.timeout(limit):
+            async with asyncio.timeout(self._latency.timeout_seconds):
                 outcome = await self._run_attempts(call, relayed, homes)
         except TimeoutError:
             outcome = Unavailable("no answer", True)
@@ -232,16 +237,9 @@
         seconds = loop.time() - began
         self._metrics.store_call(name, type(outcome).__name__, seconds)
         if not isinstance(outcome, Unavailable):
-            self._record_latency(seconds)
+            self._latency.record(seconds)
         return outcome
 
-    def _record_latency(self, seconds):
-        decayed = (
-            self._recent_latency_seconds
-            + (seconds - self._recent_latency_seconds) * LATENCY_DECAY_WEIGHT
-        )
-        self._recent_latency_seconds = max(seconds, decayed)
-
     async def _run_attempts(self, call, relayed, homes):
         """Start one attempt after the other and return the first answer.
 
@@ -257,8 +255,7 @@
             while attempts or pending:
                 if attempts:
                     pending.add(asyncio.ensure_future(attempts.pop(0)()))
-                usual = HEDGE_LATENCY_FACTOR * self._recent_latency_seconds
-                wait = max(HEDGE_DELAY_SECONDS, usual) if attempts else None
+                wait = self._latency.hedge_seconds if attempts else None
                 done, pending = await asyncio.wait(
                     pending, timeout=wait, return_when=asyncio.FIRST_COMPLETED
                 )
@@ -349,6 +346,8 @@
     async def _probe_once(self):
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                return await self._direct.read(PROBE_TABLE, "", PROBE_KEY, PROBE_KEY)
+                return await self._call_directly(
+                    self._direct.read(PROBE_TABLE, "", PROBE_KEY, PROBE_KEY)
+                )
         except TimeoutError:
             return Unavailable("no answer")
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_isolation.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_isolation.py
@@ -59,6 +59,45 @@
 
         assert run_paused(main()) <= 0.9
 
+    def test_host_that_starts_within_a_partition_does_not_hide_it(self, store, log):
+        """Guards against hosts that report a store which never answered them.
+
+        Hosts replaced within an isolated zone kept the whole zone from being detected.
+        """
+
+        async def main():
+            cut, started = PartitionedHost(store, log), PartitionedHost(store, log)
+            await cut.run(1.0, PEERS)
+            store.hangs = True
+            neighbour = Peer("10.0.0.2", 1, "zone-0", "new")
+            loop = asyncio.get_running_loop()
+            isolated = []
+            for _ in range(15):
+                cut.fleet.record_beacon(neighbour, started.store.is_known_up)
+                cut.isolation.update()
+                isolated.append((cut.isolation.active, loop.time()))
+                await asyncio.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
+            return [active for active, _ in isolated]
+
+        isolated = run_paused(main())
+        assert any(isolated)
+        assert all(isolated[isolated.index(True) :])
+
+    def test_unconfirmed_partition_takes_no_new_connections(self, store, log):
+        """Guards against callers that are still sent to an isolated host.
+
+        The balancer needs two failed probes to remove it.
+        """
+
+        async def main():
+            cut = PartitionedHost(store, log)
+            await cut.run(1.0, PEERS)
+            store.hangs = True
+            await cut.run(0.65)
+            return cut.isolation.active, cut.isolation.is_suspected
+
+        assert run_paused(main()) == (False, True)
+
     @pytest.mark.parametrize("heard", [PEERS, PEERS[:1]])
     def test_store_outage_alone_is_not_isolation(self, store, log, heard):
         """Guards against hosts that redirect callers in an outage of the store."""
@@ -79,6 +118,7 @@
         async def main():
             cut = PartitionedHost(store, log)
             await cut.run(1.0, PEERS)
-            return await cut.run(3.0)
+            isolated_at = await cut.run(3.0)
+            return isolated_at, cut.isolation.is_suspected
 
-        assert run_paused(main()) is None
+        assert run_paused(main()) == (None, False)
