--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
@@ -157,7 +157,7 @@
         reserved = job.reservation
         if reserved is None or not reserved.is_partial:
             return
-        if (progress.n_events + 1) * job.service.tokens_per_event > reserved.most:
+        if (progress.n_events + 1) * job.service.tokens_per_event > reserved.tokens:
             raise Refusal(502, "tokens_used_up_in_outage")
 
     async def _store_turn(self, job, progress):
