--- a/packages/swifttide_core/src/swifttide_core/scheduling/_wait_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_wait_queue.py
@@ -20,6 +20,11 @@
 """Guaranteed fraction of recent service for each rank that has waiting work. A rank
 below it goes before more urgent ones, so that it is never starved."""
 
+CATCH_UP_INTERVAL = 3
+"""A rank below its minimum share goes before more urgent ones at every third place. A
+rank that returns after a pause would otherwise take every free place until it has
+caught up, while urgent work waits."""
+
 MAX_WAITERS = 1_000
 """Largest number of waiters: two seconds of what the targets of a service complete,
 which is longer than callers' deadlines allow a turn to wait."""
@@ -115,10 +120,11 @@
 class WaitQueue:
     """Bounded queue, ordered by what the waiters' programs and customers have received.
 
-    The order is: work of programs in progress; a rank with less than its minimum share
-    of recent service; the more urgent rank; the customer with the least recent service
-    in its rank; the oldest. Several ranks below their minimum go by urgency, so that
-    the minimum changes nothing until a more urgent rank has been served.
+    The order is: work of programs in progress; at every third place a rank with less
+    than its minimum share of recent service; the more urgent rank; the customer with
+    the least recent service in its rank; the oldest. Several ranks below their minimum
+    go by urgency, so that the minimum changes nothing until a more urgent rank has been
+    served.
 
     Parameters
     ----------
@@ -132,6 +138,7 @@
         self._groups: dict[tuple[bool, int], _Group] = {}
         self._give_ups: list[tuple[float, int, Hashable]] = []
         self._numbers = itertools.count()
+        self._n_since_catch_up = CATCH_UP_INTERVAL
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -221,9 +228,19 @@
         for group_key in self._groups_in_order(shares, now):
             for _, _, waiter in self._groups[group_key].in_order(shares, now):
                 if may_take(waiter):
+                    self._count_catch_up(group_key)
                     return self.remove(waiter.key)
         return None
 
+    def _count_catch_up(self, group_key):
+        """Count the places since a rank went before a more urgent one."""
+        is_begun, rank = group_key
+        is_catch_up = any(
+            other_begun == is_begun and other < rank
+            for other_begun, other in self._groups
+        )
+        self._n_since_catch_up = 1 if is_catch_up else self._n_since_catch_up + 1
+
     def count_ahead(self, waiter: Waiter, shares: FairShares, now: float) -> int:
         """Return the number of waiters that are before one in the order of now.
 
@@ -269,7 +286,11 @@
         return counts
 
     def _groups_in_order(self, shares, now) -> list[tuple[bool, int]]:
-        return sorted(self._groups, key=lambda key: _group_order(*key, shares, now))
+        if self._n_since_catch_up < CATCH_UP_INTERVAL:
+            return sorted(self._groups, key=lambda key: (not key[0], key[1]))
+        return sorted(
+            self._groups, key=lambda key: _group_order(key[0], key[1], shares, now)
+        )
 
 
 def _group_order(is_begun, rank, shares, now) -> tuple[bool, bool, int]:
