ENH swifttide contention; explain names what a refused program gave way to

Change: `contention` shows for each service and window the slots, load, limit and reserved slots at the highest load, requests served, waiting and refused by rank, customer and zone with waits and reasons, and for the whole span the speed of each target beside the share that it served. `explain` adds to `targets_full` the rank, customer, wait and announced return, and from the nearest status within 3 s the slots of more urgent ranks, the reserved ones and the customer with most waiting work; none of the latter where the host decided without the scheduler. Fields that older hosts don't write count as unknown. Windows, quantiles and reasons are shared with `decompose`; a report may have further tables. The help tests cover `decompose` and `explain` as well.

Result: test_contention, test_competitors, test_explain, test_decompose and test_main of the command pass. Not tried on logs of a real run: no host writes the fields yet.

--- a/packages/swifttide_cli/src/swifttide_cli/commands/_decompose.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_decompose.py
@@ -1,6 +1,5 @@
 """``swifttide decompose``: where time and requests went, window by window."""
 
-import statistics
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import Annotated, Any
@@ -8,14 +7,20 @@
 import cappa
 from expression import Error, Ok, Result
 
-from swifttide_cli.commands._log_lines import read_lines, seconds_of
+from swifttide_cli.commands._log_lines import read_lines
 from swifttide_cli.commands._options import Options
+from swifttide_cli.commands._windows import (
+    DEFAULT_WINDOW_SECONDS,
+    ENDINGS,
+    check_window,
+    quantile,
+    reason_of,
+    show_reasons,
+    split_windows,
+)
 from swifttide_cli.exit_codes import ExitCode
 from swifttide_cli.output import Failure, Report
 
-MAX_REASONS = 4
-"""Reasons of refusals that are shown for a window, the most frequent first."""
-
 
 @cappa.command(
     name="decompose",
@@ -41,17 +46,18 @@
     ] = ()
     window: Annotated[
         float, cappa.Arg(long="--window", help="Seconds of a window (2).")
-    ] = 2.0
+    ] = DEFAULT_WINDOW_SECONDS
 
     def __call__(self, options: Options) -> Result[Report, Failure]:
         """Run the command."""
-        if not self.window > 0.0:
-            message = f"--window {self.window:g}: not a positive number of seconds"
-            return Error(Failure(ExitCode.INVALID, message, "give 2, for example."))
-        return read_lines(self.files).bind(self._report)
+        return (
+            check_window(self.window)
+            .bind(lambda _: read_lines(self.files))
+            .bind(self._report)
+        )
 
     def _report(self, lines) -> Result[Report, Failure]:
-        own = [line for line in lines if line["event"] in _ENDINGS]
+        own = [line for line in lines if line["event"] in ENDINGS]
         if not own:
             message = "no line of a request that was served or refused"
             advice = "give the logs of all hosts."
@@ -66,8 +72,6 @@
         )
 
 
-_ENDINGS = frozenset({"request_served", "request_refused"})
-
 _COLUMNS = (
     "SECOND",
     "TURNS",
@@ -109,7 +113,7 @@
 
     def refuse(self, line: dict[str, Any], was_served: bool) -> None:
         """Take a request that was refused."""
-        self.reasons[str(line.get("reason", "")).partition(":")[0]] += 1
+        self.reasons[reason_of(line)] += 1
         if was_served:
             self.n_refused_under_way += 1
         else:
@@ -117,11 +121,7 @@
 
     def quantile(self, hop: str, part: float) -> float:
         """Return a quantile of a hop's seconds; 0 where nothing was served."""
-        times = self.hops[hop]
-        if len(times) < 2:
-            return times[0] if times else 0.0
-        cuts = statistics.quantiles(times, n=100, method="inclusive")
-        return cuts[round(part * 100) - 1]
+        return quantile(self.hops[hop], part) or 0.0
 
     def as_dict(self) -> dict[str, Any]:
         """Return the window for ``--json``."""
@@ -142,23 +142,21 @@
     def as_row(self) -> tuple[str, ...]:
         """Return the window's row of the table."""
         *figures, reasons = self.as_dict().values()
-        shown = Counter(reasons).most_common(MAX_REASONS)
         texts = [f"{f:.3f}" if isinstance(f, float) else str(f) for f in figures]
-        return (*texts, " ".join(f"{reason}={n}" for reason, n in shown))
+        return (*texts, show_reasons(reasons))
 
 
 def _windows(own, seconds) -> list[_Window]:
-    own.sort(key=seconds_of)
-    began = seconds_of(own[0])
-    windows: dict[int, _Window] = {}
+    windows = []
     served: set[str] = set()
-    for line in own:
-        number = int((seconds_of(line) - began) // seconds)
-        window = windows.setdefault(number, _Window(number * seconds))
-        program = line.get("program", "")
-        if line["event"] == "request_served":
-            window.serve(line)
-            served.add(program)
-        else:
-            window.refuse(line, bool(program) and program in served)
-    return [windows[number] for number in sorted(windows)]
+    for start, lines in split_windows(own, seconds).items():
+        window = _Window(start)
+        for line in lines:
+            program = line.get("program", "")
+            if line["event"] == "request_served":
+                window.serve(line)
+                served.add(program)
+            else:
+                window.refuse(line, bool(program) and program in served)
+        windows.append(window)
+    return windows
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_explain.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 
 from swifttide_cli.commands._causes import cause_of
+from swifttide_cli.commands._competitors import Competitors
 from swifttide_cli.commands._log_lines import read_lines, seconds_of
 from swifttide_cli.commands._options import Options
 from swifttide_cli.exit_codes import ExitCode
@@ -129,9 +130,16 @@
         for line in timeline
     )
     cause = cause_of(own, around)
+    data = {"request_id": request_id, "cause": cause, "timeline": timeline}
+    competitors = Competitors.find(own, lines)
+    told = (f"cause: {cause}",)
+    if competitors:
+        data["gave_way_to"] = competitors.as_dict()
+        text = competitors.as_text()
+        told += (f"contention: {text}",) if text else ()
     return Report(
-        {"request_id": request_id, "cause": cause, "timeline": timeline},
-        lines=(f"cause: {cause}",),
+        data,
+        lines=told,
         columns=("SECONDS", "HOST", "EVENT", "DETAILS"),
         rows=rows,
     )
--- a/packages/swifttide_cli/src/swifttide_cli/commands/_swifttide.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_swifttide.py
@@ -8,6 +8,7 @@
 
 from swifttide_cli.commands._check import Check
 from swifttide_cli.commands._config import Config
+from swifttide_cli.commands._contention import Contention
 from swifttide_cli.commands._customer import CustomerCommand
 from swifttide_cli.commands._decompose import Decompose
 from swifttide_cli.commands._explain import Explain
@@ -26,6 +27,7 @@
 _Subcommand = (
     Check
     | Config
+    | Contention
     | CustomerCommand
     | Decompose
     | Explain
--- a/packages/swifttide_cli/src/swifttide_cli/output/__init__.py
+++ b/packages/swifttide_cli/src/swifttide_cli/output/__init__.py
@@ -2,6 +2,6 @@
 
 from swifttide_cli.output._failure import Failure
 from swifttide_cli.output._printing import print_failure, print_report
-from swifttide_cli.output._report import Report
+from swifttide_cli.output._report import Report, Table
 
-__all__ = ["Failure", "Report", "print_failure", "print_report"]
+__all__ = ["Failure", "Report", "Table", "print_failure", "print_report"]
--- a/packages/swifttide_cli/src/swifttide_cli/output/_printing.py
+++ b/packages/swifttide_cli/src/swifttide_cli/output/_printing.py
@@ -4,12 +4,12 @@
 import sys
 from typing import TextIO
 
+from rich import table as rich_table
 from rich.console import Console
-from rich.table import Table
 from rich.text import Text
 
 from swifttide_cli.output._failure import Failure
-from swifttide_cli.output._report import Report
+from swifttide_cli.output._report import Report, Table
 
 PIPE_WIDTH = 200
 """Columns where the output is no terminal: cells aren't cut short there."""
@@ -27,6 +27,9 @@
         print(line, file=stream)
     if report.columns:
         _print_table(report, stream)
+    for table in report.tables:
+        print(f"\n{table.title}", file=stream)
+        _print_table(table, stream)
 
 
 def print_failure(failure: Failure, as_json: bool) -> None:
@@ -49,10 +52,10 @@
         print(f"What to do: {failure.advice}", file=sys.stderr)
 
 
-def _print_table(report: Report, stream: TextIO) -> None:
+def _print_table(report: Report | Table, stream: TextIO) -> None:
     width = None if stream.isatty() else PIPE_WIDTH
     console = Console(file=stream, width=width, highlight=False)
-    table = Table(box=None, pad_edge=False, header_style="bold")
+    table = rich_table.Table(box=None, pad_edge=False, header_style="bold")
     for column in report.columns:
         table.add_column(column)
     for row in report.rows:
--- a/packages/swifttide_cli/src/swifttide_cli/tests/test_main.py
+++ b/packages/swifttide_cli/src/swifttide_cli/tests/test_main.py
@@ -10,11 +10,11 @@
 
 EXAMPLES = Path(__file__).parents[5] / "examples"
 COMMANDS = """
-check | config | config history | customer | customer list | customer show
-customer set | hosts | key | key grant | key list | key withdraw | profile
-profile history | profile list | profile put | profile show | program | program end
-program show | replay | target | target leave | target list | target put | targets
-trace | version
+check | config | config history | contention | customer | customer list | customer show
+customer set | decompose | explain | hosts | key | key grant | key list | key withdraw
+profile | profile history | profile list | profile put | profile show | program
+program end | program show | replay | target | target leave | target list | target put
+targets | trace | version
 """
 LEVELS = ["", *(c.strip() for c in COMMANDS.strip().replace("\n", "|").split("|"))]
 
