ENH Slow callers and targets share a memory budget of the host

Cause: what a host holds for slow callers and targets wasn't bounded over its connections, and a process over its memory limit is killed. Request bodies were counted only once they were whole: two bodies of 100 KB each, but for their last byte, were accepted at a limit of 150 KB.

Change: `limits.memory_mb` gives `GatewaySettings.memory_bytes`; a quarter of it is the budget. `AnswerBuffers` observes callers' connections and aborts stalled readers, `TargetUploads` bounds the bodies that a target hasn't read, `Frontend` counts bodies as they arrive, with or without a budget. A complete answer is delivered outside the deadline of its request. `Forwarder` passes the size and deadline to `connect`: a body waits before the connection is used, so that a target drained meanwhile gets nothing.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -4,6 +4,7 @@
 import uuid
 from collections.abc import Callable
 
+from swifttide_core.buffering import MemoryBudget
 from swifttide_core.forwarding import RoutingConfig
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._graceful_shutdown import GracefulShutdown
@@ -20,6 +21,7 @@
 )
 from swifttide_daemon.gateway.budgets._token_lender import TokenLender
 from swifttide_daemon.gateway.callers._admission import Admission
+from swifttide_daemon.gateway.callers._answer_buffers import AnswerBuffers
 from swifttide_daemon.gateway.callers._answer_relay import AnswerRelay
 from swifttide_daemon.gateway.callers._dialect import Dialect
 from swifttide_daemon.gateway.callers._forwarder import Forwarder
@@ -51,6 +53,7 @@
 from swifttide_daemon.gateway.targets._target_client import TargetClient
 from swifttide_daemon.gateway.targets._target_health import TargetHealth
 from swifttide_daemon.gateway.targets._target_prober import TargetProber
+from swifttide_daemon.gateway.targets._target_uploads import TargetUploads
 from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
 from swifttide_daemon.telemetry import EventLog
 
@@ -91,11 +94,18 @@
         self._log = log
         self._settings_watch = SettingsWatch(read_settings, self._apply_settings, log)
         self._metrics = GatewayMetrics(cfg.host, cfg.zone)
+        self._build_buffers()
         self._build_target_side()
         self._build_fleet_side(store)
         self._build_table_watches()
         self._build_caller_side(dialect)
 
+    def _build_buffers(self):
+        n_bytes = self._cfg.memory_bytes
+        budget = MemoryBudget(n_bytes) if n_bytes > 0 else None
+        self._uploads = TargetUploads(budget)
+        self._buffers = AnswerBuffers(budget, self._uploads, self._metrics, self._log)
+
     def _build_target_side(self):
         log = self._log
         self._strikes = StrikeKeeper(log)
@@ -214,7 +224,7 @@
             cfg,
             self.beliefs,
             dialect,
-            TargetClient(dialect, self._pool, self._prober),
+            TargetClient(dialect, self._pool, self._prober, self._uploads),
             self._health,
             self._order,
             self._fleet,
@@ -245,6 +255,7 @@
             self._may_reuse_connections,
             self._forwarder.handle,
             log,
+            self._buffers,
         )
         ready_path = self._decoders.ready_path
         self._pages = StatusPages(
@@ -256,6 +267,7 @@
             self._shares,
             self._entry,
             self._lender,
+            self._buffers,
             self._metrics,
             self._may_reuse_connections,
         )
@@ -332,6 +344,7 @@
             self._pool.close_expired()
             self.beliefs.drop_lapsed()
             self._isolation.update()
+            self._buffers.refresh()
 
     def _forget_target(self, target_id: str) -> None:
         """Discard the state of a target that has been removed."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_metrics.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_metrics.py
@@ -50,6 +50,14 @@
             self._registry,
         )
 
+        self._given_up = Counter(
+            "swifttide_readers_given_up_total",
+            "Connections of callers aborted because their unread answers filled the "
+            "memory budget.",
+            labels,
+            self._registry,
+        )
+
     def answered(self, status: int, reason: str) -> None:
         """Count an answer to a caller."""
         self._requests.inc({"status": str(status), "reason": reason})
@@ -66,6 +74,10 @@
         """Set the gauge for one value of this host's view, such as ``targets``."""
         self._beliefs.set({"belief": what}, value)
 
+    def reader_given_up(self) -> None:
+        """Count a caller whose connection was aborted to release memory."""
+        self._given_up.inc({})
+
     def render(self) -> tuple[bytes, str]:
         """Return all series in the text format, and the content type."""
         return text.TextFormatter().marshall(self._registry), text.TEXT_CONTENT_TYPE
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_settings.py
@@ -42,6 +42,9 @@
     cold_excess, cold_extra : float
         Limit for a cold target: its capacity in requests per second times
         ``cold_excess``, plus ``cold_extra`` requests.
+    memory_bytes : int
+        Memory limit of the host, from which the bound on the bytes buffered for slow
+        callers and targets is derived. With 0, each connection has a bound of its own.
     """
 
     host: str
@@ -62,3 +65,4 @@
     rate_extra: float = 0.0
     cold_excess: float = 1.0
     cold_extra: float = 0.0
+    memory_bytes: int = 0
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_sockets.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_sockets.py
@@ -1,4 +1,4 @@
-"""Timeouts and socket options of TCP connections."""
+"""Timeouts, socket options and buffer sizes of TCP connections."""
 
 import socket
 
@@ -10,6 +10,11 @@
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MILLISECONDS = 2_000
 
+MAX_KERNEL_UNSENT_BYTES = 65_536
+"""Unsent bytes that the kernel takes on a connection whose buffers are bounded. Without
+this limit it took 3.3 to 3.9 MB for a caller on loopback that read nothing. They may
+count against the memory limit of the host, and hide the progress of a slow reader."""
+
 
 def set_socket_options(sock: socket.socket) -> None:
     """Set the TCP options of a connection.
@@ -26,3 +31,9 @@
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+
+
+def limit_kernel_unsent_bytes(sock: socket.socket) -> None:
+    """Limit the unsent bytes that the kernel takes on a connection."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NOTSENT_LOWAT, MAX_KERNEL_UNSENT_BYTES)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_status_pages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_status_pages.py
@@ -7,6 +7,7 @@
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._status_server import NOT_READY, OK, StatusPage
 from swifttide_daemon.gateway.budgets._token_lender import TokenLender
+from swifttide_daemon.gateway.callers._answer_buffers import AnswerBuffers
 from swifttide_daemon.gateway.callers._program_entry import ProgramEntry
 from swifttide_daemon.gateway.peers._fleet import Fleet
 from swifttide_daemon.gateway.peers._isolation import IsolationDetector
@@ -32,6 +33,7 @@
     shares : ShareAllocator
     entry : ProgramEntry
     lender : TokenLender
+    buffers : AnswerBuffers
     metrics : GatewayMetrics
     may_reuse_connections : callable
         Returns whether callers may send further requests on their connections.
@@ -52,6 +54,7 @@
         shares: ShareAllocator,
         entry: ProgramEntry,
         lender: TokenLender,
+        buffers: AnswerBuffers,
         metrics: GatewayMetrics,
         may_reuse_connections: Callable[[], bool],
     ):
@@ -63,6 +66,7 @@
         self._shares = shares
         self._entry = entry
         self._lender = lender
+        self._buffers = buffers
         self._metrics = metrics
         self._may_reuse_connections = may_reuse_connections
         self.started_at = float("inf")
@@ -94,6 +98,7 @@
         set_belief("program_share", self._entry.min_admitted_fraction())
         set_belief("store_up", float(self._store.direct_up))
         set_belief("slots_lending", len(self._lender.lending_slots()))
+        set_belief("held_bytes", self._buffers.held_bytes)
         set_belief("isolated", float(self._isolation.active))
         body, content_type = self._metrics.render()
         return StatusPage(OK.status, body, content_type)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
@@ -92,12 +92,20 @@
         if progress.n_events or job.channel.started:
             exchange.cancel()
             raise TargetFailure(MayHaveRun(f"answered {head.status} to a resumption"))
-        body = await exchange.read_body()
+        try:
+            await self._relay_whole(job, progress, exchange)
+        finally:
+            await job.channel.hold_collected(0)
+
+    async def _relay_whole(self, job, progress, exchange):
+        head = exchange.head
+        body = await exchange.read_body(job.channel.hold_collected)
         if head.status in NOT_RUN_STATUSES:
             # These statuses mean "not run" only with the header field that says so;
             # without it the target may have run the request.
             raise TargetFailure(MayHaveRun(f"answered {head.status}"))
         progress.first_seconds = request_age_seconds(job.req)
+        await job.channel.hold_collected(0)
         await job.channel.answer(head.status, self._dialect.answer_fields(head), body)
         self._log_served(job, progress, exchange.target, head.status)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_caller_channel.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_caller_channel.py
@@ -2,9 +2,7 @@
 
 import h11
 
-MAX_UNSENT_BYTES = 65_536
-"""Unsent bytes from which writes wait for a slow caller, which also stops reading from
-the target."""
+from swifttide_daemon.gateway.callers._answer_buffers import AnswerBuffer
 
 
 class CallerChannel:
@@ -14,7 +12,8 @@
     ----------
     http : h11.Connection
         HTTP/1.1 state of the connection.
-    writer : asyncio.StreamWriter
+    buffer : AnswerBuffer
+        Takes the bytes, and waits where the caller reads slowly.
     may_keep_alive : callable
         Returns whether the connection may be reused for another request.
 
@@ -28,9 +27,9 @@
         Whether the connection was closed before the response was complete.
     """
 
-    def __init__(self, http, writer, may_keep_alive):
+    def __init__(self, http, buffer: AnswerBuffer, may_keep_alive):
         self._http = http
-        self._writer = writer
+        self._buffer = buffer
         self._may_keep_alive = may_keep_alive
         self.started = False
         self.finished = False
@@ -49,6 +48,10 @@
         length : int or None
             Length of the body in bytes; None for chunked transfer coding.
         """
+        self._write_head(status, fields, length)
+        await self._buffer.wait_after_piece()
+
+    def _write_head(self, status, fields, length):
         fields = [f for f in fields if f[0].lower() != b"content-length"]
         if length is not None:
             fields.append((b"Content-Length", str(length).encode()))
@@ -58,34 +61,39 @@
             fields.append((b"Connection", b"close"))
         head = h11.Response(status_code=status, headers=fields)
         self.started = True
-        self._writer.write(self._http.send(head))
-        await self._drain()
+        self._buffer.write(self._http.send(head))
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of the body."""
-        self._writer.write(self._http.send(h11.Data(data=piece)))
-        await self._drain()
+        self._buffer.write(self._http.send(h11.Data(data=piece)))
+        await self._buffer.wait_after_piece()
 
     async def finish(self) -> None:
         """End the response as complete."""
-        self._writer.write(self._http.send(h11.EndOfMessage()))
+        self._buffer.write(self._http.send(h11.EndOfMessage()))
         self.finished = True
-        await self._drain()
+        await self._buffer.wait_after_end()
 
     async def answer(
         self, status: int, fields: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
         """Send a complete response with a body of known length."""
-        await self.start(status, fields, len(body))
+        self._write_head(status, fields, len(body))
         if body:
-            await self.write(body)
+            self._buffer.write(self._http.send(h11.Data(data=body)))
         await self.finish()
 
+    async def hold_collected(self, n_bytes: int) -> None:
+        """Hold bytes of an answer that is read whole, and wait for room for more.
+
+        Parameters
+        ----------
+        n_bytes : int
+            Bytes collected so far; 0 once they are written or discarded.
+        """
+        await self._buffer.hold_collected(n_bytes)
+
     def abort(self) -> None:
         """Abort the connection, which shows the caller an incomplete response."""
         self.aborted = True
-        self._writer.transport.abort()
-
-    async def _drain(self):
-        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            await self._writer.drain()
+        self._buffer.abort()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -349,7 +349,7 @@
         progress.target_load = self._health.outstanding(target.id) / places
         self._health.record_sent(target.id)
         try:
-            conn = await self._client.connect(target)
+            conn = await self._client.connect(target, len(job.body), job.expires_at)
             if not self._beliefs.may_use(target, job.homes):
                 # The zone was emptied or the target drained while connecting, which may
                 # take seconds.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_frontend.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_frontend.py
@@ -11,6 +11,7 @@
 
 from swifttide_core.forwarding import RequestLimits
 from swifttide_daemon.gateway._sockets import set_socket_options
+from swifttide_daemon.gateway.callers._answer_buffers import AnswerBuffers
 from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
 from swifttide_daemon.gateway.callers._caller_request import CallerRequest
 from swifttide_daemon.gateway.callers._dialect import BadRequest, Dialect
@@ -22,7 +23,7 @@
 
 MAX_BUFFERED_BYTES = 41_943_040
 """Total size of request bodies in memory. The smallest hosts have 170 MB of memory in
-all."""
+all. A memory budget may allow less."""
 
 Handler = Callable[[CallerRequest, CallerChannel], Awaitable[None]]
 
@@ -67,6 +68,8 @@
     handle : callable
         Answers one request.
     log : EventLog
+    buffers : AnswerBuffers or None
+        Bytes held for callers; None where they aren't limited.
 
     Attributes
     ----------
@@ -81,16 +84,18 @@
         may_keep_alive: Callable[[], bool],
         handle: Handler,
         log: EventLog,
+        buffers: AnswerBuffers | None = None,
     ):
         self._dialect = dialect
         self._limits = limits
         self._may_keep_alive = may_keep_alive
         self._handle = handle
         self._log = log
+        self._buffers = buffers if buffers is not None else AnswerBuffers()
         self._server = None
         self._busy: set[asyncio.Task] = set()
         self._connections: dict[asyncio.Task, asyncio.StreamWriter] = {}
-        self._buffered_bytes = 0
+        self._body_bytes = 0
         self.stopping = False
 
     async def listen(self, ip: str, port: int) -> int:
@@ -120,6 +125,21 @@
             if task not in self._busy:
                 writer.close()
 
+    @property
+    def has_room_for_bodies(self) -> bool:
+        """Whether the request bodies in memory are within their limit."""
+        budget = self._buffers.budget
+        most = MAX_BUFFERED_BYTES
+        if budget is not None:
+            most = min(most, budget.max_request_bytes)
+        return self._body_bytes <= most
+
+    def add_body_bytes(self, n_bytes: int) -> None:
+        """Add to the size of request bodies in memory, or subtract from it."""
+        self._body_bytes += n_bytes
+        if self._buffers.budget is not None:
+            self._buffers.budget.set_request_bytes(self._body_bytes)
+
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._connections[task] = writer
@@ -144,32 +164,49 @@
         self._reader = reader
         self._writer = writer
         self._task = task
+        self._buffer = front._buffers.open(writer)
+        self._body_bytes = 0
         self._disconnected = writer.transport.get_protocol().disconnected
         limit = front._limits().max_header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
 
     async def run(self):
-        while True:
-            try:
-                head = await self._read_head()
-                if head is None:
-                    return
-                self._frontend._busy.add(self._task)
-                body = await self._read_body(head)
-                req = self._decode(head, body)
-            except Refusal as refusal:
-                await self._refuse(refusal)
-                return
-            channel = CallerChannel(
-                self._http, self._writer, self._frontend._may_keep_alive
-            )
-            try:
-                await self._run_until_disconnect(self._frontend._handle(req, channel))
-            finally:
-                self._frontend._buffered_bytes -= len(body)
-            self._frontend._busy.discard(self._task)
-            if not self._start_next_request():
-                return
+        try:
+            while await self._serve_request():
+                pass
+        finally:
+            self._release_body()
+            self._buffer.close()
+
+    async def _serve_request(self):
+        """Read and answer one request; return whether another one may follow."""
+        try:
+            head = await self._read_head()
+            if head is None:
+                return False
+            self._frontend._busy.add(self._task)
+            req = self._decode(head, await self._read_body(head))
+        except Refusal as refusal:
+            self._release_body()
+            await self._refuse(refusal)
+            return False
+        self._buffer.request_id = req.id
+        channel = CallerChannel(
+            self._http, self._buffer, self._frontend._may_keep_alive
+        )
+        try:
+            await self._run_until_disconnect(self._frontend._handle(req, channel))
+        finally:
+            del req
+            self._release_body()
+        if channel.finished:
+            await self._buffer.deliver()
+        self._frontend._busy.discard(self._task)
+        return self._start_next_request()
+
+    def _release_body(self):
+        self._frontend.add_body_bytes(-self._body_bytes)
+        self._body_bytes = 0
 
     async def _read_head(self):
         limits = self._frontend._limits()
@@ -198,9 +235,18 @@
             self._receive(data)
 
     async def _read_body(self, head):
+        body = bytearray()
+        try:
+            await self._receive_body(head, body)
+        except Refusal:
+            # The exception refers to the body until the caller has read the refusal.
+            body.clear()
+            raise
+        return bytes(body)
+
+    async def _receive_body(self, head, body):
         limits = self._frontend._limits()
         self._check_framing(head, limits)
-        body = bytearray()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + limits.idle_seconds
         if self._http.they_are_waiting_for_100_continue:
@@ -211,10 +257,12 @@
             match event:
                 case h11.Data():
                     body += event.data
+                    # Bodies that callers send slowly take memory as well.
+                    self._body_bytes += len(event.data)
+                    self._frontend.add_body_bytes(len(event.data))
                     self._check_size(len(body), limits)
                 case h11.EndOfMessage():
-                    self._frontend._buffered_bytes += len(body)
-                    return bytes(body)
+                    return
                 case h11.ConnectionClosed():
                     raise EOFError
                 case _:
@@ -245,7 +293,7 @@
     def _check_size(self, size, limits):
         if size > limits.max_body_bytes:
             raise Refusal(413, "body_too_large")
-        if self._frontend._buffered_bytes + size > MAX_BUFFERED_BYTES:
+        if not self._frontend.has_room_for_bodies:
             raise Refusal(503, "host_full", 1.0)
 
     def _next_event(self):
@@ -270,7 +318,6 @@
                 method, bytes(head.target), tuple(head.headers), body, now
             )
         except BadRequest as exc:
-            self._frontend._buffered_bytes -= len(body)
             raise Refusal(400, exc.detail) from exc
 
     async def _refuse(self, refusal):
@@ -278,7 +325,7 @@
         self._frontend._log.info(
             "request_unreadable", status=refusal.status, reason=refusal.reason
         )
-        channel = CallerChannel(self._http, self._writer, lambda: False)
+        channel = CallerChannel(self._http, self._buffer, lambda: False)
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         fields = self._frontend._dialect.refusal_fields("", refusal.retry_after)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_client.py
@@ -5,6 +5,8 @@
 the id of the attempt.
 """
 
+from collections.abc import Awaitable, Callable
+
 import h11
 
 from swifttide_core.forwarding import TargetEntry
@@ -19,6 +21,7 @@
     TargetFailure,
 )
 from swifttide_daemon.gateway.targets._target_prober import TargetProber
+from swifttide_daemon.gateway.targets._target_uploads import TargetUploads
 
 MAX_STRAY_ANSWERS = 4
 """Maximum number of answers to earlier requests that are skipped for one request."""
@@ -79,14 +82,25 @@
             )
         return piece
 
-    async def read_body(self) -> bytes:
-        """Return the whole body; raises `TargetFailure`."""
+    async def read_body(
+        self, hold: Callable[[int], Awaitable[None]] | None = None
+    ) -> bytes:
+        """Return the whole body; raises `TargetFailure`.
+
+        Parameters
+        ----------
+        hold : callable or None
+            Called with the number of bytes read so far; the next chunk is read when
+            it returns.
+        """
         body = bytearray()
         while (piece := await self.read_piece()) is not None:
             body += piece
             if len(body) > MAX_ANSWER_BYTES:
                 self.cancel()
                 raise TargetFailure(MayHaveRun("an answer that is too long"))
+            if hold is not None:
+                await hold(len(body))
         return bytes(body)
 
     def cancel(self) -> None:
@@ -104,19 +118,53 @@
     dialect : Dialect
     pool : ConnectionPool
     prober : TargetProber
+    uploads : TargetUploads
     """
 
-    def __init__(self, dialect: Dialect, pool: ConnectionPool, prober: TargetProber):
+    def __init__(
+        self,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        prober: TargetProber,
+        uploads: TargetUploads,
+    ):
         self._dialect = dialect
         self._pool = pool
         self._prober = prober
+        self._uploads = uploads
 
     def is_connected(self, target: TargetEntry) -> bool:
         """Return whether this host has an idle connection to a target."""
         return self._pool.has_idle(target.ip, target.port)
 
-    async def connect(self, target: TargetEntry) -> ClientConnection:
-        """Return a connection to a target; raises `TargetFailure`."""
+    async def connect(
+        self, target: TargetEntry, n_bytes: int, expires_at: float
+    ) -> ClientConnection:
+        """Return a connection to a target that has room for a request's body.
+
+        Parameters
+        ----------
+        target : TargetEntry
+        n_bytes : int
+            Size of the body, which must be sent without further waiting.
+        expires_at : float
+            Deadline of the request as a time of the event loop in seconds.
+
+        Raises
+        ------
+        TargetFailure
+            There is no connection, or the target reads other bodies too slowly.
+        """
+        give_up_at = self._uploads.give_up_at(expires_at)
+        while True:
+            await self._uploads.wait_for_room(target.id, n_bytes, give_up_at)
+            conn = await self._open(target)
+            if self._uploads.has_room(target.id, n_bytes):
+                return conn
+            # Another body was sent while the connection was opened.
+            self.release(target, conn)
+
+    async def _open(self, target):
         try:
             conn, _ = await self._pool.take(target.ip, target.port)
         except OSError as exc:
@@ -163,7 +211,9 @@
         """
         guard = SilenceGuard(conn, target, self._prober)
         try:
+            self._uploads.prepare(conn)
             conn.send(method, path, fields, body)
+            self._uploads.record_sent(target.id, conn)
             head = await self._read_own_head(conn, attempt)
         except (OSError, h11.RemoteProtocolError, EOFError) as exc:
             guard.stop()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload_engines.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload_engines.py
@@ -88,7 +88,7 @@
     def is_connected(self, target: TargetEntry) -> bool:
         return True
 
-    async def connect(self, target: TargetEntry) -> Engine:
+    async def connect(self, target: TargetEntry, *_) -> Engine:
         return self._engines[target.id]
 
     async def send(self, engine, target, attempt, *_) -> EngineExchange:
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_settings_file.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_settings_file.py
@@ -13,6 +13,10 @@
 METRICS_PORT = 9464
 """Where the deploy file says that metrics are served."""
 
+BYTES_PER_MB = 1_000_000
+"""Unit of ``limits.memory_mb``. If the platform means 1,048,576, the budget is 5 %
+smaller than it could be; the other way round it would be too large."""
+
 
 class SettingsError(ValueError):
     """The file can't be used.
@@ -68,6 +72,7 @@
         rate_extra=float(_get(raw, "bounds.quota_extra", float, 0.0)),
         cold_excess=float(_get(raw, "bounds.cold_excess", float, 1.0)),
         cold_extra=float(_get(raw, "bounds.cold_extra", float, 0.0)),
+        memory_bytes=int(_get(raw, "limits.memory_mb", float, 0.0) * BYTES_PER_MB),
     )
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_settings_file.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_settings_file.py
@@ -31,6 +31,11 @@
         assert (cfg.host, cfg.ip, cfg.caller_port) == ("edge-a-1", "10.1.0.11", 8368)
         assert (cfg.store_ip, cfg.store_port) == ("10.200.1.7", 8362)
         assert cfg.stop_seconds == 8.0
+        assert cfg.memory_bytes == 0
+
+    def test_memory_limit_of_the_host(self, tmp_path):
+        cfg = self.read(tmp_path, GOOD + "[limits]\nmemory_mb = 128\n")
+        assert cfg.memory_bytes == 128_000_000
 
     @pytest.mark.parametrize(
         ("old", "new", "place"),
@@ -40,6 +45,7 @@
             ('"10.1.0.11:8368"', '"nowhere"', "listen.frontend"),
             ('"10.200.1.7:8362"', "true", "platform.address"),
             ("row_bytes = 65536", 'row_bytes = "x"', "platform.row_bytes"),
+            ("[bounds]", '[limits]\nmemory_mb = "x"\n[bounds]', "limits.memory_mb"),
         ],
     )
     def test_wrong_value_is_named(self, tmp_path, old, new, place):
