--- a/packages/swifttide_core/src/swifttide_core/scheduling/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from swifttide_core.scheduling._requests import (
     AdmissionGrant,
     AdmissionWithdrawn,
+    Eligible,
     PlacementGrant,
     PlacementRequest,
     ProgramQueued,
@@ -16,6 +17,7 @@
 __all__ = [
     "AdmissionGrant",
     "AdmissionWithdrawn",
+    "Eligible",
     "PlacementGrant",
     "PlacementRequest",
     "ProgramQueued",
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_requests.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_requests.py
@@ -1,5 +1,6 @@
 """Requests to the scheduler of a service, and its decisions."""
 
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from swifttide_core.forwarding import AllowedRegions, TargetEntry
@@ -105,6 +106,25 @@
     regions: AllowedRegions = None
 
 
+@dataclass(frozen=True, slots=True)
+class Eligible:
+    """What a waiting request may use at the moment.
+
+    Parameters
+    ----------
+    targets : sequence of TargetEntry
+        Targets to which its turns may go.
+    capacity : int
+        Number of requests that these targets run concurrently.
+    limits : mapping of str to float or None
+        Requests per second that each target may get, by id; None for no limit.
+    """
+
+    targets: Sequence[TargetEntry]
+    capacity: int
+    limits: Mapping[str, float] | None
+
+
 @dataclass(frozen=True, slots=True)
 class TurnQueued:
     """All targets are occupied; the request waits at the scheduler.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -46,7 +46,7 @@
 from swifttide_daemon.gateway.store._table_watches import TableWatches
 from swifttide_daemon.gateway.targets._cold_targets import ColdTargets
 from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
-from swifttide_daemon.gateway.targets._order_keeper import OrderKeeper
+from swifttide_daemon.gateway.targets._scheduler_endpoint import SchedulerEndpoint
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway.targets._target_client import TargetClient
 from swifttide_daemon.gateway.targets._target_health import TargetHealth
@@ -146,7 +146,7 @@
         self._shares = ShareAllocator(
             self._store, self._fleet, self._rates, log, self._record.may_release_slots
         )
-        self._order = OrderKeeper(
+        self._scheduling = SchedulerEndpoint(
             self._fleet,
             KeeperChoice(self._fleet, self._shares.holders),
             self.beliefs,
@@ -155,7 +155,7 @@
             log,
         )
         self._datagrams.on_rate_message = self._rates.handle_message
-        self._datagrams.on_order_message = self._order.handle_message
+        self._datagrams.on_order_message = self._scheduling.handle_message
 
     def _build_table_watches(self):
         self._feeds = TableWatches.build(
@@ -208,7 +208,9 @@
             self._reaper,
             log,
         )
-        self._entry = ProgramEntry(self.beliefs, self._health, self._order, log)
+        self._entry = ProgramEntry(
+            self.beliefs, self._health, self._scheduling.client, log
+        )
         retry_elsewhere_seconds = self._isolation.retry_elsewhere_seconds
         self._forwarder = Forwarder(
             cfg,
@@ -216,7 +218,7 @@
             dialect,
             TargetClient(dialect, self._pool, self._prober),
             self._health,
-            self._order,
+            self._scheduling.client,
             self._fleet,
             Admission(
                 self.beliefs,
@@ -281,7 +283,7 @@
             self._feeds.targets,
             self._turns.memory,
             self._lender,
-            self._order,
+            self._scheduling.server,
         )
         self._datagrams.compose_beacon = exchange.compose_beacon
         self._datagrams.sends_to_all = lambda: self._rates.share > 0.0
@@ -306,6 +308,7 @@
                 tasks.create_task(self._reaper.run()),
                 tasks.create_task(self._settings_watch.run(cfg)),
                 tasks.create_task(self._datagrams.run()),
+                tasks.create_task(self._scheduling.server.run()),
                 tasks.create_task(self._run_housekeeping()),
             ]
             await self._front.listen(cfg.ip, cfg.caller_port)
@@ -337,7 +340,7 @@
         """Discard the state of a target that has been removed."""
         self._prober.forget(target_id)
         self._health.forget(target_id)
-        self._order.forget_target(target_id)
+        self._scheduling.server.forget_target(target_id)
 
     def _apply_config(self, cfg: RoutingConfig) -> None:
         self._rates.update_customers(cfg.customers)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
@@ -23,7 +23,13 @@
 from swifttide_daemon.gateway.budgets._reservation import Reservation
 from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
 from swifttide_daemon.gateway.callers._caller_request import CallerRequest
-from swifttide_daemon.gateway.callers._job import Job, Progress, request_age_seconds
+from swifttide_daemon.gateway.callers._job import (
+    Job,
+    Progress,
+    program_seconds_left,
+    request_age_seconds,
+    work_class,
+)
 from swifttide_daemon.gateway.callers._program_entry import ProgramEntry
 from swifttide_daemon.gateway.callers._refusal import Refusal
 from swifttide_daemon.gateway.rates._rate_limiter import RateLimiter
@@ -102,7 +108,8 @@
         channel : CallerChannel
             Writes the response to the caller.
         progress : Progress
-            Receives the time at which the rate limiter passed the request.
+            Receives the class of the request, the time for which it waited, and the
+            time at which the rate limiter passed it.
 
         Returns
         -------
@@ -115,6 +122,7 @@
             and tokens that it reserved have been released.
         """
         route, terms = self._resolve_route(req)
+        progress.work = work_class(route, terms)
         timeout = req.timeout_seconds or DEFAULT_REQUEST_TIMEOUT_SECONDS
         expires_at = req.received_at + min(timeout, route.timeout_seconds)
         service = self._beliefs.config.service(self._pick_service(route))
@@ -126,7 +134,9 @@
         if req.turn.budget_tokens and route.kind is RequestKind.STREAMING:
             self._entry.observe_load(service)
             if may_be_new:
-                await self._check_program_entry(req, customer, service, homes)
+                await self._check_program_entry(
+                    req, customer, service, homes, expires_at, progress
+                )
         if terms:
             await self._acquire_rate_token(
                 req, terms, expires_at, may_be_new, _program_kind(route)
@@ -198,21 +208,32 @@
             return False
         return not self._budgets.has_served(customer, turn.program)
 
-    async def _check_program_entry(self, req, customer, service, homes):
+    async def _check_program_entry(
+        self, req, customer, service, homes, expires_at, progress
+    ):
         """Refuse a new program while the targets have no capacity for it.
 
         A program that has already run must not be refused here: all that was spent on
         it would be lost. After hosts are lost no host may remember the program, so its
         budget account in the store decides whether it is new.
         """
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         try:
-            program = program_key(customer, req.turn.program)
             await self._entry.check(
-                req.id, service, program, req.program_seconds_left, homes
+                req.id,
+                service,
+                program_key(customer, req.turn.program),
+                progress.work,
+                program_seconds_left(req),
+                expires_at - started_at,
+                homes,
             )
         except Refusal:
             if not await self._budgets.has_account(customer, req.turn.program):
                 raise
+        finally:
+            progress.queued_seconds += loop.time() - started_at
 
     async def _acquire_rate_token(self, req, terms, expires_at, may_be_new, kind):
         """Count the request against its customer's rate limit; raises `Refusal`.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
@@ -14,7 +14,7 @@
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway.callers._dialect import Dialect
 from swifttide_daemon.gateway.callers._event_reader import EventReader
-from swifttide_daemon.gateway.callers._job import request_age_seconds
+from swifttide_daemon.gateway.callers._job import request_age_seconds, work_fields
 from swifttide_daemon.gateway.callers._refusal import Refusal
 from swifttide_daemon.gateway.targets._target_answer import MayHaveRun, TargetFailure
 from swifttide_daemon.gateway.targets._target_client import (
@@ -142,8 +142,9 @@
             progress.last_event_id = event.id
         self._check_token_limit(job, progress)
         progress.n_events += 1
+        progress.last_seconds = request_age_seconds(job.req)
         if progress.n_events == 1:
-            progress.first_seconds = request_age_seconds(job.req)
+            progress.first_seconds = progress.last_seconds
         if job.route.keeps_turns and event.has_data:
             progress.output_chunks.append(event.data + b"\n")
         await job.channel.write(event.raw)
@@ -195,7 +196,7 @@
             "request_served",
             request_id=job.req.id,
             program=job.req.turn.program,
-            customer=job.customer,
+            **work_fields(job.work),
             target=target.id,
             target_load=round(progress.target_load, 2),
             first_turn=job.req.turn.is_first,
@@ -203,6 +204,7 @@
             n_events=progress.n_events,
             n_sent=len(progress.sent_target_ids),
             rate_seconds=round(progress.rate_seconds, 4),
+            queued_seconds=round(progress.queued_seconds, 4),
             sent_seconds=round(progress.sent_seconds, 4),
             first_seconds=round(progress.first_seconds, 4),
             seconds=round(request_age_seconds(job.req), 4),
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_caller_request.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_caller_request.py
@@ -75,6 +75,11 @@
         Id of the event after which a stream is to be resumed.
     received_at : float
         Time of the event loop, in seconds, at which the request was completely read.
+    length_hint : int
+        Number of tokens that the caller expects in the answer; 0 if not stated.
+    prefix_tokens : int
+        Length in tokens of the first part of the prompt, which requests may share; 0 if
+        not stated.
     """
 
     id: str
@@ -91,6 +96,8 @@
     prompt_tokens: int = 0
     turn: TurnTerms = TurnTerms()
     last_event_id: int | None = None
+    length_hint: int = 0
+    prefix_tokens: int = 0
 
     @property
     def path(self) -> str:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from swifttide_core.forwarding import AllowedRegions, CustomerTerms, Route, ServiceSpec
+from swifttide_core.scheduling import TurnResult, WorkClass
 from swifttide_daemon.gateway.budgets._reservation import Reservation
 from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
 from swifttide_daemon.gateway.callers._caller_request import CallerRequest
@@ -50,6 +51,17 @@
         """Name of the customer; empty if there is none."""
         return self.terms.name if self.terms else ""
 
+    @property
+    def work(self) -> WorkClass:
+        """Class of the job in scheduling."""
+        return work_class(self.route, self.terms)
+
+    @property
+    def n_expected_events(self) -> float:
+        """Number of events to expect by the caller's length hint; 0 if unknown."""
+        tokens_per_event = self.service.tokens_per_event
+        return self.req.length_hint / tokens_per_event if tokens_per_event else 0.0
+
     def may_repeat(self, progress: "Progress") -> bool:
         """Return whether the job may be sent again although it may have run.
 
@@ -78,8 +90,13 @@
         """Events relayed to the caller."""
         self.output_chunks: list[bytes] = []
         """Data of the relayed events, for the transcript."""
+        self.work: WorkClass | None = None
+        """Class of the request in scheduling; None until its route is known."""
         self.rate_seconds = 0.0
         """Age of the request when its customer's rate limiter admitted it."""
+        self.queued_seconds = 0.0
+        """Time for which the request waited for its admission as a new program and for
+        its targets."""
         self.target_load = 0.0
         """Outstanding requests for each place (one concurrent request) at the target
         when the request was last sent."""
@@ -87,6 +104,8 @@
         """Age of the request when it was last sent to a target."""
         self.first_seconds = 0.0
         """Age of the request at the first event, or at the complete response."""
+        self.last_seconds = 0.0
+        """Age of the request at the last event."""
 
     @property
     def first_event_wait_seconds(self) -> float | None:
@@ -95,7 +114,42 @@
             return None
         return max(0.0, self.first_seconds - self.sent_seconds)
 
+    @property
+    def gap_seconds(self) -> float | None:
+        """Mean time between two events; None with fewer than two events."""
+        if self.n_events < 2:
+            return None
+        return (self.last_seconds - self.first_seconds) / (self.n_events - 1)
+
+    def turn_result(self, is_complete: bool) -> TurnResult:
+        """Return what was observed of the turn at its first target."""
+        return TurnResult(
+            self.first_event_wait_seconds, self.gap_seconds, self.n_events, is_complete
+        )
+
 
 def request_age_seconds(req: CallerRequest) -> float:
     """Return the seconds since a request was completely read."""
     return asyncio.get_running_loop().time() - req.received_at
+
+
+def program_seconds_left(req: CallerRequest) -> float | None:
+    """Return the time until the program's deadline; None if the caller states none."""
+    if req.program_seconds_left is None:
+        return None
+    return req.program_seconds_left - request_age_seconds(req)
+
+
+def work_class(route: Route, terms: CustomerTerms | None) -> WorkClass:
+    """Return the class of a request; the customer's priority overrides the route's."""
+    if terms is None:
+        return WorkClass(route.priority, "", route.name)
+    rank = route.priority if terms.priority is None else terms.priority
+    return WorkClass(rank, terms.name, route.name)
+
+
+def work_fields(work: WorkClass | None) -> dict[str, str | int | None]:
+    """Return the fields of the log that say to which class a request belongs."""
+    if work is None:
+        return {"route": "", "rank": None, "customer": ""}
+    return {"route": work.route, "rank": work.rank, "customer": work.customer}
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_program_entry.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_program_entry.py
@@ -1,17 +1,19 @@
 """Decides whether new programs may start, to protect targets under overload.
 
-The request order, which all hosts share, decides. While it doesn't answer, this host
-decides by the numbers of outstanding requests that the hosts' beacons (periodic status
-messages) report.
+The scheduler of the service, which all hosts share, decides; a program may wait there.
+While the scheduler doesn't answer, this host decides by the numbers of outstanding
+requests that the hosts' beacons (periodic status messages) report.
 """
 
 import asyncio
 
 from swifttide_core.admission import ProgramAdmitted, ProgramGate, ProgramRefused
 from swifttide_core.forwarding import AllowedRegions, ServiceSpec
+from swifttide_core.scheduling import ProgramRequest, WorkClass
 from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway.callers._job import work_fields
 from swifttide_daemon.gateway.callers._refusal import Refusal
-from swifttide_daemon.gateway.targets._order_keeper import OrderKeeper
+from swifttide_daemon.gateway.targets._scheduler_client import SchedulerClient
 from swifttide_daemon.gateway.targets._target_health import TargetHealth
 from swifttide_daemon.telemetry import EventLog
 
@@ -19,7 +21,7 @@
 class ProgramEntry:
     """Admits or refuses new programs at a service.
 
-    The shared request order has the most complete view of the load. Where it doesn't
+    The shared scheduler has the most complete view of the load. Where it doesn't
     answer, a gate for each service decides by the load that beacons report.
 
     Parameters
@@ -28,8 +30,8 @@
         Targets as this host knows them.
     health : TargetHealth
         Outstanding requests of each target.
-    order : OrderKeeper
-        Client of the shared request order.
+    scheduler : SchedulerClient
+        Client of the shared scheduler.
     log : EventLog
     """
 
@@ -37,12 +39,12 @@
         self,
         beliefs: Beliefs,
         health: TargetHealth,
-        order: OrderKeeper,
+        scheduler: SchedulerClient,
         log: EventLog,
     ):
         self._beliefs = beliefs
         self._health = health
-        self._order = order
+        self._scheduler = scheduler
         self._log = log
         self._gates: dict[str, ProgramGate] = {}
 
@@ -58,25 +60,39 @@
         request_id: str,
         service: ServiceSpec,
         program: str,
-        seconds: float | None,
-        homes: AllowedRegions = None,
+        work: WorkClass,
+        seconds_left: float | None,
+        remaining_seconds: float,
+        regions: AllowedRegions = None,
     ) -> None:
         """Admit a new program; raises `Refusal` where the targets have no capacity.
 
+        The program may wait for its admission.
+
         Parameters
         ----------
         request_id : str
         service : ServiceSpec
         program : str
             Key of the program.
-        seconds : float or None
+        work : WorkClass
+        seconds_left : float or None
             Time until the program's deadline; None if not stated.
-        homes : frozenset of str or None
+        remaining_seconds : float
+            Time after which the caller doesn't wait for the request any more.
+        regions : frozenset of str or None
             Regions in which the program may run; None for any.
         """
         gate = self._gate(service)
         load = self.load(service)
-        verdict = await self._order.enter(service, program, seconds, homes)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        request = ProgramRequest(
+            self._scheduler.new_id(), program, work, seconds_left, regions=regions
+        )
+        verdict = await self._scheduler.admit_program(
+            service, request, remaining_seconds
+        )
         by_order = verdict is not None
         match verdict or gate.decide(load, program):
             case ProgramAdmitted():
@@ -89,6 +105,9 @@
                     load=round(load, 3),
                     share=round(gate.admitted_fraction, 3),
                     by_order=by_order,
+                    **work_fields(work),
+                    waited=round(loop.time() - started_at, 4),
+                    retry_after=retry_seconds,
                 )
                 raise Refusal(503, "targets_full", retry_seconds)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_exchange.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_exchange.py
@@ -5,7 +5,7 @@
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.store._relayed_store import RelayedStore
 from swifttide_daemon.gateway.store._table_watch import TableWatch
-from swifttide_daemon.gateway.targets._order_keeper import OrderKeeper
+from swifttide_daemon.gateway.targets._scheduler_server import SchedulerServer
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway.targets._target_health import TargetHealth
 from swifttide_daemon.gateway.turns._turn_memory import TurnMemory
@@ -30,7 +30,7 @@
     targets_watch : TableWatch
     memory : TurnMemory
     lender : TokenLender
-    order : OrderKeeper
+    scheduler : SchedulerServer
     """
 
     def __init__(
@@ -43,7 +43,7 @@
         targets_watch: TableWatch,
         memory: TurnMemory,
         lender: TokenLender,
-        order: OrderKeeper,
+        scheduler: SchedulerServer,
     ):
         self._own = own
         self._store = store
@@ -53,7 +53,7 @@
         self._targets_watch = targets_watch
         self._memory = memory
         self._lender = lender
-        self._order = order
+        self._scheduler = scheduler
 
     def compose_beacon(self, number: int, pause_seconds: float) -> Beacon:
         """Return this host's beacon.
@@ -92,7 +92,7 @@
         self._health.update_remote_counts(
             beacon.ip, beacon.outstanding, beacon.pause_seconds
         )
-        self._order.reconcile_counts(beacon.ip, beacon.outstanding)
+        self._scheduler.reconcile_counts(beacon.ip, beacon.outstanding)
         self._strikes.add_remote_strikes(beacon.strikes)
         self._config_watch.on_peer_change(beacon.config_change)
         self._targets_watch.on_peer_change(beacon.target_change)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
@@ -19,11 +19,8 @@
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.rates._rate_messages import RateMessage
 from swifttide_daemon.gateway.targets._order_messages import (
-    AskEntry,
-    AskPlace,
-    OrderAnswer,
+    ORDER_MESSAGE_TYPES,
     OrderMessage,
-    TurnLeft,
 )
 from swifttide_daemon.telemetry import EventLog
 
@@ -113,13 +110,12 @@
         except (msgspec.DecodeError, msgspec.ValidationError):
             self._log.warning("datagram_unreadable", peer=addr[0])
             return
-        match message:
-            case Beacon():
-                self._handle_beacon(message)
-            case AskEntry() | AskPlace() | OrderAnswer() | TurnLeft():
-                self.on_order_message(message, addr[0])
-            case _:
-                self.on_rate_message(message, addr[0])
+        if isinstance(message, Beacon):
+            self._handle_beacon(message)
+        elif isinstance(message, ORDER_MESSAGE_TYPES):
+            self.on_order_message(message, addr[0])
+        else:
+            self.on_rate_message(message, addr[0])
 
     def error_received(self, exc: OSError) -> None:
         """Ignore errors such as a closed port: missing beacons reveal a lost peer."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
@@ -10,6 +10,7 @@
 import functools
 import itertools
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from swifttide_core.budgets import ReleaseVerdict
@@ -34,9 +35,10 @@
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.store._row_reaper import RowReaper
 from swifttide_daemon.gateway.targets._cold_targets import ColdTargets
-from swifttide_daemon.gateway.targets._order_keeper import OrderKeeper
+from swifttide_daemon.gateway.targets._scheduler_endpoint import SchedulerEndpoint
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway.targets._target_health import TargetHealth
+from swifttide_daemon.gateway.targets._unqueued_scheduler import UnqueuedTurnScheduler
 from swifttide_daemon.gateway.tests._overload_engines import (
     SERVICE,
     TURN_SECONDS,
@@ -86,7 +88,16 @@
     """One host with the gateway's own decision code, as it is after a start."""
 
     def __init__(
-        self, ip: str, engines, all_engines, store, log, entry_type, wires, config
+        self,
+        ip: str,
+        engines,
+        all_engines,
+        store,
+        log,
+        entry_type,
+        wires,
+        config,
+        new_scheduler,
     ):
         cfg = GatewaySettings(ip, "zone-a", ip, 1, 2, 3, 4, "10.0.1.1", 5)
         cold = ColdTargets(COLD_EXCESS, COLD_EXTRA, log)
@@ -95,14 +106,16 @@
         self.beliefs.replace_targets(entries_of(engines))
         self.health = TargetHealth(lambda target_id: False)
         heard = FakeMembership(ip, wires)
-        self.order = OrderKeeper(
+        self.scheduling = SchedulerEndpoint(
             heard,
             KeeperChoice(heard, wires.ips_heard),
             self.beliefs,
             self.health,
             functools.partial(wires.send_datagram, ip),
             log,
+            new_scheduler,
         )
+        self.scheduling_task = asyncio.create_task(self.scheduling.server.run())
         budgets = BudgetKeeper(
             store,
             ip,
@@ -116,14 +129,14 @@
         metrics = GatewayMetrics(ip, "zone-a")
         wire = FakeFields()
         relay = AnswerRelay(wire, None, lambda: None, self.beliefs, metrics, log)
-        entry = entry_type(self.beliefs, self.health, self.order, log)
+        entry = entry_type(self.beliefs, self.health, self.scheduling.client, log)
         self.forwarder = Forwarder(
             cfg,
             self.beliefs,
             wire,
             EngineClient(all_engines),
             self.health,
-            self.order,
+            self.scheduling.client,
             heard,
             Admission(self.beliefs, budgets, None, None, strikes, entry),
             relay,
@@ -212,11 +225,12 @@
         seed: int,
         entry_type: type[ProgramEntry] = ProgramEntry,
         config: RoutingConfig = CONFIG,
+        new_scheduler: Callable = UnqueuedTurnScheduler,
     ):
         self.engines = {e.entry.id: e for e in map(Engine, range(n_engines))}
         self.outcomes = Outcomes()
         self._store, self._log, self._entry_type = store, log, entry_type
-        self._config = config
+        self._config, self._new_scheduler = config, new_scheduler
         self._random = random.Random(seed)
         # The gateway draws its retry times from the global random generator.
         random.seed(seed)
@@ -227,6 +241,8 @@
         # all runs with the same seed are equal.
         self._handling: dict[asyncio.Task, str] = {}
         self._attempts = itertools.count()
+        self.drops: Callable[[str, str, object], bool] = lambda *_: False
+        """Whether a datagram is lost, by its sender, recipient and content."""
         self.lost_fraction = 0.0
         """Fraction of the beacons and other datagrams that are lost."""
         self.duplicated_fraction = 0.0
@@ -250,6 +266,7 @@
             self._entry_type,
             self,
             self._config,
+            self._new_scheduler,
         )
 
     def kill_all(self) -> None:
@@ -259,7 +276,9 @@
 
     def kill(self, ip: str) -> None:
         """Kill a host and cancel its requests."""
-        self._hosts.pop(ip, None)
+        host = self._hosts.pop(ip, None)
+        if host is not None:
+            host.scheduling_task.cancel()
         for task in [t for t, at in self._handling.items() if at == ip]:
             del self._handling[task]
             task.cancel()
@@ -309,12 +328,18 @@
         for host in self._hosts.values():
             host.health.update_remote_counts("elsewhere", counts, pause_seconds)
 
+    def host(self, ip: str) -> Host:
+        """Return a running host."""
+        return self._hosts[ip]
+
     def ips_heard(self) -> tuple[str, ...]:
         """Return all hosts; the loss of a host is detected only after some time."""
         return tuple(self.ips)
 
     def send_datagram(self, sender: str, ip: str, message) -> None:
         """Deliver a datagram after a delay, unless it is lost; it may arrive twice."""
+        if sender not in self._hosts or self.drops(sender, ip, message):
+            return
         if self._random.random() < self.lost_fraction:
             return
         loop = asyncio.get_running_loop()
@@ -333,7 +358,7 @@
     def _deliver(self, sender, ip, message):
         host = self._hosts.get(ip)
         if host is not None:
-            host.order.handle_message(message, sender)
+            host.scheduling.handle_message(message, sender)
 
     @property
     def now(self) -> float:
@@ -349,7 +374,7 @@
                 for other, told in counts.items():
                     if other != ip and self._random.random() >= self.lost_fraction:
                         host.health.update_remote_counts(other, told, BEACON_SECONDS)
-                        host.order.reconcile_counts(other, told)
+                        host.scheduling.server.reconcile_counts(other, told)
 
     async def load(
         self, per_second: float, until: float, prefix: str = "program"
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_cold_targets.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_cold_targets.py
@@ -9,6 +9,7 @@
 
 from swifttide_core.admission import PlacementDeferred, ProgramAdmitted
 from swifttide_core.forwarding import RoutingConfig, ServiceSpec, TargetEntry
+from swifttide_core.scheduling import PlacementRequest, ProgramRequest
 from swifttide_daemon.gateway.targets._cold_targets import MAX_COLD_SECONDS, ColdTargets
 from swifttide_daemon.gateway.targets._order_messages import AskEntry, AskPlace
 from swifttide_daemon.gateway.tests._overload import (
@@ -138,12 +139,15 @@
 
         async def main():
             fleet = Fleet(1, 1, None, log, 1, config=CONFIG)
-            order = next(iter(fleet._hosts.values())).order
+            client = next(iter(fleet._hosts.values())).scheduling.client
             places = [
-                await order.place(SPEC, f"p{i}", "", "", 4.0, frozenset())
+                await client.place_turn(
+                    SPEC, PlacementRequest(client.new_id(), f"p{i}", "zone-a")
+                )
                 for i in range(6)
             ]
-            return places, await order.enter(SPEC, "new", 2.0)
+            program = ProgramRequest(client.new_id(), "new", seconds_left=2.0)
+            return places, await client.admit_program(SPEC, program, 4.0)
 
         places, entered = run_paused(main())
         assert isinstance(places[-1], PlacementDeferred)
@@ -158,12 +162,12 @@
             host = fleet._hosts[starting]
             host.beliefs.config = None
             sent = []
-            host.order._send = lambda ip, message: sent.append(message)
+            host.scheduling._send = lambda ip, message: sent.append(message)
             for ask in (
                 AskEntry(SERVICE, "boot", 1, "p"),
                 AskPlace(SERVICE, "boot", 2, "p", "zone-a"),
             ):
-                host.order.handle_message(ask, asking)
+                host.scheduling.handle_message(ask, asking)
             return sent
 
         assert run_paused(main()) == []
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_dialect.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_dialect.py
@@ -16,6 +16,7 @@
 CUSTOMER = b"swifttide-tenant"
 TOKENS = b"swifttide-token-usage"
 PROMPT_PARTS = b"swifttide-prompt-prefix"
+LENGTH_HINT = b"swifttide-length-hint"
 SUBJECT = b"swifttide-affinity-key"
 PROGRAM = b"swifttide-program-id"
 LINE = b"swifttide-session-id"
@@ -83,6 +84,8 @@
                 previous=_text(fields, PREVIOUS),
             ),
             last_event_id=_optional_number(fields, LAST_EVENT),
+            length_hint=_hint(first_value(fields, LENGTH_HINT)),
+            prefix_tokens=_prefix_tokens(fields),
         )
 
     def read_answer(self, status: int, fields: Fields) -> AnswerHead:
@@ -199,6 +202,19 @@
     return part.decode("latin-1") or _text(fields, SUBJECT) or _text(fields, LINE)
 
 
+def _hint(value) -> int:
+    """Return a number that only improves estimates; 0 if it is absent or unreadable."""
+    text = (value or b"").strip()
+    return int(text) if text.isdigit() and len(text) <= 9 else 0
+
+
+def _prefix_tokens(fields) -> int:
+    """Return the tokens of the first part of the prompt; 0 if not stated."""
+    first, _, _ = (first_value(fields, PROMPT_PARTS) or b"").partition(b",")
+    _, _, tokens = first.rpartition(b":")
+    return _hint(tokens) if b":" in first else 0
+
+
 def _keep_alive(fields) -> float | None:
     for item in (first_value(fields, b"keep-alive") or b"").split(b","):
         name, _, value = item.strip().partition(b"=")
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_dialect.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_dialect.py
@@ -5,6 +5,7 @@
 from swifttide_daemon.gateway import BadRequest
 from swifttide_daemon.platform import PrintOfficeDialect
 
+PROMPT_PARTS = b"swifttide-prompt-prefix"
 DIALECT = PrintOfficeDialect()
 
 
@@ -45,6 +46,21 @@
         with pytest.raises(BadRequest):
             read(field)
 
+    @pytest.mark.parametrize(
+        ("hint", "parts", "expected"),
+        [
+            (b"120", b"sys:300,doc:20", (120, 300)),
+            (b"many", b"sys:x", (0, 0)),
+            (b"-1", b"sys", (0, 0)),
+            (b"1" * 30, b"", (0, 0)),
+            (b"1" * 300, b"a:b:7", (0, 7)),
+        ],
+    )
+    def test_unreadable_hint_counts_as_absent(self, hint, parts, expected):
+        """Guards against requests that are refused for a field that only helps."""
+        req = read((b"swifttide-length-hint", hint), (PROMPT_PARTS, parts))
+        assert (req.length_hint, req.prefix_tokens) == expected
+
 
 class TestTargetFields:
     def test_what_concerns_one_connection_stays_here(self):
