ENH The gateway schedules by rank, customer and predicted completion

Cause: the queueing protocol had a scheduler without a queue behind it. Change: the new scheduler takes its place; services state the memory of their targets; a request granted from the queue carries the time that it waited.

--- a/packages/swifttide_core/src/swifttide_core/forwarding/_service_spec.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/_service_spec.py
@@ -20,6 +20,8 @@
     concurrency : int
         Requests that one target executes concurrently; 0 if each target registers its
         own capacity.
+    memory_tokens : int
+        Tokens that the memory of one target holds; 0 if unknown.
     cold_requests_per_second : float
         Request rate that a target sustains while it warms up; 0 if targets need no
         warm-up.
@@ -33,6 +35,7 @@
     concurrency: int = 0
     cold_requests_per_second: float = 0.0
     cold_seconds: float = 0.0
+    memory_tokens: int = 0
 
     def concurrency_at(self, target: TargetEntry) -> int:
         """Return the number of concurrent requests of a target, at least 1."""
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_waiting_requests.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_waiting_requests.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Generic, TypeVar
 
 from swifttide_core.scheduling._fair_shares import FairShares
@@ -70,7 +71,7 @@
         for request_id, (_, asked_at) in list(self._requests.items()):
             if now - asked_at > self._abandoned_seconds:
                 self.remove(request_id)
-        return [self._requests.pop(w.key)[0] for w in self._queue.expire(now)]
+        return [self._take(waiter, now) for waiter in self._queue.expire(now)]
 
     def next(
         self, shares: FairShares, now: float, may_take: Callable[[Request], bool]
@@ -88,7 +89,7 @@
         waiter = self._queue.next(
             shares, now, lambda w: may_take(self._requests[w.key][0])
         )
-        return None if waiter is None else self._requests.pop(waiter.key)[0]
+        return None if waiter is None else self._take(waiter, now)
 
     def count_ahead(self, request: Request, shares: FairShares, now: float) -> int:
         """Return the number of requests that are served before a request."""
@@ -103,6 +104,11 @@
         """Return the number of requests by rank."""
         return self._queue.counts_by_rank()
 
+    def _take(self, waiter, now) -> Request:
+        """Return the request of a removed waiter with the time waited until now."""
+        request, _ = self._requests.pop(waiter.key)
+        return replace(request, waited_seconds=now - waiter.since)
+
     def _waiter(self, request, give_up_at, now) -> Waiter:
         since = now - request.waited_seconds
         return Waiter(request.id, request.work, self._is_begun, since, give_up_at)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_endpoint.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_endpoint.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from swifttide_core.scheduling import TurnScheduler
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway.peers._fleet import Fleet
 from swifttide_daemon.gateway.peers._keeper_choice import KeeperChoice
@@ -9,7 +10,6 @@
 from swifttide_daemon.gateway.targets._scheduler_client import SchedulerClient
 from swifttide_daemon.gateway.targets._scheduler_server import SchedulerServer
 from swifttide_daemon.gateway.targets._target_health import TargetHealth
-from swifttide_daemon.gateway.targets._unqueued_scheduler import UnqueuedTurnScheduler
 from swifttide_daemon.telemetry import EventLog
 
 
@@ -44,7 +44,7 @@
         health: TargetHealth,
         send: Callable[[str, OrderMessage], None],
         log: EventLog,
-        new_scheduler: Callable = UnqueuedTurnScheduler,
+        new_scheduler: Callable = TurnScheduler,
     ):
         self._own_ip = fleet.own.ip
         self._send = send
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_server.py
@@ -29,6 +29,7 @@
     TurnId,
     TurnQueued,
     TurnResult,
+    TurnScheduler,
 )
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway.peers._elapsed_clock import elapsed_seconds
@@ -52,7 +53,6 @@
     split_snapshot,
 )
 from swifttide_daemon.gateway.targets._target_health import TargetHealth
-from swifttide_daemon.gateway.targets._unqueued_scheduler import UnqueuedTurnScheduler
 from swifttide_daemon.telemetry import EventLog
 
 IDLE_SECONDS = 1.0
@@ -80,7 +80,7 @@
 class _ActiveScheduler:
     """Scheduler of a service at this host, and the questions that wait at it."""
 
-    scheduler: UnqueuedTurnScheduler
+    scheduler: TurnScheduler
     since: float
     asked_at: float
     waiting_until: dict[TurnId, float] = field(default_factory=dict)
@@ -99,7 +99,7 @@
         Sends a message to an IP address, which may be this host's. It may be lost.
     log : EventLog
     new_scheduler : callable
-        Creates a scheduler, see `UnqueuedTurnScheduler`.
+        Creates a scheduler, see `TurnScheduler`.
     """
 
     def __init__(
@@ -110,7 +110,7 @@
         health: TargetHealth,
         send: Callable[[str, OrderMessage], None],
         log: EventLog,
-        new_scheduler: Callable = UnqueuedTurnScheduler,
+        new_scheduler: Callable = TurnScheduler,
     ):
         self._own_ip = fleet.own.ip
         self._fleet = fleet
@@ -208,6 +208,8 @@
         if is_new:
             scheduler = self._new_scheduler(now, self._health.outstanding)
             active = self._active[service] = _ActiveScheduler(scheduler, clock, clock)
+            spec = self._beliefs.config.service(service)
+            scheduler.describe_targets(spec.memory_tokens, spec.tokens_per_event)
             self._log.info("order_kept", service=service)
         if not self._choice.is_primary_keeper(scheduling_name(service)):
             active.since = clock
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
@@ -22,6 +22,7 @@
     TargetEntry,
     WeightedService,
 )
+from swifttide_core.scheduling import TurnScheduler
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._settings import GatewaySettings
@@ -38,7 +39,6 @@
 from swifttide_daemon.gateway.targets._scheduler_endpoint import SchedulerEndpoint
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway.targets._target_health import TargetHealth
-from swifttide_daemon.gateway.targets._unqueued_scheduler import UnqueuedTurnScheduler
 from swifttide_daemon.gateway.tests._overload_engines import (
     SERVICE,
     TURN_SECONDS,
@@ -225,7 +225,7 @@
         seed: int,
         entry_type: type[ProgramEntry] = ProgramEntry,
         config: RoutingConfig = CONFIG,
-        new_scheduler: Callable = UnqueuedTurnScheduler,
+        new_scheduler: Callable = TurnScheduler,
     ):
         self.engines = {e.entry.id: e for e in map(Engine, range(n_engines))}
         self.outcomes = Outcomes()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_queueing_scheduler.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_queueing_scheduler.py
@@ -35,6 +35,9 @@
         self.results, self.restored = [], []
         self.withdraws_programs = False
 
+    def describe_targets(self, memory_tokens, tokens_per_event):
+        """Ignore the configuration."""
+
     def admit_program(self, request, targets, capacity, now, limits=None):
         if len(self.placed) < N_SLOTS:
             return ProgramAdmitted()
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_documents.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_documents.py
@@ -129,6 +129,7 @@
         concurrency=int(engine.get("capacity") or 0),
         cold_requests_per_second=float(raw.get("cold_per_s") or 0),
         cold_seconds=float(raw.get("cold_start_s") or 0),
+        memory_tokens=int(engine.get("kv_capacity") or 0),
     )
 
 
