--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_requests.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_requests.py
@@ -19,7 +19,7 @@
     TurnLeft,
 )
 
-MAX_TEXT_BYTES = 64
+MAX_TEXT_BYTES = 48
 """Longest text that is sent as it is. Callers and operators choose texts of any length;
 of a longer one the hash is sent."""
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_client.py
@@ -231,10 +231,11 @@
     async def _await_decision(self, service, request, pending, max_seconds):
         loop = asyncio.get_running_loop()
         started_at = loop.time()
+        give_up_at = started_at + max_seconds
         n_unanswered = 0
         while n_unanswered < MAX_UNANSWERED_ASKS:
             elapsed = loop.time() - started_at
-            if elapsed > 0.0 and elapsed >= max_seconds:
+            if elapsed > 0.0 and loop.time() >= give_up_at:
                 break
             host = self._choice.keepers(scheduling_name(service))[0]
             pending.hosts.add(host)
@@ -250,7 +251,7 @@
             if answer.is_queued:
                 self._leave_hosts(service, request.id, pending, keep=sender)
                 wait = max(MIN_RETRY_SECONDS, answer.retry_seconds)
-                until = min(loop.time() + wait, started_at + max_seconds)
+                until = min(loop.time() + wait, give_up_at)
                 received = await _next_decision(pending, until)
             if received is not None:
                 return received
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_scheduler_protocol.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_scheduler_protocol.py
@@ -138,6 +138,25 @@
         assert abs(seconds - 2.0 * MAX_QUEUED_FRACTION) < 0.05
         assert waiting == {}
 
+    def test_wait_ends_despite_rounded_times(self, log):
+        """Guards against a host that asks itself forever at the end of the wait."""
+
+        async def scenario(hosts):
+            await hosts.place()
+            client = hosts.client(0)
+            deliver, asked = client._send, []
+
+            def send(ip, message):
+                asked.append(message)
+                assert len(asked) < 10_000
+                deliver(ip, message)
+
+            client._send = send
+            for i in range(200):
+                assert await hosts.place(0, 0.1 + i / 300) is None
+
+        run(log, scenario)
+
     def test_program_is_admitted_or_refused_later(self, log):
         """Guards against a late refusal that is taken for an admission."""
 
