ENH Admission keeps to programs that can still end in time

Change: deadlines count from a program's first request; a reservation only where the program can end in time; what a program needs includes the waits at the limit; contention is recognised by the mean load of a second.

--- a/packages/swifttide_core/src/swifttide_core/scheduling/_known_programs.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_known_programs.py
@@ -132,9 +132,6 @@
         counts = Counter(known.work.rank for known in self._entering.values())
         return {rank: float(n) for rank, n in counts.items()}
 
-    def reservations(self, now: float) -> list[tuple[WorkClass, bool]]:
-        """Return the class of each reservation, and whether its time has come."""
-        return [
-            (known.work, known.reserved_from <= now)
-            for known in self._reserved.values()
-        ]
+    def reservations(self) -> list[tuple[WorkClass, float]]:
+        """Return the class of each reservation and the time from which it holds."""
+        return [(known.work, known.reserved_from) for known in self._reserved.values()]
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_load_limit.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_load_limit.py
@@ -12,10 +12,9 @@
 measured slowdown does.
 """
 
-WAIT_FRACTION = 0.75
-"""Part of the remaining tolerable wait that may be spent in the queue. Measured turn
-times include their waits, so a queue of this length uses up less than half of what
-callers tolerate on average; the rest covers waits that are longer than the mean."""
+WAIT_FRACTION = 0.3
+"""Part of the remaining tolerable wait that turns may spend in the queue on average.
+The rest covers the wait for admission and waits that are longer than the mean."""
 
 MAX_QUEUE_FRACTION = 0.5
 """Longest queue that is planned for, in slots of all targets. With a long queue, work
@@ -42,7 +41,7 @@
         Seconds by which a turn may take longer than at low load, on average over the
         turns of a program.
     turn_seconds, low_load_turn_seconds : float
-        Mean time of a turn with its wait, recently and at low load, in seconds.
+        Mean time of a turn at its target, recently and at low load, in seconds.
     """
     slowdown = max(0.0, turn_seconds - low_load_turn_seconds)
     headroom = tolerable_wait - slowdown
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
@@ -12,6 +12,7 @@
 urgent rank counts against a more urgent program only up to its guaranteed share.
 """
 
+import math
 from collections.abc import Callable
 
 from swifttide_core.admission import ProgramAdmitted, ProgramRefused
@@ -54,9 +55,13 @@
 """Time after which a waiting program is dropped if its host, which asks each
 `QUEUED_RETRY_SECONDS`, hasn't asked again: the host is lost."""
 
-BUSY_FRACTION = 0.8
-"""Part of the limit from which on a program that can't end in time is refused. Below it
-such a program takes no slot from one that can."""
+SMOOTHING_SECONDS = 1.0
+"""Time constant of the mean load by which contention is recognised. The load of a
+moment dips whenever several programs use their tools at the same time."""
+
+BUSY_FRACTION = 0.6
+"""Part of the limit from which on slots are contended: a program that can't end in time
+would take a slot from one that can, and is refused."""
 
 
 class ProgramAdmission:
@@ -91,6 +96,8 @@
         self._waiting: WaitingRequests[ProgramRequest] = WaitingRequests(
             False, ABANDONED_SECONDS
         )
+        self._smoothed: dict[int, float] = {}
+        self._observed_at = 0.0
         self.programs = KnownPrograms()
 
     def waiting_counts(self) -> dict[tuple[int, str], int]:
@@ -128,7 +135,7 @@
             self.programs.admit(request.program, now)
             return ProgramAdmitted()
         wait = self.predicted_wait(request, capacity, now)
-        may_wait = self._allowed_wait(request, known)
+        may_wait = self._allowed_wait(request, known, capacity)
         if (
             not is_paced
             and wait <= may_wait
@@ -136,7 +143,7 @@
         ):
             return ProgramQueued(QUEUED_RETRY_SECONDS)
         self._waiting.remove(request.id)
-        return self._refuse(request, wait, now)
+        return self._refuse(request, wait, capacity, now)
 
     def grant_waiting(
         self,
@@ -155,8 +162,9 @@
         """
         decisions: list[AdmissionGrant | AdmissionWithdrawn] = []
         for request in self._waiting.expire(now):
-            wait = self.predicted_wait(request, capacity_for(request), now)
-            refused = self._refuse(request, wait, now)
+            capacity = capacity_for(request)
+            wait = self.predicted_wait(request, capacity, now)
+            refused = self._refuse(request, wait, capacity, now)
             decisions.append(AdmissionWithdrawn(request.id, refused.retry_seconds))
         while len(self._waiting):
             request = self._waiting.next(
@@ -165,7 +173,7 @@
             if request is None:
                 break
             self.programs.admit(request.program, now)
-            decisions.append(AdmissionGrant(request.id))
+            decisions.append(AdmissionGrant(request.id, request.program, request.work))
         return decisions
 
     def withdraw(self, request_id: TurnId) -> None:
@@ -174,7 +182,14 @@
 
     def observe_demand(self, now: float) -> None:
         """Record the slots that each rank occupies or waits for now."""
-        self._demand.observe(self._counts(now), now)
+        counts = self._counts(now)
+        self._demand.observe(counts, now)
+        gain = 1.0 - math.exp((self._observed_at - now) / SMOOTHING_SECONDS)
+        self._observed_at = now
+        for rank in counts.keys() | self._smoothed.keys():
+            own = sum(n for other, n in counts.items() if other <= rank)
+            before = self._smoothed.get(rank, own)
+            self._smoothed[rank] = before + gain * (own - before)
 
     def reserved_above(self, rank: int, now: float) -> float:
         """Return the slots that are kept free for more urgent ranks."""
@@ -215,19 +230,19 @@
         load = self.load(rank, capacity, now) + reserved
         excess = max(0.0, load - self.limit(route, capacity))
         ahead = self._waiting.count_ahead(request, self._shares, now)
-        n_before = ahead + self._n_reserved_before(request, False, now) + excess + 1
-        return n_before / programs_per_second
+        wait = (ahead + excess + 1) / programs_per_second
+        return wait + self._n_reserved(request, now + wait, now) / programs_per_second
 
-    def _n_reserved_before(self, request, is_due, now) -> int:
-        """Return how many reservations go before a new program.
+    def _n_reserved(self, request, until, now) -> int:
+        """Return how many reservations due until a time go before a new program.
 
         A customer that got more than the asking one doesn't, or the returns of its
         burst would take the slots of the others.
         """
         service = self._shares.customer_service(request.work, now)
         n = 0
-        for work, has_come in self.programs.reservations(now):
-            if (has_come or not is_due) and work.rank <= request.work.rank:
+        for work, reserved_from in self.programs.reservations():
+            if reserved_from <= until and work.rank <= request.work.rank:
                 is_same = work == request.work
                 n += is_same or self._shares.customer_service(work, now) <= service
         return n
@@ -243,7 +258,7 @@
         rank = request.work.rank
         load = self.load(rank, capacity, now) + self.reserved_above(rank, now)
         if not self.programs.has_reservation(request.program, now):
-            load += self._n_reserved_before(request, True, now)
+            load += self._n_reserved(request, now, now)
         return load < self.limit(request.work.route, capacity)
 
     def _is_too_late(self, request, capacity, now) -> bool:
@@ -251,11 +266,26 @@
         if request.seconds_left is None:
             return False
         route, rank = request.work.route, request.work.rank
-        if request.seconds_left >= self._times.needed_seconds(route):
+        if request.seconds_left >= self._needed_seconds(request, capacity):
             return False
-        load = self.load(rank, capacity, now) + self.reserved_above(rank, now)
+        load = max(self.load(rank, capacity, now), self._smoothed.get(rank, 0.0))
+        load += self.reserved_above(rank, now)
         return load >= BUSY_FRACTION * self.limit(route, capacity)
 
+    def _needed_seconds(self, request, capacity) -> float:
+        """Return the time that a program takes while the load is at its limit.
+
+        Besides its time on idle targets these are the slowdown of the targets, and the
+        waits of its turns in a queue as long as the limit allows.
+        """
+        route = request.work.route
+        turn_seconds = self._times.turn_seconds(route)
+        slowdown = max(0.0, turn_seconds - self._times.low_load_turn_seconds(route))
+        queue = max(0.0, self.limit(route, capacity) - capacity)
+        wait = queue * turn_seconds / max(1.0, capacity)
+        n_turns = self._times.turns_per_program(route)
+        return self._times.needed_seconds(route) + (slowdown + wait) * n_turns
+
     def _fits_now(self, capacity_for, now) -> Callable[[ProgramRequest], bool]:
         """Return a function that tells whether a waiting program fits now.
 
@@ -272,22 +302,19 @@
 
         return fits
 
-    def _allowed_wait(self, request, known: KnownProgram) -> float:
+    def _allowed_wait(self, request, known: KnownProgram, capacity) -> float:
         """Return how long a program may wait so that it still ends by its deadline."""
         if request.seconds_left is None:
             return MAX_WAIT_SECONDS
-        route = request.work.route
-        slowdown = self._times.turn_seconds(route) - self._times.low_load_turn_seconds(
-            route
-        )
-        needed = self._times.needed_seconds(route) + max(
-            0.0, slowdown
-        ) * self._times.turns_per_program(route)
-        slack = known.first_seconds_left - needed
+        slack = known.first_seconds_left - self._needed_seconds(request, capacity)
         waited = known.first_seconds_left - request.seconds_left
         return min(MAX_WAIT_SECONDS, WAIT_SLACK_FRACTION * slack - waited)
 
-    def _refuse(self, request, wait, now) -> ProgramRefused:
+    def _refuse(self, request, wait, capacity, now) -> ProgramRefused:
+        """Refuse a program, with a reservation if it can end in time on its return."""
         retry_seconds = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
-        self.programs.reserve(request.program, now + retry_seconds)
+        needed = self._needed_seconds(request, capacity)
+        left = request.seconds_left
+        if wait <= retry_seconds and (left is None or left - retry_seconds >= needed):
+            self.programs.reserve(request.program, now + retry_seconds)
         return ProgramRefused(retry_seconds)
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_times.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_times.py
@@ -154,7 +154,12 @@
             self._programs.popitem(last=False)
 
     def turn_ended(
-        self, program: str, turn_seconds: float, is_low_load: bool, now: float
+        self,
+        program: str,
+        turn_seconds: float,
+        is_low_load: bool,
+        now: float,
+        waited_seconds: float = 0.0,
     ) -> None:
         """Add a turn that ended.
 
@@ -166,18 +171,20 @@
         program : str
             Key of its program.
         turn_seconds : float
-            Time from the request for the turn to its end. It includes waiting for a
-            place, which would be taken for the time of tools otherwise.
+            Time of the turn at its target.
         is_low_load : bool
             Whether most places were free when the turn was placed.
         now : float
             Monotonic seconds.
+        waited_seconds : float
+            Time that the turn waited for a place, which would be taken for the time of
+            tools otherwise.
         """
         known = self._programs.get(program)
         if known is None or not 0 <= turn_seconds < math.inf:
             return
         known.n_turns += 1
-        known.turn_seconds += turn_seconds
+        known.turn_seconds += turn_seconds + waited_seconds
         known.active_at = known.ended_at = now
         self._programs.move_to_end(program)
         times = self._learning_route(known.route)
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_requests.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_requests.py
@@ -86,6 +86,9 @@
         Ids of targets that the turn must not go to.
     regions : frozenset of str or None
         Regions to which the turn is bound; None for any.
+    is_stream : bool
+        Whether it is a turn of a model. Turns wait for free slots, and are placed by
+        their predicted completion; other requests are placed by the number of requests.
     """
 
     id: TurnId
@@ -104,6 +107,7 @@
     connected_targets: frozenset[str] = field(default=frozenset())
     excluded_targets: frozenset[str] = field(default=frozenset())
     regions: AllowedRegions = None
+    is_stream: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,9 +175,14 @@
     Parameters
     ----------
     id : TurnId
+    program : str
+        Key of the program.
+    work : WorkClass
     """
 
     id: TurnId
+    program: str = ""
+    work: WorkClass = WorkClass()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_turn_placement.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_turn_placement.py
@@ -23,6 +23,10 @@
 )
 from swifttide_core.scheduling._requests import PlacementRequest, TurnResult
 
+USUAL_CACHED_FRACTION = 0.7
+"""Part of the prompt that the target of the branch's previous turn has cached, where
+only the requesting host knows that target: after a change of the scheduler."""
+
 
 class TurnPlacement:
     """Chooses targets, and learns from the turns that have ended.
@@ -66,8 +70,8 @@
         now : float
             Monotonic seconds.
         """
-        if not request.prompt_tokens:
-            return self._choose_without_prompt(request, targets, now)
+        if not request.is_stream:
+            return self._choose_by_count(request, targets, now)
         candidates = [
             PlacementCandidate(
                 target,
@@ -100,6 +104,8 @@
         previous, tokens = self._cached.previous(request.program, request.branch)
         if target == previous:
             return min(tokens, request.prompt_tokens)
+        if not previous and target == request.previous_target:
+            return int(USUAL_CACHED_FRACTION * request.prompt_tokens)
         if self._cached.has_prefix(target, request.prompt_prefix, now):
             return min(request.prefix_tokens, request.prompt_tokens)
         return 0
@@ -137,8 +143,8 @@
         self.speeds.forget(target)
         self._cached.forget_target(target)
 
-    def _choose_without_prompt(self, request, targets, now) -> TargetEntry | None:
-        """Choose by the number of requests: a plain service reads no prompt."""
+    def _choose_by_count(self, request, targets, now) -> TargetEntry | None:
+        """Choose by the number of requests at each target."""
         candidates = [
             Candidate(
                 target,
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
@@ -139,9 +139,7 @@
         is_paced = not self._any_target_ready(limits, now)
         decision = self._admission.admit(request, capacity, is_paced, now)
         if isinstance(decision, ProgramAdmitted):
-            self._times.begin(
-                request.program, request.work.route, request.seconds_left, now
-            )
+            self._learn_begin(request.program, request.work, now)
         return decision
 
     def place_turn(
@@ -215,7 +213,11 @@
             is_ready = self._any_target_ready(found.limits, now)
             return found.capacity if is_ready else 0.0
 
-        return decisions + self._admission.grant_waiting(capacity_for, now)
+        for decision in self._admission.grant_waiting(capacity_for, now):
+            if isinstance(decision, AdmissionGrant):
+                self._learn_begin(decision.program, decision.work, now)
+            decisions.append(decision)
+        return decisions
 
     def withdraw(self, request_id: TurnId) -> None:
         """Forget a waiting request whose caller has left."""
@@ -233,8 +235,13 @@
         expected = self._times.turn_seconds(ended.work.route)
         self._shares.record(ended.work, seconds - expected, now)
         if result.is_complete and ended.program:
-            seconds += ended.waited_seconds
-            self._times.turn_ended(ended.program, seconds, ended.is_low_load, now)
+            self._times.turn_ended(
+                ended.program,
+                seconds,
+                ended.is_low_load,
+                now,
+                ended.waited_seconds,
+            )
         entry = self._targets.get(target)
         if entry is not None:
             self._placement.observe(ended, entry, result, now)
@@ -277,17 +284,23 @@
             now,
         )
 
+    def _learn_begin(self, program, work, now):
+        """Let the times of the route learn from an admitted program.
+
+        The deadline counts from the program's first request, not from its admission.
+        """
+        known = self._admission.programs.touch(program, work, 0.0, now)
+        self._times.begin(program, work.route, known.first_seconds_left or None, now)
+
     def _begin_program(self, request, now):
-        left = request.program_seconds_left or 0.0
-        self._admission.programs.touch(request.program, request.work, left, now)
+        self._admission.programs.touch(request.program, request.work, 0.0, now)
         self._admission.programs.begin(request.program)
-        self._times.begin(
-            request.program, request.work.route, request.program_seconds_left, now
-        )
+        # A program that began under another scheduler teaches no deadline.
+        self._times.begin(request.program, request.work.route, None, now)
 
     def _must_wait(self, request, targets, now) -> bool:
-        """Return whether a turn waits; requests without a prompt never do."""
-        if not request.prompt_tokens:
+        """Return whether a request waits because no slot is free for it."""
+        if not request.is_stream:
             return False
         n_free = sum(self._n_free(t, now) for t in targets)
         return n_free <= len(self._waiting) - (request.id in self._waiting)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_target_finder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_target_finder.py
@@ -153,6 +153,7 @@
             connected_targets=self._connected_target_ids(job),
             excluded_targets=frozenset(tried),
             regions=job.homes,
+            is_stream=job.route.kind is RequestKind.STREAMING,
         )
         place = await self._scheduler.place_turn(job.service, request)
         if isinstance(place, Place) and not self._health.usable(place.target.id):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_messages.py
@@ -86,6 +86,8 @@
         Expected number of events of the answer; 0 if unknown.
     program_seconds : float
         Time until the program should be finished; 0 if it states none.
+    is_stream : bool
+        Whether the request is a turn of a model.
     """
 
     service: str
@@ -108,6 +110,7 @@
     prefix_tokens: int = 0
     n_events: float = 0.0
     program_seconds: float = 0.0
+    is_stream: bool = True
 
 
 class AskLeft(msgspec.Struct, array_like=True, tag="ask_left"):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_requests.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_requests.py
@@ -77,6 +77,7 @@
         request.prefix_tokens,
         round(request.n_events, 1),
         _deadline(request.program_seconds_left, elapsed_seconds),
+        request.is_stream,
     )
 
 
@@ -109,6 +110,7 @@
         frozenset(ask.connected),
         frozenset(ask.without),
         regions,
+        ask.is_stream,
     )
 
 
