FIX A program that waits for its admission is not refused afterwards

Cause: a repeated question was decided anew, and programs were refused after 0.26 s. Change: a repeated question leaves the program in the queue; at the end of its wait it is admitted, except where no target may run it.

--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
@@ -124,14 +124,14 @@
         if known.is_admitted:
             return ProgramAdmitted()
         self.observe_demand(now)
+        if self._waiting.renew(request, now):
+            return ProgramQueued(QUEUED_RETRY_SECONDS)
         if self._is_too_late(request, capacity, now):
-            self._waiting.remove(request.id)
             return ProgramRefused(MAX_RETRY_SECONDS)
         is_next = self.programs.has_reservation(
             request.program, now
         ) or not self._waiting.count_ahead(request, self._shares, now)
         if is_next and not is_paced and self._fits(request, capacity, now):
-            self._waiting.remove(request.id)
             self.programs.admit(request.program, now)
             return ProgramAdmitted()
         wait = self.predicted_wait(request, capacity, now)
@@ -142,7 +142,6 @@
             and self._waiting.add(request, now + may_wait, now)
         ):
             return ProgramQueued(QUEUED_RETRY_SECONDS)
-        self._waiting.remove(request.id)
         return self._refuse(request, wait, capacity, now)
 
     def grant_waiting(
@@ -150,7 +149,12 @@
         capacity_for: Callable[[ProgramRequest], float],
         now: float,
     ) -> list[AdmissionGrant | AdmissionWithdrawn]:
-        """Admit the waiting programs that fit now, and refuse those that are too late.
+        """Admit the waiting programs that fit now, or that have waited long enough.
+
+        A refusal after a wait would cost its caller the time in which it could have
+        tried elsewhere. A program only waits if it was predicted to be admitted in
+        time, so few are admitted beyond the limit; they are refused only where no
+        target may get a further request.
 
         Parameters
         ----------
@@ -163,6 +167,9 @@
         decisions: list[AdmissionGrant | AdmissionWithdrawn] = []
         for request in self._waiting.expire(now):
             capacity = capacity_for(request)
+            if capacity > 0:
+                decisions.append(self._grant(request, now))
+                continue
             wait = self.predicted_wait(request, capacity, now)
             refused = self._refuse(request, wait, capacity, now)
             decisions.append(AdmissionWithdrawn(request.id, refused.retry_seconds))
@@ -172,8 +179,7 @@
             )
             if request is None:
                 break
-            self.programs.admit(request.program, now)
-            decisions.append(AdmissionGrant(request.id, request.program, request.work))
+            decisions.append(self._grant(request, now))
         return decisions
 
     def withdraw(self, request_id: TurnId) -> None:
@@ -286,6 +292,10 @@
         n_turns = self._times.turns_per_program(route)
         return self._times.needed_seconds(route) + (slowdown + wait) * n_turns
 
+    def _grant(self, request, now) -> AdmissionGrant:
+        self.programs.admit(request.program, now)
+        return AdmissionGrant(request.id, request.program, request.work)
+
     def _fits_now(self, capacity_for, now) -> Callable[[ProgramRequest], bool]:
         """Return a function that tells whether a waiting program fits now.
 
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_requests.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_requests.py
@@ -187,7 +187,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionWithdrawn:
-    """A waiting program is refused after all, since it can't end in time any more.
+    """A waiting program is refused after all, since no target may run it.
 
     Parameters
     ----------
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_waiting_requests.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_waiting_requests.py
@@ -58,6 +58,13 @@
         self._requests[request.id] = (request, now)
         return True
 
+    def renew(self, request: Request, now: float) -> bool:
+        """Note that a host has repeated a request; return whether it still waits."""
+        if request.id not in self._requests:
+            return False
+        self._requests[request.id] = (request, now)
+        return True
+
     def remove(self, request_id: TurnId) -> None:
         """Remove a request if it waits."""
         self._queue.remove(request_id)
