FIX Turns go to the target that has their prompt; programs are measured by their own length

Short programs counted as too late, because the route's mean time was compared with their own deadline: 3,766 refusals in 28 s. One large customer had 37 of its turns waiting, as customers took turns without their weight. Change: a target may queue a turn whose prompt it has cached, and one other turn; what a program needs scales with its deadline; customers take turns by their rate limits.

--- a/packages/swifttide_core/src/swifttide_core/placement/_prediction.py
+++ b/packages/swifttide_core/src/swifttide_core/placement/_prediction.py
@@ -168,11 +168,7 @@
     n_events: float,
     tokens_per_event: float,
 ) -> tuple[float, float, float, float, float, float]:
-    """Return the fields of a `Prediction`, without the cost of creating one.
-
-    The cache counts only while a slot is free: the turns in front of a waiting turn may
-    evict its prompt, and a cached prompt must not make turns wait while others idle.
-    """
+    """Return the fields of a `Prediction`, without the cost of creating one."""
     speed = candidate.speed
     load = candidate.load
     outstanding = load.outstanding
@@ -185,12 +181,11 @@
     if outstanding < capacity:
         wait = 0.0
         n_others = outstanding if outstanding < capacity - 1 else capacity - 1
-        n_read = prompt_tokens - candidate.cached_tokens
     else:
         n_others = capacity - 1
         turn_seconds = (first + (USUAL_EVENTS - 1.0) * gap) * (1 + slowdown * n_others)
         wait = (outstanding - capacity + 1.0) * turn_seconds / capacity
-        n_read = prompt_tokens
+    n_read = prompt_tokens - candidate.cached_tokens
     read = n_read * speed.seconds_per_token if n_read > 0 else 0.0
     decode = (first + (n_events - 1.0) * gap) * (1.0 + slowdown * n_others)
     network = CROSS_ZONE_SECONDS if candidate.is_remote else 0.0
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_fair_shares.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_fair_shares.py
@@ -88,7 +88,7 @@
         self._total.add(rank.add(place_seconds, now), now)
 
     def customer_service(self, work: WorkClass, now: float) -> float:
-        """Return the recent service of a customer within its rank.
+        """Return the recent service of a customer within its rank, by its weight.
 
         Parameters
         ----------
@@ -100,10 +100,10 @@
         Returns
         -------
         float
-            Decayed place-seconds; 0 if nothing was recorded.
+            Decayed place-seconds per weight; 0 if nothing was recorded.
         """
         service = self._customers.get((work.rank, work.customer))
-        return 0.0 if service is None else service.get(now)
+        return 0.0 if service is None else service.get(now) / work.weight
 
     def rank_fraction(self, rank: int, now: float) -> float:
         """Return a rank's fraction of all recent service; 0 if there was none."""
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
@@ -126,7 +126,7 @@
         self.observe_demand(now)
         if self._waiting.renew(request, now):
             return ProgramQueued(QUEUED_RETRY_SECONDS)
-        if self._is_too_late(request, capacity, now):
+        if self._is_too_late(request, known, capacity, now):
             return ProgramRefused(MAX_RETRY_SECONDS)
         is_next = self.programs.has_reservation(
             request.program, now
@@ -267,30 +267,35 @@
             load += self._n_reserved(request, now, now)
         return load < self.limit(request.work.route, capacity)
 
-    def _is_too_late(self, request, capacity, now) -> bool:
+    def _is_too_late(self, request, known, capacity, now) -> bool:
         """Return whether a program can't end in time and slots are scarce."""
         if request.seconds_left is None:
             return False
         route, rank = request.work.route, request.work.rank
-        if request.seconds_left >= self._needed_seconds(request, capacity):
+        if request.seconds_left >= self._needed_seconds(known, capacity):
             return False
         load = max(self.load(rank, capacity, now), self._smoothed.get(rank, 0.0))
         load += self.reserved_above(rank, now)
         return load >= BUSY_FRACTION * self.limit(route, capacity)
 
-    def _needed_seconds(self, request, capacity) -> float:
+    def _needed_seconds(self, known: KnownProgram, capacity) -> float:
         """Return the time that a program takes while the load is at its limit.
 
         Besides its time on idle targets these are the slowdown of the targets, and the
-        waits of its turns in a queue as long as the limit allows.
+        waits of its turns in a queue as long as the limit allows. A program with half
+        of the usual time to its deadline has half of the usual work.
         """
-        route = request.work.route
+        route = known.work.route
         turn_seconds = self._times.turn_seconds(route)
         slowdown = max(0.0, turn_seconds - self._times.low_load_turn_seconds(route))
         queue = max(0.0, self.limit(route, capacity) - capacity)
         wait = queue * turn_seconds / max(1.0, capacity)
         n_turns = self._times.turns_per_program(route)
-        return self._times.needed_seconds(route) + (slowdown + wait) * n_turns
+        usual = self._times.needed_seconds(route) + (slowdown + wait) * n_turns
+        if not known.first_seconds_left:
+            return usual
+        deadline = self._times.deadline_seconds(route)
+        return usual * known.first_seconds_left / max(0.001, deadline)
 
     def _grant(self, request, now) -> AdmissionGrant:
         self.programs.admit(request.program, now)
@@ -316,14 +321,15 @@
         """Return how long a program may wait so that it still ends by its deadline."""
         if request.seconds_left is None:
             return MAX_WAIT_SECONDS
-        slack = known.first_seconds_left - self._needed_seconds(request, capacity)
+        slack = known.first_seconds_left - self._needed_seconds(known, capacity)
         waited = known.first_seconds_left - request.seconds_left
         return min(MAX_WAIT_SECONDS, WAIT_SLACK_FRACTION * slack - waited)
 
     def _refuse(self, request, wait, capacity, now) -> ProgramRefused:
         """Refuse a program, with a reservation if it can end in time on its return."""
         retry_seconds = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
-        needed = self._needed_seconds(request, capacity)
+        known = self.programs.touch(request.program, request.work, 0.0, now)
+        needed = self._needed_seconds(known, capacity)
         left = request.seconds_left
         if wait <= retry_seconds and (left is None or left - retry_seconds >= needed):
             self.programs.reserve(request.program, now + retry_seconds)
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_times.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_times.py
@@ -208,9 +208,13 @@
         Programs that wait this long at every turn still end by their deadline, on
         average.
         """
-        needed = self.needed_seconds(route)
-        deadline = self._route(route).deadline.get(PRIOR_DEADLINE_FACTOR * needed)
-        return max(0.0, deadline - needed) / self.turns_per_program(route)
+        slack = self.deadline_seconds(route) - self.needed_seconds(route)
+        return max(0.0, slack) / self.turns_per_program(route)
+
+    def deadline_seconds(self, route: str) -> float:
+        """Return the mean time from a program's first request to its deadline."""
+        prior = PRIOR_DEADLINE_FACTOR * self.needed_seconds(route)
+        return self._route(route).deadline.get(prior)
 
     def needed_seconds(self, route: str) -> float:
         """Return the time of a whole program on lightly loaded targets, in seconds."""
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_turn_placement.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_turn_placement.py
@@ -99,6 +99,11 @@
         )
         return choice.target if choice else None
 
+    def previous_target(self, request: PlacementRequest) -> str:
+        """Return the target of the branch's previous turn; empty if unknown."""
+        previous, _ = self._cached.previous(request.program, request.branch)
+        return previous or request.previous_target
+
     def cached_tokens(self, request: PlacementRequest, target: str, now: float) -> int:
         """Return the prompt tokens that a target is expected to have cached."""
         previous, tokens = self._cached.previous(request.program, request.branch)
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
@@ -62,6 +62,15 @@
 """Time after which a waiting turn is dropped if its host, which asks each
 `QUEUED_RETRY_SECONDS`, hasn't asked again: the host is lost."""
 
+QUEUED_PER_TARGET = 1
+"""Turns that may wait at a target beyond its slots, so that a slot doesn't idle for the
+time of two messages when a turn ends."""
+
+QUEUED_FRACTION_FOR_CACHED = 0.5
+"""Turns that may wait at a target which has their prompt cached, beyond its slots and
+as a fraction of them. Reading a long prompt again takes as long as a wait for a slot,
+and holds up all other turns of the target."""
+
 LOW_LOAD_FRACTION = 0.35
 """Fraction of all slots below which turns don't slow each other down."""
 
@@ -299,14 +308,26 @@
         self._times.begin(request.program, request.work.route, None, now)
 
     def _must_wait(self, request, targets, now) -> bool:
-        """Return whether a request waits because no slot is free for it."""
+        """Return whether a request waits because no target has room for it."""
         if not request.is_stream:
             return False
+        if self._has_room_at_cache(request, targets, now):
+            return False
         n_free = sum(self._n_free(t, now) for t in targets)
         return n_free <= len(self._waiting) - (request.id in self._waiting)
 
     def _n_free(self, target, now) -> float:
-        return max(0.0, target.capacity - self._turns.count(target.id, now))
+        room = target.capacity + QUEUED_PER_TARGET
+        return max(0.0, room - self._turns.count(target.id, now))
+
+    def _has_room_at_cache(self, request, targets, now) -> bool:
+        """Return whether the target that has the prompt cached may get the turn."""
+        cached = self._placement.previous_target(request)
+        return any(self._is_room_for_cached(t, now) for t in targets if t.id == cached)
+
+    def _is_room_for_cached(self, target, now) -> bool:
+        room = target.capacity * (1.0 + QUEUED_FRACTION_FOR_CACHED)
+        return self._turns.count(target.id, now) < room
 
     def _any_slot_free(self, now) -> bool:
         return any(self._n_free(t, now) > 0 for t in self._targets.values())
@@ -328,10 +349,16 @@
         return [PlacementGrant(request.id, target)] if target else []
 
     def _place(self, request, targets, now, is_limited) -> TargetEntry | None:
-        """Place a turn at one of the targets, preferably at one with a free slot."""
+        """Place a turn at one of the targets, preferably at one with room for it."""
         for target in targets:
             self._targets[target.id] = target
-        free = [t for t in targets if self._n_free(t, now) > 0]
+        cached = self._placement.previous_target(request)
+        free = [
+            t
+            for t in targets
+            if self._n_free(t, now) > 0
+            or (t.id == cached and self._is_room_for_cached(t, now))
+        ]
         chosen = self._placement.choose(
             request, free or targets, self._slack(request), now
         )
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_work_class.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_work_class.py
@@ -15,8 +15,11 @@
         Name of the customer; empty where requests need no API key.
     route : str
         Name of the route.
+    weight : float
+        Share of the customer relative to others of its rank; its rate limit.
     """
 
     rank: int = 0
     customer: str = ""
     route: str = ""
+    weight: float = 1.0
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
@@ -145,7 +145,7 @@
     if terms is None:
         return WorkClass(route.priority, "", route.name)
     rank = route.priority if terms.priority is None else terms.priority
-    return WorkClass(rank, terms.name, route.name)
+    return WorkClass(rank, terms.name, route.name, terms.rate_per_second or 1.0)
 
 
 def work_fields(work: WorkClass | None) -> dict[str, str | int | None]:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_messages.py
@@ -35,6 +35,8 @@
         See `WorkClass`.
     waited : float
         Time in seconds that the question has already waited for its decision.
+    weight : float
+        See `WorkClass`.
     """
 
     service: str
@@ -47,6 +49,7 @@
     customer: str = ""
     route: str = ""
     waited: float = 0.0
+    weight: float = 1.0
 
 
 class AskPlace(msgspec.Struct, array_like=True, tag="ask_place"):
@@ -88,6 +91,8 @@
         Time until the program should be finished; 0 if it states none.
     is_stream : bool
         Whether the request is a turn of a model.
+    weight : float
+        As in `AskEntry`.
     """
 
     service: str
@@ -111,6 +116,7 @@
     n_events: float = 0.0
     program_seconds: float = 0.0
     is_stream: bool = True
+    weight: float = 1.0
 
 
 class AskLeft(msgspec.Struct, array_like=True, tag="ask_left"):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_requests.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_requests.py
@@ -55,6 +55,7 @@
             customer,
             route,
             waited,
+            round(work.weight, 3),
         )
     return AskPlace(
         service,
@@ -78,6 +79,7 @@
         round(request.n_events, 1),
         _deadline(request.program_seconds_left, elapsed_seconds),
         request.is_stream,
+        round(work.weight, 3),
     )
 
 
@@ -86,7 +88,8 @@
 ) -> ProgramRequest | PlacementRequest:
     """Return the request that a question of the host ``sender`` contains."""
     id = TurnId(sender, ask.boot, ask.number)
-    work = WorkClass(max(0, ask.rank), ask.customer, ask.route)
+    weight = ask.weight if ask.weight > 0.0 else 1.0
+    work = WorkClass(max(0, ask.rank), ask.customer, ask.route, weight)
     waited = min(max(0.0, ask.waited), MAX_WAITED_SECONDS)
     regions = None if ask.regions is None else frozenset(ask.regions)
     if isinstance(ask, AskEntry):
