FIX Last beacons of other zones don't hide that a zone is cut off

Cause: hosts of other zones announce their next beacon a second or more ahead, so a host that was cut off took them for relays to the store for 2.5 s after the last beacon, and refused new programs instead of sending callers elsewhere. Change: while no other zone is heard, its hosts don't count as relays.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
@@ -296,8 +296,16 @@
         return feeders[_ip_hash(self.own.ip) % len(feeders)]
 
     def peers_reaching_store(self) -> list[Peer]:
-        """Return the heard hosts that reach the store directly."""
-        return [p for p in self.alive() if self._store_up.get(p.ip)]
+        """Return the heard hosts that reach the store directly.
+
+        In a large fleet a host of another zone sends its next beacon after a second or
+        more. While no zone is heard, the last ones don't count: they may have been sent
+        before a network partition.
+        """
+        found = [p for p in self.alive() if self._store_up.get(p.ip)]
+        if self.is_partitioned():
+            return [p for p in found if p.zone == self.own.zone]
+        return found
 
     def relay_candidates(self, homes: AllowedRegions = None) -> list[Peer]:
         """Return the hosts that can relay calls to the store.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_isolation.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_isolation.py
@@ -59,6 +59,23 @@
 
         assert run_paused(main()) <= 0.9
 
+    def test_last_beacons_of_other_zones_do_not_hide_a_partition(self, store, log):
+        """Guards against isolation that is seen only when all beacons have expired.
+
+        In a large fleet that took two seconds and a half.
+        """
+
+        async def main():
+            cut = PartitionedHost(store, log)
+            await cut.run(1.0)
+            for peer in PEERS:
+                cut.fleet.record_beacon(peer, True, pause_seconds=1.0)
+            store.hangs = True
+            return await cut.run(3.0)
+
+        # Here the partition begins with a beacon, and not up to a round later.
+        assert run_paused(main()) <= 0.9 + BEACON_INTERVAL_SECONDS
+
     def test_host_that_starts_within_a_partition_does_not_hide_it(self, store, log):
         """Guards against hosts that report a store which never answered them.
 
