--- a/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
@@ -62,6 +62,15 @@
 """Time after which a waiting turn is dropped if its host, which asks each
 `QUEUED_RETRY_SECONDS`, hasn't asked again: the host is lost."""
 
+QUEUED_PER_TARGET = 1
+"""Turns that may wait at a target beyond its slots, so that a slot doesn't idle for the
+time of two messages when a turn ends."""
+
+QUEUED_FRACTION_FOR_CACHED = 0.5
+"""Turns that may wait at a target which has their prompt cached, beyond its slots and
+as a fraction of them. Reading a long prompt again takes as long as a wait for a slot,
+and holds up all other turns of the target."""
+
 LOW_LOAD_FRACTION = 0.35
 """Fraction of all slots below which turns don't slow each other down."""
 
@@ -139,9 +148,7 @@
         is_paced = not self._any_target_ready(limits, now)
         decision = self._admission.admit(request, capacity, is_paced, now)
         if isinstance(decision, ProgramAdmitted):
-            self._times.begin(
-                request.program, request.work.route, request.seconds_left, now
-            )
+            self._learn_begin(request.program, request.work, now)
         return decision
 
     def place_turn(
@@ -215,7 +222,11 @@
             is_ready = self._any_target_ready(found.limits, now)
             return found.capacity if is_ready else 0.0
 
-        return decisions + self._admission.grant_waiting(capacity_for, now)
+        for decision in self._admission.grant_waiting(capacity_for, now):
+            if isinstance(decision, AdmissionGrant):
+                self._learn_begin(decision.program, decision.work, now)
+            decisions.append(decision)
+        return decisions
 
     def withdraw(self, request_id: TurnId) -> None:
         """Forget a waiting request whose caller has left."""
@@ -233,8 +244,13 @@
         expected = self._times.turn_seconds(ended.work.route)
         self._shares.record(ended.work, seconds - expected, now)
         if result.is_complete and ended.program:
-            seconds += ended.waited_seconds
-            self._times.turn_ended(ended.program, seconds, ended.is_low_load, now)
+            self._times.turn_ended(
+                ended.program,
+                seconds,
+                ended.is_low_load,
+                now,
+                ended.waited_seconds,
+            )
         entry = self._targets.get(target)
         if entry is not None:
             self._placement.observe(ended, entry, result, now)
@@ -277,23 +293,41 @@
             now,
         )
 
+    def _learn_begin(self, program, work, now):
+        """Let the times of the route learn from an admitted program.
+
+        The deadline counts from the program's first request, not from its admission.
+        """
+        known = self._admission.programs.touch(program, work, 0.0, now)
+        self._times.begin(program, work.route, known.first_seconds_left or None, now)
+
     def _begin_program(self, request, now):
-        left = request.program_seconds_left or 0.0
-        self._admission.programs.touch(request.program, request.work, left, now)
+        self._admission.programs.touch(request.program, request.work, 0.0, now)
         self._admission.programs.begin(request.program)
-        self._times.begin(
-            request.program, request.work.route, request.program_seconds_left, now
-        )
+        # A program that began under another scheduler teaches no deadline.
+        self._times.begin(request.program, request.work.route, None, now)
 
     def _must_wait(self, request, targets, now) -> bool:
-        """Return whether a turn waits; requests without a prompt never do."""
-        if not request.prompt_tokens:
+        """Return whether a request waits because no target has room for it."""
+        if not request.is_stream:
+            return False
+        if self._has_room_at_cache(request, targets, now):
             return False
         n_free = sum(self._n_free(t, now) for t in targets)
         return n_free <= len(self._waiting) - (request.id in self._waiting)
 
     def _n_free(self, target, now) -> float:
-        return max(0.0, target.capacity - self._turns.count(target.id, now))
+        room = target.capacity + QUEUED_PER_TARGET
+        return max(0.0, room - self._turns.count(target.id, now))
+
+    def _has_room_at_cache(self, request, targets, now) -> bool:
+        """Return whether the target that has the prompt cached may get the turn."""
+        cached = self._placement.previous_target(request)
+        return any(self._is_room_for_cached(t, now) for t in targets if t.id == cached)
+
+    def _is_room_for_cached(self, target, now) -> bool:
+        room = target.capacity * (1.0 + QUEUED_FRACTION_FOR_CACHED)
+        return self._turns.count(target.id, now) < room
 
     def _any_slot_free(self, now) -> bool:
         return any(self._n_free(t, now) > 0 for t in self._targets.values())
@@ -315,10 +349,16 @@
         return [PlacementGrant(request.id, target)] if target else []
 
     def _place(self, request, targets, now, is_limited) -> TargetEntry | None:
-        """Place a turn at one of the targets, preferably at one with a free slot."""
+        """Place a turn at one of the targets, preferably at one with room for it."""
         for target in targets:
             self._targets[target.id] = target
-        free = [t for t in targets if self._n_free(t, now) > 0]
+        cached = self._placement.previous_target(request)
+        free = [
+            t
+            for t in targets
+            if self._n_free(t, now) > 0
+            or (t.id == cached and self._is_room_for_cached(t, now))
+        ]
         chosen = self._placement.choose(
             request, free or targets, self._slack(request), now
         )
