ENH Among customers of one priority the route's priority decides

Cause: nearly all customers of a deployment have the same priority, which replaced that of the routes: in a burst of long programs the short, urgent ones were refused as often. Change: the rank is ordered by the customer's priority first and the route's second.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
@@ -10,6 +10,10 @@
 from swifttide_daemon.gateway.callers._caller_request import CallerRequest
 
 
+RANKS_PER_PRIORITY = 10
+"""Ranks among the requests of customers with one priority, by their routes' priority."""
+
+
 @dataclass(frozen=True, slots=True)
 class Job:
     """An admitted request with what admission has determined about it.
@@ -141,10 +145,16 @@
 
 
 def work_class(route: Route, terms: CustomerTerms | None) -> WorkClass:
-    """Return the class of a request; the customer's priority overrides the route's."""
+    """Return the class of a request.
+
+    The customer's priority goes before the route's, which decides among the requests of
+    customers with the same priority.
+    """
+    urgency = min(max(0, route.priority), RANKS_PER_PRIORITY - 1)
     if terms is None:
-        return WorkClass(route.priority, "", route.name)
-    rank = route.priority if terms.priority is None else terms.priority
+        return WorkClass(route.priority * RANKS_PER_PRIORITY + urgency, "", route.name)
+    priority = route.priority if terms.priority is None else terms.priority
+    rank = priority * RANKS_PER_PRIORITY + urgency
     return WorkClass(rank, terms.name, route.name, terms.rate_per_second or 1.0)
 
 
