--- a/packages/swifttide_core/src/swifttide_core/placement/_prediction.py
+++ b/packages/swifttide_core/src/swifttide_core/placement/_prediction.py
@@ -19,14 +19,16 @@
 """Lower bound of the growth per other turn, so that equal targets share the load even
 where none was learned. One more turn in a batch slows the others by about 1%."""
 
-CROSS_ZONE_SECONDS = 0.010
-"""Cost of sending to another zone. A round trip takes 2 to 3 ms, and the bytes are
-paid for."""
-
-NEW_CONNECTION_SECONDS = 0.009
-"""Cost of a new connection. It takes a round trip and a handshake and occupies a slot
-for a moment. It is less than the cost of another zone, so that idle connections don't
-move traffic out of its zone."""
+CROSS_ZONE_SECONDS = 0.018
+"""Cost of sending to another zone: a round trip of 2 to 3 ms, and bytes that are paid
+for. It is more than one more turn at a target costs the others there, so that turns
+leave their zone only for a difference in load of two turns or more."""
+
+NEW_CONNECTION_SECONDS = 0.015
+"""Cost of a new connection: a round trip, a handshake, a slot that is occupied for a
+moment, and one of the connections that a target accepts. It is about what one more turn
+at a target costs, and less than the cost of another zone, so that idle connections
+don't move traffic out of its zone."""
 
 MEMORY_PENALTY_SECONDS = 1_000.0
 """Cost of exceeding a target's memory, which then interrupts turns and computes them
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
@@ -9,9 +9,8 @@
 from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
 from swifttide_daemon.gateway.callers._caller_request import CallerRequest
 
-
 RANKS_PER_PRIORITY = 10
-"""Ranks among the requests of customers with one priority, by their routes' priority."""
+"""Ranks of the requests of customers with one priority, by their routes' priority."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_work_class.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_work_class.py
@@ -30,7 +30,7 @@
         assert rank(2, 0) < rank(0, 1)
 
     def test_route_decides_among_customers_of_one_priority(self):
-        """Guards against routes that are treated alike as all customers have a priority.
+        """Guards against routes that are treated alike where customers have priorities.
 
         Programs of the most urgent route were refused as often as the others then.
         """
