--- a/packages/swifttide_core/src/swifttide_core/placement/tests/test_choose_by_completion.py
+++ b/packages/swifttide_core/src/swifttide_core/placement/tests/test_choose_by_completion.py
@@ -17,6 +17,10 @@
     choose_by_completion,
     predict,
 )
+from swifttide_core.placement._prediction import (
+    CROSS_ZONE_SECONDS,
+    NEW_CONNECTION_SECONDS,
+)
 
 
 def candidate(name, outstanding=0.0, ratio=1.0, tokens=0, token_capacity=0, **more):
@@ -74,7 +78,9 @@
         found = predict(candidate("t", 2.0, is_remote=True), TurnDemand(800, 3.0))
         assert found.read_seconds == pytest.approx(0.01)
         assert found.decode_seconds == pytest.approx(0.13 * 1.14)
-        assert found.network_seconds == pytest.approx(0.019)
+        assert found.network_seconds == pytest.approx(
+            CROSS_ZONE_SECONDS + NEW_CONNECTION_SECONDS
+        )
         assert found.delay_seconds == pytest.approx(2 * (0.01 + 2 * 0.05 * 0.07))
         assert found.finish_seconds == pytest.approx(0.029 + 0.13 * 1.14)
         assert found.cost_seconds == found.finish_seconds + found.delay_seconds
