FIX Waiting requests don't hold up those that may be served

Cause: waiting programs of a rank and route shared one decision whatever their regions and reservations, so a program bound to a region without capacity, or one without a reservation, stopped those behind it although slots were free. Programs and turns shared one set of rate limits, so the low limits of a new scheduler refused programs. A turn that was deferred or had no target stayed in the queue. While a target without use, such as one that is down, had free slots, each round compared all targets for each waiter. Change: decisions are shared only by requests that differ in none of these; a deferred turn leaves the queue.

--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
@@ -304,16 +304,19 @@
     def _fits_now(self, capacity_for, now) -> Callable[[ProgramRequest], bool]:
         """Return a function that tells whether a waiting program fits now.
 
-        Programs of the same rank and route fit alike, so each pair is decided once.
+        Programs of the same rank and route with the same targets fit alike, except
+        those with a reservation, so each kind is decided once.
         """
-        known: dict[tuple[int, str], bool] = {}
+        known: dict[tuple, bool] = {}
 
         def fits(request) -> bool:
-            pair = (request.work.rank, request.work.route)
-            if pair not in known:
+            is_reserved = self.programs.has_reservation(request.program, now)
+            work = request.work
+            kind = (work.rank, work.route, request.regions, is_reserved)
+            if kind not in known:
                 capacity = capacity_for(request)
-                known[pair] = capacity > 0 and self._fits(request, capacity, now)
-            return known[pair]
+                known[kind] = capacity > 0 and self._fits(request, capacity, now)
+            return known[kind]
 
         return fits
 
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
@@ -174,11 +174,11 @@
         placed = self._turns.find(request.id)
         if placed in self._targets:
             return self._targets[placed]
-        if not targets:
-            return None
         ready = self._ready_targets(targets, limits, now)
-        if isinstance(ready, PlacementDeferred):
-            return ready
+        if not targets or isinstance(ready, PlacementDeferred):
+            # The host doesn't wait for the turn under this number any more.
+            self._waiting.remove(request.id)
+            return ready if targets else None
         if self._must_wait(request, ready, now):
             left = min(
                 MAX_TURN_WAIT_SECONDS,
@@ -211,7 +211,7 @@
             decisions += self._grant_turn(request, eligible, now)
         while len(self._waiting) and self._any_slot_free(now):
             request = self._waiting.next(
-                self._shares, now, lambda r: self._may_take(r, eligible, now)
+                self._shares, now, self._may_take_now(eligible, now)
             )
             if request is None:
                 break
@@ -332,12 +332,25 @@
     def _any_slot_free(self, now) -> bool:
         return any(self._n_free(t, now) > 0 for t in self._targets.values())
 
-    def _may_take(self, request, eligible, now) -> bool:
-        found = eligible(request)
-        ready = self._ready_targets(found.targets, found.limits, now)
-        if isinstance(ready, PlacementDeferred):
-            return False
-        return any(self._n_free(t, now) > 0 for t in ready)
+    def _may_take_now(self, eligible, now) -> Callable[[PlacementRequest], bool]:
+        """Return a function that tells whether a target has room for a waiting turn.
+
+        It is called for all waiting turns while the only free slots are at targets that
+        none of them may use, such as one that is down, so each kind is decided once.
+        """
+        known: dict[tuple, bool] = {}
+
+        def may_take(request) -> bool:
+            kind = _kind_of(request)
+            if kind not in known:
+                found = eligible(request)
+                ready = self._ready_targets(found.targets, found.limits, now)
+                known[kind] = not isinstance(ready, PlacementDeferred) and any(
+                    self._n_free(t, now) > 0 for t in ready
+                )
+            return known[kind]
+
+        return may_take
 
     def _grant_turn(self, request, eligible, now) -> list[PlacementGrant]:
         """Place a waiting turn; its host asks again where no target may take it."""
@@ -432,10 +445,15 @@
     answers: dict[tuple, Eligible] = {}
 
     def find(request) -> Eligible:
-        excluded = getattr(request, "excluded_targets", frozenset())
-        kind = (request.regions, excluded)
+        kind = _kind_of(request)
         if kind not in answers:
             answers[kind] = eligible(request)
         return answers[kind]
 
     return find
+
+
+def _kind_of(request: PlacementRequest | ProgramRequest) -> tuple:
+    """Return by what the targets and limits of waiting requests differ."""
+    # Limits of a program's request differ from those of a turn.
+    return request.regions, getattr(request, "excluded_targets", None)
