FIX A successor takes over the speed that all targets share

After a change of host, times were predicted by the priors and cached prompts hardly counted. Change: the shared entry is kept, and values are sent with four significant digits. The test fails without either part.

--- a/packages/swifttide_core/src/swifttide_core/placement/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/placement/__init__.py
@@ -9,9 +9,10 @@
     TurnDemand,
     predict,
 )
-from swifttide_core.placement._target_speeds import TargetSpeeds
+from swifttide_core.placement._target_speeds import SHARED_KEY, TargetSpeeds
 
 __all__ = [
+    "SHARED_KEY",
     "Choice",
     "PlacementCandidate",
     "Prediction",
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_states.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_states.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from swifttide_core.forwarding import TargetEntry
+from swifttide_core.placement import SHARED_KEY
 from swifttide_daemon.gateway.targets._order_messages import OrderState
 
 MAX_PART_BYTES = 1_100
@@ -22,14 +23,17 @@
         self._states: dict[str, dict[str, dict[str, list[float]]]] = {}
 
     def add(self, message: OrderState, targets: dict[str, TargetEntry]) -> None:
-        """Merge a part; entries of targets that aren't in ``targets`` are ignored."""
+        """Merge a part; entries of targets that aren't in ``targets`` are ignored.
+
+        The entry `SHARED_KEY`, which has the values of all targets together, is kept.
+        """
         if message.service not in self._states and len(self._states) >= MAX_SERVICES:
             return
         state = self._states.setdefault(message.service, {"targets": {}, "routes": {}})
         state["targets"].update(
             (id, values)
             for id, values in message.part.get("targets", {}).items()
-            if id in targets
+            if id in targets or id == SHARED_KEY
         )
         for name, values in message.part.get("routes", {}).items():
             if name in state["routes"] or len(state["routes"]) < MAX_ROUTES:
@@ -51,7 +55,8 @@
     n_bytes = MAX_PART_BYTES
     for kind, entries in snapshot.items():
         for name, values in entries.items():
-            rounded = [round(value, 4) for value in values]
+            # Significant digits, since the prefill time of a token is some 1e-5 s.
+            rounded = [float(f"{value:.4g}") for value in values]
             size = len(msgspec.json.encode({name: rounded}))
             if n_bytes + size > MAX_PART_BYTES:
                 messages.append(OrderState(service, {}))
