FIX Mean loads of ranks are bounded

Cause: the mean load of each rank that had ever been asked for was kept, and compared at each decision.

--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
@@ -21,7 +21,7 @@
 from swifttide_core.scheduling._load_limit import load_limit
 from swifttide_core.scheduling._outstanding_turns import OutstandingTurns
 from swifttide_core.scheduling._program_times import ProgramTimes
-from swifttide_core.scheduling._rank_demand import RankDemand
+from swifttide_core.scheduling._rank_demand import MAX_RANKS, RankDemand
 from swifttide_core.scheduling._requests import (
     AdmissionGrant,
     AdmissionWithdrawn,
@@ -196,6 +196,10 @@
             own = sum(n for other, n in counts.items() if other <= rank)
             before = self._smoothed.get(rank, own)
             self._smoothed[rank] = before + gain * (own - before)
+        if len(self._smoothed) > MAX_RANKS:
+            # Requests of other hosts could contain any number of ranks.
+            for rank in self._smoothed.keys() - counts.keys():
+                del self._smoothed[rank]
 
     def reserved_above(self, rank: int, now: float) -> float:
         """Return the slots that are kept free for more urgent ranks."""
