FIX A scheduler that returns counts the turns placed meanwhile

Cause: reported requests counted only in the first 3 s after a scheduler was created. A host that was a scheduler before, and is asked again after a partition, gave slots that turns of the other scheduler occupied. Counts of ranks without turns were kept. Change: a scheduler that was not asked for a second counts the reported requests again for 3 s; counts of 0 are removed. Result: tests for both, which failed before, and one for the call by its host.

--- a/packages/swifttide_core/src/swifttide_core/scheduling/_outstanding_turns.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_outstanding_turns.py
@@ -16,8 +16,8 @@
 from swifttide_core.scheduling._work_class import WorkClass
 
 STARTUP_SECONDS = 3.0
-"""Time after its start during which a scheduler also counts the requests that other
-hosts have reported, since it has not seen the turns placed before."""
+"""Time after its start or return during which a scheduler also counts the requests that
+other hosts have reported, since it has not seen the turns placed before."""
 
 RECONCILE_MIN_AGE_SECONDS = 0.6
 """Minimum age of a turn that is removed because its host no longer reports it. A
@@ -83,6 +83,13 @@
         self._expiries: list[tuple[float, int, str, TurnId]] = []
         self._n_added = 0
 
+    def resume(self, now: float) -> None:
+        """Count what other hosts report again, as after a start.
+
+        Another host may have placed turns since the scheduler was last asked.
+        """
+        self._started_at = now
+
     def add(self, target: str, turn: OutstandingTurn) -> None:
         """Record a turn that was placed at a target."""
         self._turns.setdefault(target, {})[turn.id] = turn
@@ -102,7 +109,10 @@
         found = self._turns.get(target, {}).pop(turn, None)
         if found is not None:
             self._tokens[target] -= found.prompt_tokens
-            self._by_rank[found.work.rank] -= 1
+            rank = found.work.rank
+            self._by_rank[rank] -= 1
+            if not self._by_rank[rank]:
+                del self._by_rank[rank]
         return found
 
     def forget_target(self, target: str) -> None:
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
@@ -281,6 +281,10 @@
         self._placement.speeds.restore(snapshot.get("targets", {}), now)
         self._times.restore(snapshot.get("routes", {}))
 
+    def resume(self, now: float) -> None:
+        """Go on after a time in which another host may have been the scheduler."""
+        self._turns.resume(now)
+
     def status(self, now: float) -> dict:
         """Return figures for the log; see `scheduler_status`."""
         return scheduler_status(
--- a/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_scheduler_requests.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_scheduler_requests.py
@@ -1,5 +1,7 @@
 """Requests to the scheduler that wait, are repeated or come after a change of host."""
 
+from dataclasses import replace
+
 from swifttide_core.forwarding import TargetEntry
 from swifttide_core.scheduling import (
     AdmissionGrant,
@@ -12,6 +14,7 @@
     TurnScheduler,
     WorkClass,
 )
+from swifttide_core.scheduling._rank_demand import MAX_RANKS
 from swifttide_core.scheduling._turn_scheduler import QUEUED_PER_TARGET
 
 CAPACITY = 6
@@ -133,3 +136,28 @@
         scheduler.end_turn(ended, scheduler._turns.find(ended), TurnResult(), 10.1)
         found = Eligible(TARGETS, N_SLOTS)
         assert scheduler.grant_waiting(lambda request: found, 10.11) == []
+
+
+class TestState:
+    """State of a scheduler over a long time."""
+
+    def test_returning_scheduler_counts_reported_turns(self):
+        """Slots of turns that another host had placed meanwhile were given again."""
+        reported = dict.fromkeys((target.id for target in TARGETS), 0.0)
+        scheduler = TurnScheduler(0.0, lambda target: reported[target])
+        reported.update(dict.fromkeys(reported, float(CAPACITY + QUEUED_PER_TARGET)))
+        scheduler.resume(10.0)
+        assert isinstance(scheduler.place_turn(turn(0), TARGETS, 10.0), TurnQueued)
+
+    def test_ranks_without_work_are_forgotten(self):
+        """Each rank ever asked for was kept and compared at each decision."""
+        scheduler = TurnScheduler(0.0, lambda target: 0.0)
+        for rank in range(200):
+            now = 10.0 + 0.1 * rank
+            request = replace(turn(rank), work=WorkClass(rank))
+            target = scheduler.place_turn(request, TARGETS, now)
+            scheduler.end_turn(request.id, target.id, TurnResult(), now + 0.05)
+        scheduler.place_turn(turn(900), TARGETS, 60.0)
+        assert scheduler._turns.by_rank() == {0: 1.0}
+        assert len(scheduler._turns._by_rank) == 1
+        assert len(scheduler._admission._smoothed) <= MAX_RANKS
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_server.py
@@ -215,6 +215,8 @@
             active.since = clock
         if is_new or clock - active.asked_at > IDLE_SECONDS:
             active.since = clock
+            if not is_new:
+                active.scheduler.resume(now)
             state = self._received_states.take(service)
             if state is not None:
                 active.scheduler.restore(state, now)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_queueing_scheduler.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_queueing_scheduler.py
@@ -25,6 +25,8 @@
         Time since which each request waits, and the request.
     results, restored : list
         Results of turns that ended, and states of predecessors.
+    n_resumed : int
+        Number of calls of `resume`.
     withdraws_programs : bool
         Whether waiting programs are refused.
     """
@@ -34,6 +36,7 @@
         self.waiting = {}
         self.results, self.restored = [], []
         self.withdraws_programs = False
+        self.n_resumed = 0
 
     def describe_targets(self, memory_tokens, tokens_per_event):
         """Ignore the configuration."""
@@ -88,5 +91,8 @@
     def restore(self, snapshot, now):
         self.restored.append(snapshot)
 
+    def resume(self, now):
+        self.n_resumed += 1
+
     def status(self, now):
         return {"n_waiting": len(self.waiting)}
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_scheduler_protocol.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_scheduler_protocol.py
@@ -323,6 +323,17 @@
             {"targets": {"engine-0": [0.5]}, "routes": {"chat": [1.0, 2.0]}}
         ]
 
+    def test_scheduler_that_was_not_asked_for_a_while_resumes(self, log):
+        """Guards against slots that are given again to turns of another scheduler."""
+
+        async def scenario(hosts):
+            await hosts.place()
+            await asyncio.sleep(1.5)
+            await hosts.place(remaining_seconds=0.1)
+            return hosts.scheduler().n_resumed
+
+        assert run(log, scenario) == 1
+
     def test_state_of_unknown_targets_is_ignored(self, log):
         """Guards against memory that forged messages fill."""
 
