--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
@@ -21,7 +21,7 @@
 from swifttide_core.scheduling._load_limit import load_limit
 from swifttide_core.scheduling._outstanding_turns import OutstandingTurns
 from swifttide_core.scheduling._program_times import ProgramTimes
-from swifttide_core.scheduling._rank_demand import RankDemand
+from swifttide_core.scheduling._rank_demand import MAX_RANKS, RankDemand
 from swifttide_core.scheduling._requests import (
     AdmissionGrant,
     AdmissionWithdrawn,
@@ -196,6 +196,10 @@
             own = sum(n for other, n in counts.items() if other <= rank)
             before = self._smoothed.get(rank, own)
             self._smoothed[rank] = before + gain * (own - before)
+        if len(self._smoothed) > MAX_RANKS:
+            # Requests of other hosts could contain any number of ranks.
+            for rank in self._smoothed.keys() - counts.keys():
+                del self._smoothed[rank]
 
     def reserved_above(self, rank: int, now: float) -> float:
         """Return the slots that are kept free for more urgent ranks."""
@@ -304,16 +308,19 @@
     def _fits_now(self, capacity_for, now) -> Callable[[ProgramRequest], bool]:
         """Return a function that tells whether a waiting program fits now.
 
-        Programs of the same rank and route fit alike, so each pair is decided once.
+        Programs of the same rank and route with the same targets fit alike, except
+        those with a reservation, so each kind is decided once.
         """
-        known: dict[tuple[int, str], bool] = {}
+        known: dict[tuple, bool] = {}
 
         def fits(request) -> bool:
-            pair = (request.work.rank, request.work.route)
-            if pair not in known:
+            is_reserved = self.programs.has_reservation(request.program, now)
+            work = request.work
+            kind = (work.rank, work.route, request.regions, is_reserved)
+            if kind not in known:
                 capacity = capacity_for(request)
-                known[pair] = capacity > 0 and self._fits(request, capacity, now)
-            return known[pair]
+                known[kind] = capacity > 0 and self._fits(request, capacity, now)
+            return known[kind]
 
         return fits
 
