--- a/packages/swifttide_core/src/swifttide_core/forwarding/_routing_config.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/_routing_config.py
@@ -75,6 +75,10 @@
         """Return a customer by name, or None."""
         return self._customers.get(name)
 
+    def has_service(self, name: str) -> bool:
+        """Return whether a service is configured."""
+        return name in self._services
+
     def service(self, name: str) -> ServiceSpec:
         """Return a service by name, or default settings if it is not configured."""
         return self._services.get(name) or ServiceSpec(name)
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
@@ -122,6 +122,7 @@
         seconds_left = request.seconds_left or 0.0
         known = self.programs.touch(request.program, request.work, seconds_left, now)
         if known.is_admitted:
+            self._waiting.remove(request.id)
             return ProgramAdmitted()
         self.observe_demand(now)
         if self._waiting.renew(request, now):
@@ -302,6 +303,8 @@
         return usual * known.first_seconds_left / max(0.001, deadline)
 
     def _grant(self, request, now) -> AdmissionGrant:
+        # The record may have been evicted while the program waited.
+        self.programs.touch(request.program, request.work, 0.0, now)
         self.programs.admit(request.program, now)
         return AdmissionGrant(request.id, request.program, request.work)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_server.py
@@ -148,8 +148,7 @@
             return
         now = asyncio.get_running_loop().time()
         match message:
-            # Without a configuration, which a host lacks at its start, it can't answer.
-            case AskEntry() | AskPlace() if self._beliefs.config is not None:
+            case AskEntry() | AskPlace() if self._is_configured(message.service):
                 id = TurnId(sender, message.boot, message.number)
                 answer = self._recent_answers.find(id, now)
                 self._send(sender, answer or self._decide(message, sender, now))
@@ -161,6 +160,11 @@
             case OrderState():
                 self._received_states.add(message, self._beliefs.targets)
 
+    def _is_configured(self, service: str) -> bool:
+        """Return whether a service is configured; a host that starts knows none."""
+        cfg = self._beliefs.config
+        return cfg is not None and cfg.has_service(service)
+
     def reconcile_counts(self, host: str, counts: dict[str, int]) -> None:
         """Correct the schedulers by the counts of requests in a host's beacon."""
         now = asyncio.get_running_loop().time()
