MAINT Remove the former turn scheduler of swifttide_core.admission

Cause: the gateway uses swifttide_core.scheduling.TurnScheduler; the former scheduler, its learned bound and its latency averages were used by tests only.

Change: _turn_scheduler, _outstanding_turn_bound and _target_latencies are removed, with TurnId, PlacementRequest and TurnScheduler of admission. PlacementDeferred is defined in _target_rate_limiter.

--- a/packages/swifttide_core/src/swifttide_core/admission/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/__init__.py
@@ -1,8 +1,9 @@
-"""Admission control and scheduling of calls and programs at targets.
+"""Admission control of calls and programs at targets.
 
 A program is a conversation or agent run of several turns; each turn is a call to a
-target. The package decides whether a new program may start, to which target a turn is
-sent, how many calls run at a target at once, and in which order the others wait.
+target. The package decides at one host whether a new program may start, how many
+requests per second a target may get, how many calls run at a target at once, and in
+which order the others wait. `swifttide_core.scheduling` decides for all hosts together.
 """
 
 from swifttide_core.admission._call_cost import call_cost
@@ -23,17 +24,12 @@
 from swifttide_core.admission._target_queue import TargetQueue
 from swifttide_core.admission._target_rate_limiter import (
     ColdTargetLimits,
+    PlacementDeferred,
     ReadyTargets,
     SchedulerStanding,
     TargetRateLimiter,
 )
 from swifttide_core.admission._ticket import Ticket, check_ticket
-from swifttide_core.admission._turn_scheduler import (
-    PlacementDeferred,
-    PlacementRequest,
-    TurnId,
-    TurnScheduler,
-)
 from swifttide_core.admission._working_set import WorkingSet
 
 __all__ = [
@@ -48,7 +44,6 @@
     "Outcome",
     "OutcomeStatus",
     "PlacementDeferred",
-    "PlacementRequest",
     "ProfileEstimates",
     "ProgramAdmitted",
     "ProgramGate",
@@ -61,8 +56,6 @@
     "TargetQueue",
     "TargetRateLimiter",
     "Ticket",
-    "TurnId",
-    "TurnScheduler",
     "WorkingSet",
     "call_cost",
     "check_admission_config",
--- a/packages/swifttide_core/src/swifttide_core/admission/_target_rate_limiter.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/_target_rate_limiter.py
@@ -172,6 +172,19 @@
         return max(0.0, sent[-most] + span - now)
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementDeferred:
+    """No target may get another request now without exceeding its rate limit.
+
+    Parameters
+    ----------
+    retry_seconds : float
+        Time until a target may get another request.
+    """
+
+    retry_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class ReadyTargets:
     """Targets that may get a request now.
--- a/packages/swifttide_core/src/swifttide_core/admission/tests/test_target_rate_limiter.py
+++ b/packages/swifttide_core/src/swifttide_core/admission/tests/test_target_rate_limiter.py
@@ -7,16 +7,10 @@
 
 from swifttide_core.admission import (
     ColdTargetLimits,
-    PlacementDeferred,
-    PlacementRequest,
-    ProgramRefused,
     ReadyTargets,
     SchedulerStanding,
     TargetRateLimiter,
-    TurnId,
-    TurnScheduler,
 )
-from swifttide_core.forwarding import TargetEntry
 
 COLD_LIMITS = ColdTargetLimits(
     cold_requests_per_second=20.0, max_requests_per_second=35.0
@@ -91,30 +85,3 @@
             for part in (0.25, 0.75)
         ]
         assert sum(parts) == pytest.approx(whole)
-
-
-class TestSchedulerWithRateLimits:
-    """A scheduler whose targets have all reached their rate limits."""
-
-    def scheduler_at_limit(self):
-        targets = [TargetEntry("t0", "s", "ip", 1, "a", 6)]
-        scheduler = TurnScheduler(0.0, lambda target: 0.0)
-        limits = {"t0": 2.0}
-        for number in range(2):
-            request = PlacementRequest(TurnId("h", "b", number), "", "a", "", "", 4.0)
-            assert scheduler.place_turn(request, targets, 10.0, limits) is not None
-        return scheduler, targets, limits
-
-    def test_deferred_turn_gets_retry_time(self):
-        scheduler, targets, limits = self.scheduler_at_limit()
-        request = PlacementRequest(TurnId("h", "b", 9), "", "a", "", "", 4.0)
-        assert scheduler.place_turn(
-            request, targets, 10.5, limits
-        ) == PlacementDeferred(0.5)
-        assert scheduler.place_turn(request, targets, 11.0, limits) == targets[0]
-
-    def test_new_program_is_refused_when_no_target_is_ready(self):
-        """Guards against programs that start when no turn may be sent."""
-        scheduler, _, limits = self.scheduler_at_limit()
-        answer = scheduler.admit_program("p", 2.0, ("t0",), 6, 10.5, limits)
-        assert isinstance(answer, ProgramRefused)
--- a/packages/swifttide_core/src/swifttide_core/admission/tests/test_connections.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_connections.py
@@ -10,8 +10,13 @@
 
 import pytest
 
-from swifttide_core.admission import PlacementRequest, TurnId, TurnScheduler
 from swifttide_core.forwarding import TargetEntry
+from swifttide_core.scheduling import (
+    PlacementRequest,
+    TurnId,
+    TurnResult,
+    TurnScheduler,
+)
 
 N_HOSTS = 90
 N_TARGETS = 24
@@ -23,6 +28,8 @@
 IDLE_TIMEOUT_SECONDS = 4.0
 SIMULATED_SECONDS = 25.0
 N_SUBJECTS = 6
+PROMPT_TOKENS, PREFIX_TOKENS = 500, 300
+RESULT = TurnResult(0.02, 0.025, 3, True)
 
 
 class Simulation:
@@ -68,7 +75,7 @@
                 heapq.heappush(events, (end, number, host, subject, target))
                 continue
             turn = TurnId(str(host), "b", number)
-            self._scheduler.end_turn(turn, target, 0.02, now)
+            self._scheduler.end_turn(turn, target, RESULT, now)
             self._idle_since.setdefault((host, target), []).append(now)
 
     def _send(self, now, number, host, subject) -> str:
@@ -79,10 +86,13 @@
             TurnId(str(host), "b", number),
             "",
             "abc"[host % 3],
-            subject,
-            "",
-            4.0,
-            connected if self._sends_connected_targets else frozenset(),
+            prompt_prefix=subject,
+            prompt_tokens=PROMPT_TOKENS,
+            prefix_tokens=PREFIX_TOKENS,
+            remaining_seconds=4.0,
+            connected_targets=(
+                connected if self._sends_connected_targets else frozenset()
+            ),
         )
         target = self._scheduler.place_turn(request, self._targets, now).id
         idle = self._idle_connections(host, target, now)
@@ -91,7 +101,7 @@
             idle.pop()
         else:
             self.n_opened += 1
-        count = self._scheduler.outstanding(target, now)
+        _, count = self._scheduler.status(now)["targets"][target]
         self.max_outstanding = max(self.max_outstanding, count)
         return target
 
