--- a/packages/swifttide_core/src/swifttide_core/scheduling/_known_programs.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_known_programs.py
@@ -15,7 +15,7 @@
 """Time for which an admitted program counts as one turn until its first turn is placed.
 Its host may wait that long for the customer's rate or the program's budget."""
 
-RESERVATION_SECONDS = 1.0
+RESERVATION_SECONDS = 0.5
 """Time for which a slot is reserved for a refused program after the announced time.
 Callers add a random delay of up to some tenths of a second."""
 
@@ -105,6 +105,10 @@
         known.reserved_from = start
         self._reserved[program] = known
 
+    def n_reserved(self) -> int:
+        """Return the number of refused programs that have a reservation."""
+        return len(self._reserved)
+
     def has_reservation(self, program: str, now: float) -> bool:
         """Return whether a slot is reserved for a program now."""
         known = self._reserved.get(program)
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_admission.py
@@ -64,6 +64,11 @@
 would take a slot from one that can, and is refused."""
 
 
+MAX_RESERVED_FRACTION = 0.1
+"""Largest number of reservations, as a fraction of all slots. Callers that don't return
+leave their slots idle for a while."""
+
+
 class ProgramAdmission:
     """Decides which new programs are admitted, wait or are refused.
 
@@ -341,6 +346,8 @@
         known = self.programs.touch(request.program, request.work, 0.0, now)
         needed = self._needed_seconds(known, capacity)
         left = request.seconds_left
-        if wait <= retry_seconds and (left is None or left - retry_seconds >= needed):
+        is_in_time = left is None or left - retry_seconds >= needed
+        has_room = self.programs.n_reserved() < MAX_RESERVED_FRACTION * capacity
+        if wait <= retry_seconds and is_in_time and has_room:
             self.programs.reserve(request.program, now + retry_seconds)
         return ProgramRefused(retry_seconds)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_order_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_order_messages.py
@@ -11,7 +11,11 @@
     TurnResult,
     WorkClass,
 )
-from swifttide_daemon.gateway.callers._job import Progress, work_class
+from swifttide_daemon.gateway.callers._job import (
+    RANKS_PER_PRIORITY,
+    Progress,
+    work_class,
+)
 from swifttide_daemon.gateway.peers._datagrams import Datagram
 from swifttide_daemon.gateway.targets._order_messages import (
     AskEntry,
@@ -129,8 +133,9 @@
 class TestWorkOfRequests:
     def test_priority_of_the_customer_overrides_that_of_the_route(self):
         """Guards against a most urgent customer, of priority 0, that isn't seen."""
-        for priority, rank in ((None, ROUTE.priority), (0, 0), (3, 3)):
+        for priority, first in ((None, ROUTE.priority), (0, 0), (3, 3)):
             terms = CustomerTerms("c", (), priority=priority)
+            rank = first * RANKS_PER_PRIORITY + ROUTE.priority
             assert work_class(ROUTE, terms) == WorkClass(rank, "c", ROUTE.name)
 
     def test_time_between_events(self):
