--- a/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_turn_scheduler.py
@@ -20,8 +20,6 @@
     PlacementDeferred,
     ProgramAdmitted,
     ProgramRefused,
-    ReadyTargets,
-    TargetRateLimiter,
 )
 from swifttide_core.forwarding import TargetEntry
 from swifttide_core.scheduling._fair_shares import FairShares
@@ -29,6 +27,7 @@
     OutstandingTurn,
     OutstandingTurns,
 )
+from swifttide_core.scheduling._paced_targets import PacedTargets
 from swifttide_core.scheduling._program_admission import ProgramAdmission
 from swifttide_core.scheduling._program_times import ProgramTimes
 from swifttide_core.scheduling._requests import (
@@ -44,6 +43,7 @@
     TurnResult,
 )
 from swifttide_core.scheduling._scheduler_status import scheduler_status
+from swifttide_core.scheduling._target_room import TargetRoom
 from swifttide_core.scheduling._turn_placement import TurnPlacement
 from swifttide_core.scheduling._waiting_requests import WaitingRequests
 
@@ -62,15 +62,6 @@
 """Time after which a waiting turn is dropped if its host, which asks each
 `QUEUED_RETRY_SECONDS`, hasn't asked again: the host is lost."""
 
-QUEUED_PER_TARGET = 1
-"""Turns that may wait at a target beyond its slots, so that a slot doesn't idle for the
-time of two messages when a turn ends."""
-
-QUEUED_FRACTION_FOR_CACHED = 0.5
-"""Turns that may wait at a target which has their prompt cached, beyond its slots and
-as a fraction of them. Reading a long prompt again takes as long as a wait for a slot,
-and holds up all other turns of the target."""
-
 LOW_LOAD_FRACTION = 0.35
 """Fraction of all slots below which turns don't slow each other down."""
 
@@ -105,7 +96,8 @@
             self._times,
             self._shares,
         )
-        self._rate_limiter = TargetRateLimiter()
+        self._room = TargetRoom(self._turns)
+        self._paced = PacedTargets()
         self._targets: dict[str, TargetEntry] = {}
         self._expired_at = now
 
@@ -145,7 +137,7 @@
         """
         self._expire(now)
         self._targets.update((target.id, target) for target in targets)
-        is_paced = not self._any_target_ready(limits, now)
+        is_paced = not self._paced.is_any_ready(limits, now)
         decision = self._admission.admit(request, capacity, is_paced, now)
         if isinstance(decision, ProgramAdmitted):
             self._learn_begin(request.program, request.work, now)
@@ -174,7 +166,7 @@
         placed = self._turns.find(request.id)
         if placed in self._targets:
             return self._targets[placed]
-        ready = self._ready_targets(targets, limits, now)
+        ready = self._paced.ready(targets, limits, now)
         if not targets or isinstance(ready, PlacementDeferred):
             # The host doesn't wait for the turn under this number any more.
             self._waiting.remove(request.id)
@@ -209,7 +201,7 @@
         decisions: list[PlacementGrant | AdmissionGrant | AdmissionWithdrawn] = []
         for request in self._waiting.expire(now):
             decisions += self._grant_turn(request, eligible, now)
-        while len(self._waiting) and self._any_slot_free(now):
+        while len(self._waiting) and self._room.is_any(self._targets.values(), now):
             request = self._waiting.next(
                 self._shares, now, self._may_take_now(eligible, now)
             )
@@ -219,7 +211,7 @@
 
         def capacity_for(request) -> float:
             found = eligible(request)
-            is_ready = self._any_target_ready(found.limits, now)
+            is_ready = self._paced.is_any_ready(found.limits, now)
             return found.capacity if is_ready else 0.0
 
         for decision in self._admission.grant_waiting(capacity_for, now):
@@ -263,7 +255,7 @@
         """Remove all state of a target that was removed."""
         self._turns.forget_target(target)
         self._placement.forget_target(target)
-        self._rate_limiter.forget(target)
+        self._paced.forget(target)
         self._targets.pop(target, None)
 
     def snapshot(self) -> dict:
@@ -315,26 +307,11 @@
         """Return whether a request waits because no target has room for it."""
         if not request.is_stream:
             return False
-        if self._has_room_at_cache(request, targets, now):
-            return False
-        n_free = sum(self._n_free(t, now) for t in targets)
-        return n_free <= len(self._waiting) - (request.id in self._waiting)
-
-    def _n_free(self, target, now) -> float:
-        room = target.capacity + QUEUED_PER_TARGET
-        return max(0.0, room - self._turns.count(target.id, now))
-
-    def _has_room_at_cache(self, request, targets, now) -> bool:
-        """Return whether the target that has the prompt cached may get the turn."""
         cached = self._placement.previous_target(request)
-        return any(self._is_room_for_cached(t, now) for t in targets if t.id == cached)
-
-    def _is_room_for_cached(self, target, now) -> bool:
-        room = target.capacity * (1.0 + QUEUED_FRACTION_FOR_CACHED)
-        return self._turns.count(target.id, now) < room
-
-    def _any_slot_free(self, now) -> bool:
-        return any(self._n_free(t, now) > 0 for t in self._targets.values())
+        if self._room.is_at_cache(targets, cached, now):
+            return False
+        n_before = len(self._waiting) - (request.id in self._waiting)
+        return self._room.count(targets, now) <= n_before
 
     def _may_take_now(self, eligible, now) -> Callable[[PlacementRequest], bool]:
         """Return a function that tells whether a target has room for a waiting turn.
@@ -348,10 +325,9 @@
             kind = _kind_of(request)
             if kind not in known:
                 found = eligible(request)
-                ready = self._ready_targets(found.targets, found.limits, now)
-                known[kind] = not isinstance(ready, PlacementDeferred) and any(
-                    self._n_free(t, now) > 0 for t in ready
-                )
+                ready = self._paced.ready(found.targets, found.limits, now)
+                is_deferred = isinstance(ready, PlacementDeferred)
+                known[kind] = not is_deferred and self._room.is_any(ready, now)
             return known[kind]
 
         return may_take
@@ -359,7 +335,7 @@
     def _grant_turn(self, request, eligible, now) -> list[PlacementGrant]:
         """Place a waiting turn; its host asks again where no target may take it."""
         found = eligible(request)
-        ready = self._ready_targets(found.targets, found.limits, now)
+        ready = self._paced.ready(found.targets, found.limits, now)
         if isinstance(ready, PlacementDeferred):
             return []
         target = self._place(request, ready, now, found.limits is not None)
@@ -370,12 +346,7 @@
         for target in targets:
             self._targets[target.id] = target
         cached = self._placement.previous_target(request)
-        free = [
-            t
-            for t in targets
-            if self._n_free(t, now) > 0
-            or (t.id == cached and self._is_room_for_cached(t, now))
-        ]
+        free = self._room.with_room(targets, cached, now)
         chosen = self._placement.choose(
             request, free or targets, self._slack(request), now
         )
@@ -407,7 +378,7 @@
             request.work, self._times.turn_seconds(request.work.route), now
         )
         if is_limited:
-            self._rate_limiter.record(chosen.id, now)
+            self._paced.record(chosen.id, now)
         self._admission.observe_demand(now)
         return chosen
 
@@ -417,24 +388,6 @@
             return None
         return self._times.tolerable_wait(request.work.route)
 
-    def _ready_targets(
-        self, targets, limits, now
-    ) -> Sequence[TargetEntry] | PlacementDeferred:
-        """Return the targets that may get a request within their limits now."""
-        if limits is None or not targets:
-            return targets
-        ready = ReadyTargets.within_limits(
-            self._rate_limiter, {t.id: limits[t.id] for t in targets}, now
-        )
-        if not ready.targets:
-            return PlacementDeferred(ready.wait_seconds)
-        return [t for t in targets if t.id in ready.targets]
-
-    def _any_target_ready(self, limits, now) -> bool:
-        return limits is None or bool(
-            ReadyTargets.within_limits(self._rate_limiter, limits, now).targets
-        )
-
     def _expire(self, now):
         if now - self._expired_at < EXPIRE_INTERVAL_SECONDS:
             return
--- a/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_scheduler_requests.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_scheduler_requests.py
@@ -15,7 +15,7 @@
     WorkClass,
 )
 from swifttide_core.scheduling._rank_demand import MAX_RANKS
-from swifttide_core.scheduling._turn_scheduler import QUEUED_PER_TARGET
+from swifttide_core.scheduling._target_room import QUEUED_PER_TARGET
 
 CAPACITY = 6
 TARGETS = [
--- a/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_turn_scheduler.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_turn_scheduler.py
@@ -3,7 +3,7 @@
 import pytest
 
 from swifttide_core.scheduling import WorkClass
-from swifttide_core.scheduling._turn_scheduler import QUEUED_PER_TARGET
+from swifttide_core.scheduling._target_room import QUEUED_PER_TARGET
 from swifttide_core.scheduling.tests._replay import Replay
 
 URGENT = WorkClass(0, "a", "short")
