FIX A host that may be cut off also closes the connections that callers keep

Cause: such a host was not ready but let callers keep their connections, so they came back to it; a test of the path found it. Change: connections close from the moment at which the host takes no new ones.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -339,7 +339,8 @@
 
     def _may_reuse_connections(self) -> bool:
         """Whether callers may send further requests on their connections."""
-        return not self._front.stopping and not self._isolation.active
+        is_cut_off = self._isolation.active or self._isolation.is_suspected
+        return not self._front.stopping and not is_cut_off
 
     async def _run_housekeeping(self):
         while True:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_status_pages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_status_pages.py
@@ -80,12 +80,7 @@
         """
         waited = asyncio.get_running_loop().time() - self.started_at
         has_rates = bool(self._shares.holders()) or waited > MAX_SHARE_WAIT_SECONDS
-        return (
-            self._beliefs.is_complete
-            and has_rates
-            and not self._isolation.is_suspected
-            and self._may_reuse_connections()
-        )
+        return self._beliefs.is_complete and has_rates and self._may_reuse_connections()
 
     def ready(self) -> StatusPage:
         """Return the page for the load balancer's readiness probe."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_isolation.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_isolation.py
@@ -46,8 +46,8 @@
         Whether the host is isolated, as of the last `update`.
     is_suspected : bool
         Whether no other zone is heard and the store hasn't answered for a moment. Such
-        a host takes no new connections, so that callers reach other zones the sooner
-        if it is isolated.
+        a host takes no new connections and closes those that callers keep, so that they
+        reach other zones the sooner if it is isolated.
     """
 
     def __init__(self, fleet: Fleet, store: RelayedStore, log: EventLog):
