--- a/packages/swifttide_core/src/swifttide_core/scheduling/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/__init__.py
@@ -1,4 +1,4 @@
-"""Order in which programs and turns get the places of targets, without I/O."""
+"""Order in which programs and turns get the slots of targets, without I/O."""
 
 from swifttide_core.scheduling._fair_shares import FairShares
 from swifttide_core.scheduling._program_times import ProgramTimes
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_fair_shares.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_fair_shares.py
@@ -1,7 +1,7 @@
 """Service that priority levels and customers received recently.
 
 Bursts of one customer, or of the lowest priority level, ask for several times the
-places that they usually get. The order of waiting work therefore depends on the service
+slots that they usually get. The order of waiting work therefore depends on the service
 that each of them received in the last seconds.
 
 Service decays exponentially. Each sum is decayed only when it is read or changed, so
@@ -54,38 +54,38 @@
 
 
 class FairShares:
-    """Decaying sums of place-seconds by rank, and by customer within a rank."""
+    """Decaying sums of slot-seconds by rank, and by customer within a rank."""
 
     def __init__(self):
         self._customers: OrderedDict[tuple[int, str], _DecayingSum] = OrderedDict()
         self._ranks: OrderedDict[int, _DecayingSum] = OrderedDict()
         self._total = _DecayingSum()
 
-    def record(self, work: WorkClass, place_seconds: float, now: float) -> None:
+    def record(self, work: WorkClass, slot_seconds: float, now: float) -> None:
         """Add service that a piece of work received.
 
-        An expected time may be recorded when a place is assigned, and its difference to
+        An expected time may be recorded when a slot is assigned, and its difference to
         the actual time at the end. Otherwise a rank or customer without service would
-        get every place that becomes free until its first turn has ended.
+        get every slot that becomes free until its first turn has ended.
 
         Parameters
         ----------
         work : WorkClass
-        place_seconds : float
-            Time for which the work occupied a place, in seconds; negative to correct
+        slot_seconds : float
+            Time for which the work occupied a slot, in seconds; negative to correct
             an earlier value. No sum falls below 0. A value that isn't finite is
             ignored.
         now : float
             Monotonic seconds.
         """
-        if not math.isfinite(place_seconds):
+        if not math.isfinite(slot_seconds):
             return
         customer = _get_bounded(
             self._customers, (work.rank, work.customer), MAX_CUSTOMERS
         )
         rank = _get_bounded(self._ranks, work.rank, MAX_RANKS)
-        customer.add(place_seconds, now)
-        self._total.add(rank.add(place_seconds, now), now)
+        customer.add(slot_seconds, now)
+        self._total.add(rank.add(slot_seconds, now), now)
 
     def customer_service(self, work: WorkClass, now: float) -> float:
         """Return the recent service of a customer within its rank, by its weight.
@@ -100,7 +100,7 @@
         Returns
         -------
         float
-            Decayed place-seconds per weight; 0 if nothing was recorded.
+            Decayed slot-seconds per weight; 0 if nothing was recorded.
         """
         service = self._customers.get((work.rank, work.customer))
         return 0.0 if service is None else service.get(now) / work.weight
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_program_times.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_program_times.py
@@ -173,11 +173,11 @@
         turn_seconds : float
             Time of the turn at its target.
         is_low_load : bool
-            Whether most places were free when the turn was placed.
+            Whether most slots were free when the turn was placed.
         now : float
             Monotonic seconds.
         waited_seconds : float
-            Time that the turn waited for a place, which would be taken for the time of
+            Time that the turn waited for a slot, which would be taken for the time of
             tools otherwise.
         """
         known = self._programs.get(program)
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_rank_demand.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_rank_demand.py
@@ -1,6 +1,6 @@
-"""Recent demand by priority level, from which places are reserved.
+"""Recent demand by priority level, from which slots are reserved.
 
-A burst of the lowest priority level occupies each place that becomes free. More urgent
+A burst of the lowest priority level occupies each slot that becomes free. More urgent
 turns that arrive a moment later would then wait for the end of a turn, although their
 demand was to be expected. Places are therefore kept free for the more urgent levels,
 but only as many as these needed in about the last second.
@@ -13,12 +13,12 @@
 
 DECAY_SECONDS = 1.0
 """Time constant with which recent need falls to the current count. It covers the pauses
-of 0.15 s between the turns of a program; a longer one leaves places unused when the
+of 0.15 s between the turns of a program; a longer one leaves slots unused when the
 demand of a rank ends."""
 
 MIN_RESERVED_PLACES = 0.5
-"""Smallest reservation for a rank, in places. Without it, the remainder of an earlier
-need would keep a place free for many seconds, as targets have whole places."""
+"""Smallest reservation for a rank, in slots. Without it, the remainder of an earlier
+need would keep a slot free for many seconds, as targets have whole slots."""
 
 FORGET_SECONDS = 10.0
 """Time without any work after which a rank is forgotten; its need has then decayed to
@@ -31,19 +31,19 @@
 
 @dataclass(slots=True)
 class _Need:
-    places: float
+    slots: float
     observed_at: float
     last_work_at: float
 
     def decayed(self, count, now) -> float:
-        if count >= self.places:
+        if count >= self.slots:
             return count
         elapsed = max(0.0, now - self.observed_at)
-        return count + (self.places - count) * math.exp(-elapsed / DECAY_SECONDS)
+        return count + (self.slots - count) * math.exp(-elapsed / DECAY_SECONDS)
 
 
 class RankDemand:
-    """Recent need of each rank, in places.
+    """Recent need of each rank, in slots.
 
     Counts are taken as observed, at least several times a second while there is work;
     the need decays as if the newest count had held since the previous observation.
@@ -64,7 +64,7 @@
         """
         for rank, need in list(self._needs.items()):
             count = counts.get(rank, 0.0)
-            need.places = need.decayed(count, now)
+            need.slots = need.decayed(count, now)
             need.observed_at = now
             if count <= 0 and now - need.last_work_at > FORGET_SECONDS:
                 del self._needs[rank]
@@ -83,12 +83,12 @@
     def reserved_above(
         self, rank: int, counts: Mapping[int, float], now: float
     ) -> float:
-        """Return the number of places to keep free for more urgent ranks.
+        """Return the number of slots to keep free for more urgent ranks.
 
         Parameters
         ----------
         rank : int
-            Rank of the work that asks for a place.
+            Rank of the work that asks for a slot.
         counts : mapping of int to float
             Places that each rank occupies or waits for now; 0 for an absent rank.
         now : float
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_wait_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_wait_queue.py
@@ -1,7 +1,7 @@
-"""Queue of the work that waits at the scheduler for a place.
+"""Queue of the work that waits at the scheduler for a slot.
 
 In a burst, a quarter more turns are requested than the targets complete, so that
-hundreds wait, and the next one is chosen for each place that becomes free: up to 600
+hundreds wait, and the next one is chosen for each slot that becomes free: up to 600
 times a second. Waiters are therefore grouped by rank and customer; a choice compares
 groups and the oldest waiter of each, and doesn't sort all waiters.
 """
@@ -21,8 +21,8 @@
 below it goes before more urgent ones, so that it is never starved."""
 
 CATCH_UP_INTERVAL = 3
-"""A rank below its minimum share goes before more urgent ones at every third place. A
-rank that returns after a pause would otherwise take every free place until it has
+"""A rank below its minimum share goes before more urgent ones at every third slot. A
+rank that returns after a pause would otherwise take every free slot until it has
 caught up, while urgent work waits."""
 
 MAX_WAITERS = 1_000
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Waiter:
-    """A piece of work that waits for a place.
+    """A piece of work that waits for a slot.
 
     Parameters
     ----------
@@ -120,7 +120,7 @@
 class WaitQueue:
     """Bounded queue, ordered by what the waiters' programs and customers have received.
 
-    The order is: work of programs in progress; at every third place a rank with less
+    The order is: work of programs in progress; at every third slot a rank with less
     than its minimum share of recent service; the more urgent rank; the customer with
     the least recent service in its rank; the oldest. Several ranks below their minimum
     go by urgency, so that the minimum changes nothing until a more urgent rank has been
@@ -218,7 +218,7 @@
         now : float
             Monotonic seconds.
         may_take : callable
-            Whether a place is free for a waiter. It is called for one waiter after the
+            Whether a slot is free for a waiter. It is called for one waiter after the
             other until it returns True, for all of them if it never does.
 
         Returns
@@ -233,7 +233,7 @@
         return None
 
     def _count_catch_up(self, group_key):
-        """Count the places since a rank went before a more urgent one."""
+        """Count the slots since a rank went before a more urgent one."""
         is_begun, rank = group_key
         is_catch_up = any(
             other_begun == is_begun and other < rank
--- a/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_rank_demand.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_rank_demand.py
@@ -27,7 +27,7 @@
         assert demand.reserved_above(0, now, 10.0) == 0
 
     def test_reservation_is_released_within_about_a_second(self):
-        """Guards against places that stay unused when the demand has ended."""
+        """Guards against slots that stay unused when the demand has ended."""
         demand = RankDemand()
         demand.observe({0: 20}, 10.0)
         observe_every_turn(demand, {}, 10.0, 11.0)
--- a/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_wait_queue.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/tests/test_wait_queue.py
@@ -1,4 +1,4 @@
-"""Order of the work that waits for a place."""
+"""Order of the work that waits for a slot."""
 
 import math
 import random
@@ -85,7 +85,7 @@
         assert take_all(make_queue(*waiters), shares) == ["low", "high"]
 
     def test_rank_that_returns_leaves_two_of_three_places(self):
-        """Guards against a rank that takes all places until it has caught up."""
+        """Guards against a rank that takes all slots until it has caught up."""
         shares = FairShares()
         shares.record(WorkClass(0), 100.0, 10.0)
         queue = make_queue(
@@ -157,7 +157,7 @@
 
 class TestMembership:
     def test_caller_that_leaves_is_removed_at_once(self):
-        """Guards against places for callers that have disconnected."""
+        """Guards against slots for callers that have disconnected."""
         queue = make_queue(make_waiter("x"), make_waiter("y", rank=1))
         assert queue.remove("x").key == "x"
         assert queue.remove("x") is None
