--- a/tests/e2e/_world.py
+++ b/tests/e2e/_world.py
@@ -58,7 +58,9 @@
     @property
     def hosts(self) -> list[str]:
         """Names of the hosts whose processes run."""
-        return [n for n, host in self.fleet.hosts.items() if host.process.alive]
+        # A copy: load threads ask while the test starts hosts.
+        hosts = list(self.fleet.hosts.items())
+        return [n for n, host in hosts if host.process.alive]
 
     def serves(self, host: str) -> bool:
         """Return whether a host answers a chat call."""
