--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_dispatcher.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_dispatcher.py
@@ -155,6 +155,14 @@
                     return
             refusal = self._final_refusal()
             if refusal is not None:
+                log.info(
+                    "call given up",
+                    extra={
+                        "request_id": self.call.request_id,
+                        "peer": holder.host if holder is not None else "",
+                        "reason": refusal.reason.value,
+                    },
+                )
                 yield Failed(refusal)
                 return
             self.dispatcher.membership.invalidate_views()
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_rate_limiter.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_rate_limiter.py
@@ -7,6 +7,7 @@
 rate.
 """
 
+import logging
 import threading
 import time
 
@@ -29,6 +30,8 @@
 from swifttide_daemon.membership import MembershipService
 from swifttide_daemon.peers import PeerClient
 
+log = logging.getLogger(__name__)
+
 RETURN_INTERVAL_SECONDS = 0.1
 MAX_TAKEOVER_SECONDS = 2.0
 TAKEOVER_RETRY_SECONDS = 0.25
@@ -125,6 +128,7 @@
         )
         holder = self.membership.holder(SlotKind.CUSTOMER, order.customer, order.zone)
         if holder is None:
+            _log_failed_draw(order, "", Reason.NOT_HOLDER)
             return DrawFailed()
         if holder.host == self.membership.me.host:
             answer = self.shares.draw(order.customer, req)
@@ -133,6 +137,7 @@
             sent = self.peers.call(holder.peer_url, "POST", path, req)
             answer = sent.map(lambda found: msgspec.convert(found, DrawAnswer))
         if answer.is_error():
+            _log_failed_draw(order, holder.host, answer.error.reason)
             if answer.error.reason is Reason.NOT_HOLDER:
                 self.membership.invalidate_views()
             return DrawFailed()
@@ -160,6 +165,18 @@
         self.peers.call(holder.peer_url, "POST", path, req)
 
 
+def _log_failed_draw(order: DrawOrder, peer: str, reason: Reason) -> None:
+    log.info(
+        "rate tokens not drawn",
+        extra={
+            "customer": order.customer,
+            "from_zone": order.zone,
+            "peer": peer,
+            "reason": reason.value,
+        },
+    )
+
+
 def _refusal(refused: RateRefused) -> Refusal:
     """Return the refusal for an exceeded rate, or for a rate that is not counted now.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_outage_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_outage_service.py
@@ -6,6 +6,7 @@
 the host renews through it instead.
 """
 
+import logging
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -26,6 +27,8 @@
 from swifttide_daemon.peers import PeerClient
 from swifttide_daemon.store import Committed, PlatformClient, Transaction
 
+log = logging.getLogger(__name__)
+
 PROMISE_TIMEOUT_SECONDS = 0.8
 """Read timeout of a promise request; a late answer counts as no promise."""
 
@@ -150,6 +153,9 @@
             if self._renew_via_peer(urls[host]):
                 return
         self.keeper.extend(asked, self.times)
+        if not asked.is_unanimous:
+            silent = sorted(asked.asked - asked.promised)
+            log.info("lease not extended", extra={"without_promise": silent})
 
     def _request_promises(self, urls: list[str]) -> list[PromiseAnswer]:
         if not urls:
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -96,6 +96,7 @@
         self._moved_listeners: list[Callable[[MovedSlots], None]] = []
         self._lock = threading.Lock()
         self._leaving = False
+        self._logged_holds = False
         self._next_monitor_read_at = 0.0
         self._stop = threading.Event()
         self._wake = threading.Event()
@@ -259,11 +260,22 @@
         if not confirmed and self.platform.failing:
             others = [r for r in self.zone_hosts() if r.host != self.me.host]
             self.outages.extend(others)
+        self._log_lease_change()
         if self.me.incarnation != incarnation:
             with self._lock:
                 self._held.clear()
                 self._held_since.clear()
 
+    def _log_lease_change(self) -> None:
+        holds = self.keeper.holds()
+        if holds == self._logged_holds:
+            return
+        self._logged_holds = holds
+        if holds:
+            log.info("lease valid", extra={"slots": len(self.held())})
+        else:
+            log.warning("lease expired", extra={"slots": len(self.held())})
+
     def _refresh(self) -> None:
         if not self.platform.available:
             return
@@ -305,6 +317,8 @@
             now = time.monotonic()
             since = self._held_since
             self._held_since = {s: since.get(s, now) for s in self._held}
+            n_held = len(self._held)
+        log.debug("read the zone", extra={"head": read.ok.head_version, "held": n_held})
 
     def _monitor_neighbours(self) -> None:
         neighbours = self.neighbours()
@@ -362,7 +376,11 @@
             replace(row, host=me.host, incarnation=me.incarnation, epoch=row.epoch + 1)
             for row in wanted
         ]
-        if self._write_slots(claimed):
+        written = self._write_slots(claimed)
+        log.info(
+            "claimed slots", extra={"slots": _numbers(claimed), "written": written}
+        )
+        if written:
             with self._lock:
                 self._released_slots.difference_update(row.slot for row in claimed)
         self._read_zone()
@@ -379,7 +397,9 @@
                 self._held_since.pop(row.slot, None)
                 self._released_slots.add(row.slot)
         freed = [replace(row, host="", incarnation="") for row in moving]
-        if self._write_slots(freed):
+        written = self._write_slots(freed)
+        log.info("released slots", extra={"slots": _numbers(freed), "written": written})
+        if written:
             moved = MovedSlots.from_rows(freed, self.view.hosts)
             for listener in self._moved_listeners:
                 listener(moved)
@@ -393,3 +413,7 @@
         writes.append(Write(ZONE_HEADS, zone, {"by": self.me.host}))
         outcome = self.platform.commit(Transaction(tuple(checks), tuple(writes)))
         return outcome.is_ok() and isinstance(outcome.ok, Committed)
+
+
+def _numbers(rows: list[SlotRow]) -> list[int]:
+    return [row.slot for row in rows]
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_service.py
@@ -19,6 +19,9 @@
         self.written.append(knows_head)
         return True
 
+    def holds(self):
+        return True
+
 
 def service():
     view = ZoneView(head_version=7)
