FIX Programs leave a zone whose recorded holders deny their slots

What callers saw: after one zone had lost the platform, programs whose home it is were refused at every host of the other zone, which had the platform and could serve them: 503 not_holder (not_run) after 7 s, each time, until the zone had the platform back.

Cause: while a zone has no platform its leases are extended by promises of all its hosts. One host that is paused, or answers too late beside load, lets all of them expire for the rest of the outage, since a lease isn't revived and no host can be deposed. The rows still name the old holders. An entry host that was refused with not_holder read the rows again, found the same holder and asked it again, up to the longest duration of a takeover. Only holders that it could not reach, or that refused for lack of the platform, led it to the next zone.

Evidence: zone za cut from the platform, za-h1 paused for longer than a lease and resumed: the four of eight programs with home za were refused at zb-h0 and za-h0 after 7.0 to 7.1 s, at every try; the four others were answered after 0.1 s or less.

Change: a holder that denies its slot twice, the second time after the views were read again, isn't selected for this slot for 3 s; the next zone of the ranking serves the program, as it does when the home zone has no holder. A program's rows are protected by their versions wherever it is served.

Test: tests/e2e/test_expired_leases.py, test_programs_go_on_in_the_zone_that_has_the_platform, failed before ("the condition was never met") and passes. Tests of the dispatcher with fakes: the move, the second read, and a host that returns.

--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_dispatcher.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_dispatcher.py
@@ -27,6 +27,7 @@
     Waiting,
     decode_event,
 )
+from swifttide_daemon.entry._denied_slots import DeniedSlots
 from swifttide_daemon.membership import MembershipService
 from swifttide_daemon.peers import PeerClient
 
@@ -42,6 +43,11 @@
 programs are served by the next zone meanwhile. This is equally safe, but the engine
 caches of the excluded zone are not used."""
 
+MAX_DENIALS = 2
+"""Number of refusals by a recorded holder of a slot, as not its holder, after which
+the slot counts as denied. The view may be out of date at the first one; it is read
+again before the second."""
+
 CALLS_PATH = "/peer/v1/calls"
 
 
@@ -71,12 +77,14 @@
         self.table = table
         self.takeover_seconds = takeover_seconds
         self._excluded_until_by_zone: dict[str, float] = {}
+        self._denied_slots = DeniedSlots()
 
     def holder(self, call: Call) -> HostRow | None:
         """Return the host to which a call is to be sent now, or None.
 
         A program is served in its home zone. If the home zone has no holder for the
-        slot or is excluded, the program is served in the next zone of its ranking.
+        slot, its holder has denied the slot or the zone is excluded, the program is
+        served in the next zone of its ranking.
         A call without a program is served in the zone of this host first.
         """
         membership = self.membership
@@ -88,10 +96,23 @@
             if now < self._excluded_until_by_zone.get(zone, now):
                 continue
             holder = membership.holder(SlotKind.PROGRAM, call.placement_key, zone)
-            if holder is not None:
+            if holder is not None and not self._has_denied(holder, call, now):
                 return holder
         return None
 
+    def _has_denied(self, holder: HostRow, call: Call, now: float) -> bool:
+        slot = self.membership.slot(SlotKind.PROGRAM, call.placement_key)
+        return self._denied_slots.contains(holder, slot, now)
+
+    def record_denial(self, holder: HostRow, call: Call) -> None:
+        """Exclude a host as the holder of a call's slot, which it denied to hold.
+
+        The host may be in the zone of this host, where its lease has expired.
+        """
+        slot = self.membership.slot(SlotKind.PROGRAM, call.placement_key)
+        self._denied_slots.add(holder, slot, time.monotonic())
+        log.info("holder denied its slot", extra={"slot": slot, "peer": holder.host})
+
     def exclude_zone_of(self, holder: HostRow) -> None:
         """Exclude the zone of a holder that could not be reached.
 
@@ -131,6 +152,8 @@
         Whether a holder that may have received the call was replaced by another one.
     last_event_at : float
         Monotonic time in seconds of the last event, keep-alives included.
+    n_denials : int
+        Number of refusals in a row of the current holder, as not the holder.
     """
 
     def __init__(self, dispatcher: Dispatcher, call: Call, traceparent: str) -> None:
@@ -143,6 +166,7 @@
         self.may_have_been_sent = False
         self.holder_lost_after_send = False
         self.last_event_at = time.monotonic()
+        self.n_denials = 0
 
     def events(self) -> Iterator[CallEvent]:
         """Yield the events of the call, up to and including the final one."""
@@ -175,6 +199,7 @@
             self.holder_lost_after_send = (
                 self.holder_lost_after_send or self.may_have_been_sent
             )
+            self.n_denials = 0
             if self.n_events_received:
                 self.n_events_received = 0
                 yield Reset()
@@ -195,6 +220,7 @@
                 continue
             if self._is_not_holder_refusal(event):
                 self.may_have_been_sent = was_possibly_sent
+                self._count_denial(holder)
                 return False
             if self._is_remote_platform_outage(event, holder):
                 self.may_have_been_sent = was_possibly_sent
@@ -216,6 +242,7 @@
         membership = self.dispatcher.membership
         if holder.host == membership.me.host:
             if membership.epoch(SlotKind.PROGRAM, call.placement_key) is None:
+                self._count_denial(holder)
                 return
             self.may_have_been_sent = True
             running = self.dispatcher.table.attach(call, self.traceparent)
@@ -232,7 +259,9 @@
             self.may_have_been_sent = (
                 self.may_have_been_sent or opened.error.verdict is not Verdict.NOT_RUN
             )
-            if opened.error.reason is not Reason.NOT_HOLDER:
+            if opened.error.reason is Reason.NOT_HOLDER:
+                self._count_denial(holder)
+            else:
                 self.dispatcher.exclude_zone_of(holder)
             return
         self.may_have_been_sent = True
@@ -250,6 +279,12 @@
                 },
             )
 
+    def _count_denial(self, holder: HostRow) -> None:
+        self.n_denials += 1
+        if self.n_denials >= MAX_DENIALS:
+            self.n_denials = 0
+            self.dispatcher.record_denial(holder, self.call)
+
     def _include_lost_holders(self, event: CallEvent) -> CallEvent:
         """Return the event with a verdict that also covers lost holders.
 
