FIX Calls without a program need no holder of a slot

Cause: such a call was sent to the holder of the slot of its request id. The slot only spreads these calls; there is no order, history or budget for a holder to protect. When the leases of a zone had expired, or a slot was between two holders as the platform went away, no host could claim the slot until the platform was back.

Change: the entry host runs the call itself when no zone has a holder that it may ask.

Test: TestSingleCall in entry/tests/test_dispatcher.py, with fakes; without the change the call ends with not_holder.

--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_dispatcher.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_dispatcher.py
@@ -3,7 +3,8 @@
 The holder of a call is the host that holds the slot of its program. The dispatcher
 selects the holder from the membership and yields the events of the call. When the
 connection breaks, it connects again and continues after the last event received. When
-another host has taken over the slot, the call starts again at that host.
+another host has taken over the slot, the call starts again at that host. A call without
+a program needs no holder; if none is found, the entry host runs it.
 """
 
 import logging
@@ -177,6 +178,9 @@
                 ended = yield from self._follow_connection(holder)
                 if ended:
                     return
+            elif not self.call.program:
+                yield from self._run_here()
+                return
             refusal = self._final_refusal()
             if refusal is not None:
                 log.info(
@@ -279,6 +283,19 @@
                 },
             )
 
+    def _run_here(self) -> Iterator[CallEvent]:
+        """Run a call without a program at this host, although it holds no slot of it.
+
+        Its slot only spreads such calls over the hosts: there is no order, history or
+        budget that a holder would have to protect.
+        """
+        yield from self._switch_holder(self.dispatcher.membership.me)
+        remaining_seconds = max(0.0, self.deadline - time.monotonic())
+        call = replace(self.call, remaining_seconds=remaining_seconds)
+        running = self.dispatcher.table.attach(call, self.traceparent)
+        for event in running.follow(0):
+            yield self._include_lost_holders(event)
+
     def _count_denial(self, holder: HostRow) -> None:
         self.n_denials += 1
         if self.n_denials >= MAX_DENIALS:
--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/tests/test_dispatcher.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/tests/test_dispatcher.py
@@ -124,3 +124,10 @@
         assert not denied.contains(host_of("za"), 0, now=13.0)
         assert not denied.contains(returned, 0, now=11.0)
         assert not denied.contains(host_of("za"), 1, now=11.0)
+
+
+class TestSingleCall:
+    def test_runs_at_the_entry_host_without_any_holder(self):
+        """Guards against refusals of calls for which a holder decides nothing."""
+        events, ran_here = follow(Membership(), Peers(), "")
+        assert len(events) == len(ran_here) == 1
