FIX Hosts without the platform take newer views from their peers

What callers saw: after the platform went away while hosts joined, one host refused every request of a customer for the whole outage: 503 not_holder (rate of the customer cannot be counted now), each after 2 s. Other hosts served the same customer.

Cause: a host reads zones from the platform only. Its views stay as they were when the platform goes away; if a slot moved just before, a view names no holder, or one that has released the slot, while other hosts have read the rows after the move.

The version orders all views of a zone, so that an older one is never taken back. Slots that this host has released aren't taken back either. That a view must be read again is now a flag, as the head version of an outdated view is needed to compare it.

--- a/packages/swifttide_daemon/src/swifttide_daemon/_builder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_builder.py
@@ -19,7 +19,7 @@
 from swifttide_daemon.limits import RateLimiter, ShareMover, ShareRows, ShareService
 from swifttide_daemon.membership import LeaseKeeper, MembershipService, OutageService
 from swifttide_daemon.operators import OperatorHandlers
-from swifttide_daemon.peering import Heartbeat, PeerHandlers
+from swifttide_daemon.peering import Heartbeat, PeerHandlers, ViewExchange
 from swifttide_daemon.peers import PeerClient, PeerProof
 from swifttide_daemon.programs import ProgramRegistry, ProgramStore
 from swifttide_daemon.recording import Recorder
@@ -88,6 +88,7 @@
                 self.limiter,
                 self.caches,
                 self.heartbeat,
+                self.view_exchange,
             ),
             callers=self.callers,
             peers=self.peer_server,
@@ -181,6 +182,7 @@
         self.mover = ShareMover(self.membership, self.config, self.shares, rows)
         self.limiter = RateLimiter(self.membership, self.peer_client, self.shares)
         self.heartbeat = Heartbeat(self.membership, self.config, self.peer_client)
+        self.view_exchange = ViewExchange(self.membership, self.peer_client)
         self.authenticator = Authenticator(self.config, cfg.operator_key_hashes)
         lease = cfg.lease
         takeover = 2 * lease.lease_seconds + 2 * lease.drift_margin_seconds
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_other_zones.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_other_zones.py
@@ -92,10 +92,22 @@
             if read.is_ok():
                 self._views[zone] = read.ok
 
+    def known_views(self) -> dict[str, ZoneView]:
+        """Return the cached views by zone."""
+        return dict(self._views)
+
+    def adopt(self, zone: str, view: ZoneView) -> bool:
+        """Replace the view of a zone by one of a peer, if that is newer."""
+        known = self._views.get(zone) or ZoneView()
+        if view.head_version <= known.head_version:
+            return False
+        self._views[zone] = view
+        return True
+
     def invalidate(self) -> None:
         """Mark all cached views as out of date, so that the next refresh reads them."""
         self._views = {
-            zone: replace(view, head_version=-1, read_at=0.0)
+            zone: replace(view, outdated=True, read_at=0.0)
             for zone, view in self._views.items()
         }
 
@@ -109,6 +121,8 @@
         return chosen
 
     def _is_unchanged(self, zone: str, known: ZoneView) -> bool:
-        """Return whether a zone's head version is unchanged or can't be read."""
+        """Return whether a zone needn't be read again, or can't be read."""
         head = self.reader.head_version(zone)
-        return head.is_error() or head.ok == known.head_version
+        if head.is_error():
+            return True
+        return head.ok == known.head_version and not known.outdated
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -7,9 +7,10 @@
 """
 
 import logging
+import random
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from swifttide_core.membership import (
@@ -210,9 +211,49 @@
         Called when a host that holds a slot by the view didn't turn out to hold it.
         """
         self.others.invalidate()
-        self.view = replace(self.view, head_version=-1)
+        with self._lock:
+            self.view = replace(self.view, outdated=True)
         self._wake.set()
 
+    def newer_views(self, heads: Mapping[str, int]) -> dict[str, ZoneView]:
+        """Return the views that are newer than those of a peer.
+
+        Parameters
+        ----------
+        heads : mapping of str to int
+            Head versions of the peer's views by zone; a missing zone isn't sent.
+        """
+        views = self.others.known_views() | {self.me.zone: self.view}
+        return {
+            zone: views[zone]
+            for zone, head in heads.items()
+            if zone in views and views[zone].head_version > head
+        }
+
+    def known_heads(self) -> dict[str, int]:
+        """Return the head versions of this host's views of all known zones."""
+        views = self.others.known_views() | {self.me.zone: self.view}
+        return {z: views.get(z, ZoneView()).head_version for z in self.zones()}
+
+    def adopt_views(self, views: Mapping[str, ZoneView]) -> list[str]:
+        """Replace views by newer ones of a peer; return their zones.
+
+        Needed while the platform is unavailable. A view that was read just before a
+        slot moved would otherwise name no holder, or a wrong one, until its end.
+        """
+        adopted = []
+        for zone, view in views.items():
+            fresh = replace(view, read_at=time.monotonic())
+            is_own = zone == self.me.zone
+            if self._adopt(fresh) if is_own else self.others.adopt(zone, fresh):
+                adopted.append(zone)
+        return adopted
+
+    def random_hosts_of_own_zone(self, n_hosts: int) -> list[HostRow]:
+        """Return up to `n_hosts` other hosts of this host's zone, chosen at random."""
+        rows = [row for row in self.zone_hosts() if row.host != self.me.host]
+        return random.sample(rows, min(n_hosts, len(rows)))
+
     def hand_over(self) -> bool:
         """Request the release of this host's slots; return whether none is held."""
         self._leaving = True
@@ -285,7 +326,8 @@
         if head.is_error():
             return
         age = time.monotonic() - self.view.read_at
-        if head.ok != self.view.head_version or age > FULL_READ_INTERVAL_SECONDS:
+        is_changed = self.view.outdated or head.ok != self.view.head_version
+        if is_changed or age > FULL_READ_INTERVAL_SECONDS:
             self._read_zone()
         if time.monotonic() >= self._next_monitor_read_at:
             # Lease rows change once per renewal interval, and this loop runs twice as
@@ -301,16 +343,22 @@
 
     def _read_zone(self) -> None:
         read = self.reader.read(self.me.zone)
-        if read.is_error():
-            return
-        self.view = read.ok
-        self._known_head = read.ok.head_version
+        if read.is_ok():
+            self._adopt(read.ok)
+
+    def _adopt(self, view: ZoneView) -> bool:
+        """Replace the view of the own zone; return False if it was newer."""
+        me = self.me
         mine = {
             row.slot: row.epoch
-            for row in read.ok.slots
-            if row.host == self.me.host and row.incarnation == self.me.incarnation
+            for row in view.slots
+            if row.host == me.host and row.incarnation == me.incarnation
         }
         with self._lock:
+            if view.head_version < self._known_head:
+                return False
+            self.view = view
+            self._known_head = view.head_version
             self._held = {
                 s: e for s, e in mine.items() if s not in self._released_slots
             }
@@ -318,7 +366,10 @@
             since = self._held_since
             self._held_since = {s: since.get(s, now) for s in self._held}
             n_held = len(self._held)
-        log.debug("read the zone", extra={"head": read.ok.head_version, "held": n_held})
+        log.debug(
+            "new view of the zone", extra={"head": view.head_version, "held": n_held}
+        )
+        return True
 
     def _monitor_neighbours(self) -> None:
         neighbours = self.neighbours()
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_service.py
@@ -1,10 +1,10 @@
-"""Tests of the head version that the membership service writes to the lease row."""
+"""Tests of the views of the membership service and of its lease row."""
 
 from types import SimpleNamespace
 
 from expression import Ok
 
-from swifttide_core.membership import HostRow, LeaseTimes
+from swifttide_core.membership import HostRow, LeaseTimes, SlotRow
 from swifttide_daemon.membership import MembershipService, ZoneView
 
 
@@ -43,3 +43,41 @@
         membership.invalidate_views()
         membership._keep_lease()
         assert membership.keeper.written == [7]
+
+
+class TestAdoptViews:
+    def test_newer_view_of_a_peer_replaces_the_own_one(self):
+        """Guards against views that stay as they were when the platform went away."""
+        membership = service()
+        membership._read_zone()
+        peer = HostRow("h2", "z", "i2", "", "")
+        slots = (SlotRow(0, "h2", "i2", 3), SlotRow(1, "h1", "i", 2))
+        newer = ZoneView(9, {"h1": membership.me, "h2": peer}, slots)
+        assert membership.adopt_views({"z": newer}) == ["z"]
+        assert membership.view.holder(0) == peer
+        assert membership.held() == {1: 2}
+        assert membership.known_heads() == {"z": 9}
+
+    def test_older_view_of_a_peer_is_ignored(self):
+        """Guards against slots that go back to a holder that has released them."""
+        membership = service()
+        membership._read_zone()
+        membership.invalidate_views()
+        assert membership.adopt_views({"z": ZoneView(6), "y": ZoneView(4)}) == ["y"]
+        assert membership.view.head_version == 7
+        assert membership.adopt_views({"y": ZoneView(4)}) == []
+
+    def test_released_slot_is_not_taken_back(self):
+        """Guards against two holders of a slot that is being handed over."""
+        membership = service()
+        membership._released_slots.add(1)
+        slots = (SlotRow(0, "h1", "i", 3), SlotRow(1, "h1", "i", 2))
+        membership.adopt_views({"z": ZoneView(9, {}, slots)})
+        assert membership.held() == {0: 3}
+
+    def test_peer_gets_only_newer_views(self):
+        """Guards against an outage that fills the network with unchanged views."""
+        membership = service()
+        membership._read_zone()
+        assert membership.newer_views({"z": 6}) == {"z": membership.view}
+        assert membership.newer_views({"z": 7, "unknown": 0}) == {}
--- a/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peering/_handlers.py
@@ -96,6 +96,7 @@
         return [
             Route("POST", "/peer/v1/heartbeat", self.answer_heartbeat),
             Route("GET", "/peer/v1/config", self.config_changes),
+            Route("POST", "/peer/v1/views", self.newer_views),
             Route("POST", "/peer/v1/promises", self.promise),
             Route("POST", "/peer/v1/relays", self.relay),
             Route("POST", "/peer/v1/calls", self.call),
@@ -127,6 +128,11 @@
         changes = self.config.changes_after(int(after))
         return Response.from_json({"version": version, "changes": changes})
 
+    def newer_views(self, req: Request) -> Response:
+        """Return the views of zones that are newer than those of the asking host."""
+        heads = _decode(req, dict[str, int])
+        return _to_response(heads.map(self.membership.newer_views))
+
     def promise(self, req: Request) -> Response:
         """Promise not to depose a host that can't renew, or offer to relay for it."""
         message = _decode(req, PromiseRequest)
--- a/tests/e2e/test_expired_leases.py
+++ b/tests/e2e/test_expired_leases.py
@@ -43,3 +43,13 @@
         world.fault_platform("none", zone="za")
         for story in stories:
             story.say("za-h1", "after")
+
+    def test_single_calls_go_on_without_any_valid_lease(self, world):
+        """Guards against refusals of calls that belong to no program, for which no
+        holder of a slot decides anything.
+        """
+        world.fault_platform("down", zone="za")
+        let_lease_expire(world, "za-h1")
+        for _ in range(6):
+            for host in ("za-h0", "za-h1"):
+                assert world.chat(host, None, None, "hello").status == 200
