FIX A new holder knows its customers' shares before the platform goes away

What callers saw: after the platform went away while hosts joined, requests of a customer were refused for the whole outage with 503 not_holder (rate of the customer cannot be counted now), each after 2 s; at all hosts if the slot had moved in both zones.

Cause: the holder of a customer's slot read the customer's row of shares with the first draw after its claim. Without the platform it could not, and refused every draw, also when the former holder had handed over the bucket.

The handover of a bucket contains the row as the former holder knew it, for an outage in the moment in between; it is left out while a part of the share is being given up, since the fraction in use is smaller then.

--- a/packages/swifttide_daemon/src/swifttide_daemon/_builder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_builder.py
@@ -16,7 +16,13 @@
     ProgramHandlers,
     ProgramRoots,
 )
-from swifttide_daemon.limits import RateLimiter, ShareMover, ShareRows, ShareService
+from swifttide_daemon.limits import (
+    RateLimiter,
+    ShareLoader,
+    ShareMover,
+    ShareRows,
+    ShareService,
+)
 from swifttide_daemon.membership import LeaseKeeper, MembershipService, OutageService
 from swifttide_daemon.operators import OperatorHandlers
 from swifttide_daemon.peering import Heartbeat, PeerHandlers, ViewExchange
@@ -179,7 +185,8 @@
         cfg = self.settings
         rows = ShareRows(self.platform)
         self.shares = ShareService(self.membership, self.config, rows, self.peer_client)
-        self.mover = ShareMover(self.membership, self.config, self.shares, rows)
+        loader = ShareLoader(self.membership, self.config, self.shares)
+        self.mover = ShareMover(self.membership, self.config, self.shares, rows, loader)
         self.limiter = RateLimiter(self.membership, self.peer_client, self.shares)
         self.heartbeat = Heartbeat(self.membership, self.config, self.peer_client)
         self.view_exchange = ViewExchange(self.membership, self.peer_client)
--- a/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
@@ -110,6 +110,10 @@
         grant = self.state.get(DocumentKind.KEY, key_hash)
         return None if grant is None or grant.withdrawn else grant
 
+    def customers(self) -> list[str]:
+        """Return the names of all customers."""
+        return [doc.name for doc in self.state.all(DocumentKind.CUSTOMER)]
+
     def targets(self) -> list[Target]:
         """Return all targets, including those that are being removed."""
         return self.state.all(DocumentKind.TARGET)
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/__init__.py
@@ -13,6 +13,7 @@
     YieldRequest,
 )
 from swifttide_daemon.limits._rate_limiter import RateLimiter
+from swifttide_daemon.limits._share_loader import ShareLoader
 from swifttide_daemon.limits._share_mover import ShareMover
 from swifttide_daemon.limits._share_rows import ShareRows
 from swifttide_daemon.limits._share_service import ShareService
@@ -23,6 +24,7 @@
     "HandoverRequest",
     "RateLimiter",
     "ReturnRequest",
+    "ShareLoader",
     "ShareMover",
     "ShareRows",
     "ShareService",
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_managed_share.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_managed_share.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from swifttide_core.limits import CustomerShare, ZoneShareManager
+from swifttide_daemon.limits._share_rows import StoredShares
 
 
 @dataclass(slots=True)
@@ -30,3 +31,10 @@
     def share(self) -> CustomerShare:
         """Token bucket of the customer."""
         return self.manager.share
+
+    @property
+    def stored(self) -> StoredShares | None:
+        """Row of the customer, or None while a part of this zone is being given up."""
+        if self.manager.has_pending_transfer:
+            return None
+        return StoredShares(self.manager.row, self.manager.version)
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from swifttide_core.limits import Batch, Pull, RateRefused, ShareState
+from swifttide_daemon.limits._share_rows import StoredShares
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,8 +98,12 @@
         Epoch of the claim that may use the state. Any other claim means that another
         host held the slot in between.
     state : ShareState
+    stored : StoredShares or None
+        Row of the customer as last known, for a new holder that can't read it. None
+        if the fraction of the zone may be smaller than the row says.
     """
 
     customer: str
     epoch: int
     state: ShareState
+    stored: StoredShares | None = None
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_mover.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_mover.py
@@ -1,4 +1,4 @@
-"""Moves parts of a customer's rate to the zones where its requests arrive.
+"""Loads shares, and moves parts of a rate to the zones where its requests arrive.
 
 For each customer whose slot this host holds, a thread checks every
 `PLAN_INTERVAL_SECONDS` whether a part of the share should be given up or an offered
@@ -13,6 +13,7 @@
 from swifttide_core.slots import SlotKind
 from swifttide_daemon.configuration import ConfigService
 from swifttide_daemon.limits._managed_share import ManagedShare
+from swifttide_daemon.limits._share_loader import ShareLoader
 from swifttide_daemon.limits._share_rows import ShareRows
 from swifttide_daemon.limits._share_service import ShareService
 from swifttide_daemon.membership import MembershipService
@@ -35,6 +36,8 @@
     config : ConfigService
     shares : ShareService
     rows : ShareRows
+    loader : ShareLoader
+        Loads the shares of slots that were claimed.
     """
 
     def __init__(
@@ -43,7 +46,9 @@
         config: ConfigService,
         shares: ShareService,
         rows: ShareRows,
+        loader: ShareLoader,
     ) -> None:
+        self.loader = loader
         self.membership = membership
         self.config = config
         self.shares = shares
@@ -61,6 +66,11 @@
 
     def _run(self) -> None:
         while not self._stop.wait(STEP_INTERVAL_SECONDS):
+            try:
+                self.loader.step()
+            except Exception:
+                # A malformed row must not end the thread.
+                log.exception("load of customers' shares failed")
             for name, managed_share in self.shares.managed_shares().items():
                 try:
                     self._step(name, managed_share)
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_rows.py
@@ -52,14 +52,19 @@
 
     def read(self, customer: Customer) -> Result[StoredShares, PlatformError]:
         """Return the row of a customer; create it if it does not exist."""
-        found = self.platform.read(SHARES_TABLE, customer.name)
-        if found.is_error():
+        found = self.find(customer.name)
+        if found.is_error() or found.ok is not None:
             return found
-        if found.ok is not None:
-            shares = ZoneShares.from_row(found.ok.value)
-            return Ok(StoredShares(shares, found.ok.version))
         return self._create(customer)
 
+    def find(self, customer: str) -> Result[StoredShares | None, PlatformError]:
+        """Return the row of a customer, or None if it does not exist."""
+        found = self.platform.read(SHARES_TABLE, customer)
+        if found.is_error() or found.ok is None:
+            return found
+        shares = ZoneShares.from_row(found.ok.value)
+        return Ok(StoredShares(shares, found.ok.version))
+
     def write(
         self,
         customer: str,
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_service.py
@@ -136,6 +136,24 @@
             threading.Thread(target=self._send_pull, args=args, daemon=True).start()
         return Ok(DrawAnswer.from_core(answer))
 
+    def load(self, customer: str) -> bool:
+        """Create the share of a customer if this host holds the slot.
+
+        Returns
+        -------
+        bool
+            False if the customer's row can't be read now. A customer without a row has
+            not been served yet; its share is created with the first draw.
+        """
+        epoch = self.membership.epoch(SlotKind.CUSTOMER, customer)
+        document = self.config.customer(customer)
+        if epoch is None or document is None or self._has_share(customer, epoch):
+            return True
+        found = self.rows.find(customer)
+        if found.is_ok() and found.ok is not None:
+            self._add_share(document, found.ok, epoch)
+        return found.is_ok()
+
     def return_batch(self, customer: str, req: ReturnRequest) -> None:
         """Return the unspent tokens of a batch to the bucket."""
         with self._lock:
@@ -184,12 +202,18 @@
                 return Ok(managed_share)
         return self._create_share(customer, epoch)
 
+    def _has_share(self, customer: str, epoch: int) -> bool:
+        with self._lock:
+            managed_share = self._managed_shares.get(customer)
+            return managed_share is not None and managed_share.epoch == epoch
+
     def _create_share(self, customer: str, epoch: int) -> Result[ManagedShare, Refusal]:
         document = self.config.customer(customer)
         if document is None:
             return Error(Refusal(Reason.NOT_FOUND, f"no customer {customer!r}"))
         read = self.rows.read(document)
-        if read.is_error():
+        stored = read.ok if read.is_ok() else self._handed_over_row(customer, epoch)
+        if stored is None:
             # Without the row the fraction of this zone is unknown. A guess could admit
             # more than the customer's rate.
             return Error(
@@ -199,15 +223,30 @@
                     retry_after_seconds=1.0,
                 )
             )
+        return Ok(self._add_share(document, stored, epoch))
+
+    def _handed_over_row(self, customer: str, epoch: int) -> StoredShares | None:
+        """Return the row that the former holder sent, or None.
+
+        No other host has used this zone's fraction since: the former holder released
+        the slot before it sent the row, and `epoch` is the next claim.
+        """
         with self._lock:
-            managed_share = self._managed_shares.get(customer)
-            if managed_share is not None and managed_share.epoch == epoch:
-                return Ok(managed_share)
-            manager = self._new_manager(document, read.ok, epoch)
-            managed_share = self._managed_shares[customer] = ManagedShare(
-                epoch, manager
-            )
-            return Ok(managed_share)
+            pending = self._pending_handovers.get(customer)
+        if pending is None or pending[0].epoch != epoch:
+            return None
+        return pending[0].stored
+
+    def _add_share(
+        self, document: Customer, stored: StoredShares, epoch: int
+    ) -> ManagedShare:
+        with self._lock:
+            managed_share = self._managed_shares.get(document.name)
+            if managed_share is None or managed_share.epoch != epoch:
+                manager = self._new_manager(document, stored, epoch)
+                managed_share = ManagedShare(epoch, manager)
+                self._managed_shares[document.name] = managed_share
+            return managed_share
 
     def _new_manager(
         self, customer: Customer, stored: StoredShares, epoch: int
@@ -269,7 +308,9 @@
                     continue
                 state = managed_share.share.hand_over(now)
                 del self._managed_shares[customer]
-                request = HandoverRequest(customer, move.next_epoch, state)
+                request = HandoverRequest(
+                    customer, move.next_epoch, state, managed_share.stored
+                )
                 by_url.setdefault(move.peer_url, []).append(request)
         for url, requests in by_url.items():
             self.peers.call(url, "POST", "/peer/v1/handovers", requests)
--- a/tests/e2e/test_outage_as_hosts_join.py
+++ b/tests/e2e/test_outage_as_hosts_join.py
@@ -75,3 +75,13 @@
         world.fault_platform("down")
         for _ in range(3):
             assert caller.call("za-h1").status == 200
+
+    def test_new_holder_counts_the_rate(self, world, caller):
+        """Guards against refusals by a host that claimed the slot of a customer and
+        has read none of the customer's rows when the platform goes away.
+        """
+        world.fleet.start_hosts(JOINING)
+        world.until(world.slots_rest)
+        world.fault_platform("down")
+        for host in ("za-h0", "zb-h1"):
+            assert caller.call(host).status == 200
