FIX A host that doesn't know the keys answers 503, not 401

What callers saw: a host that had started while the platform was away answered granted keys with 401 (unauthenticated, not_run), which tells a caller not to try again.

Cause: an unknown key was refused before the age of the configuration was looked at. A host that has read no configuration knows no key at all.

Evidence: start a host with the platform down and call it with a granted key: 401 at each call; the host said at /readyz that it wasn't ready, but a balancer may lag.

Change: while the configuration of a host is stale, a request with a key is answered 503 platform_unavailable with the time to come back, whether the key is known or not; also for operators' keys that are neither known nor in the settings. A request without a key is still answered 401.

--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_authenticator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_authenticator.py
@@ -61,15 +61,18 @@
     def customer(self, req: Request) -> Result[Identity, Refusal]:
         """Return the customer of a request's key.
 
-        Customer keys are refused while the configuration of this host is stale, as a
-        key may have been withdrawn elsewhere in the meantime.
+        While the configuration of this host is stale, it can't tell which keys are
+        valid: a known key may have been withdrawn elsewhere in the meantime, and an
+        unknown one granted.
         """
         key_hash = _key_hash(req)
-        grant = self.config.key(key_hash) if key_hash else None
-        if grant is None or not grant.customer:
+        if not key_hash:
             return Error(_unknown_key_refusal())
         if self.config.is_stale():
             return Error(_stale_configuration_refusal())
+        grant = self.config.key(key_hash)
+        if grant is None or not grant.customer:
+            return Error(_unknown_key_refusal())
         return Ok(Identity(key_hash, grant.customer))
 
     def operator(self, req: Request) -> Result[Identity, Refusal]:
@@ -80,6 +83,8 @@
         if any(hmac.compare_digest(key_hash, known) for known in self.operator_hashes):
             return Ok(Identity(key_hash, ""))
         grant = self.config.key(key_hash)
+        if grant is None and self.config.is_stale():
+            return Error(_stale_configuration_refusal())
         if grant is None:
             return Error(_unknown_key_refusal())
         if not grant.operator:
--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/tests/test_authenticator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/tests/test_authenticator.py
@@ -51,6 +51,13 @@
         assert refused.error.verdict == "not_run"
         assert refused.error.retry_after_seconds > 0
 
+    def test_stale_configuration_denies_no_key(self):
+        """Guards against granted keys that a host without the configuration denies."""
+        stale = make_authenticator(stale=True)
+        assert stale.customer(request("Bearer granted elsewhere")).error.status == 503
+        assert stale.operator(request("Bearer granted elsewhere")).error.status == 503
+        assert stale.customer(request("")).error.status == 401
+
     @pytest.mark.parametrize("key", ["operator", "bootstrap"])
     def test_operator_key_is_not_a_customer_key(self, authenticator, key):
         assert authenticator.operator(request(f"Bearer {key}")).is_ok()
--- a/tests/e2e/test_outage_as_hosts_join.py
+++ b/tests/e2e/test_outage_as_hosts_join.py
@@ -76,6 +76,16 @@
         for _ in range(3):
             assert caller.call("za-h1").status == 200
 
+    def test_host_without_configuration_does_not_deny_keys(self, world):
+        """Guards against granted keys that are denied by a host that has started
+        without the platform and knows no key.
+        """
+        world.fault_platform("down")
+        world.fleet.start_hosts(JOINING[:1])
+        answer = world.chat("za-new1", None, None, "hello")
+        assert (answer.status, answer.verdict) in ((200, ""), (503, "not_run"))
+        assert answer.status == 200 or answer.retry_after
+
     def test_new_holder_counts_the_rate(self, world, caller):
         """Guards against refusals by a host that claimed the slot of a customer and
         has read none of the customer's rows when the platform goes away.
