FIX Calls don't wait for a takeover of a queue that can't happen

What callers would see: with the platform unavailable, a call placed at a target of its own zone whose queue has no holder waits 15 s for a takeover, is then placed at the next such target for another 15 s, and its refusal (not_holder) is taken by the entry host for a moved program, which sends the call again to the same holder until its deadline.

Cause: the wait for the holder in the own zone didn't depend on the platform, without which no host can claim a slot; and not_holder stood for two things.

Change: in the own zone a call waits as short as in others while the platform is unavailable (2 s), then other targets are tried. A queue without a holder is refused as no_target with the time to come back.

--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_grant_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_grant_client.py
@@ -3,7 +3,8 @@
 A call is offered to its target's queue and polled until it is admitted or refused, or
 its deadline passes. Grants of admitted calls are renewed every `RENEW_INTERVAL_SECONDS`
 and released when the calls end. While a queue has no reachable holder, for example
-during a takeover, calls wait for a limited time instead of being refused.
+during a takeover, calls wait for a limited time instead of being refused. They don't
+wait long without the platform, since no host can take over the queue then.
 """
 
 import threading
@@ -38,6 +39,7 @@
 id."""
 
 HOLDER_RETRY_SECONDS = 0.2
+NO_QUEUE_RETRY_SECONDS = 1.0
 N_RELEASE_THREADS = 4
 OWN_ZONE_HOLDER_TIMEOUT_SECONDS = 15.0
 OTHER_ZONE_HOLDER_TIMEOUT_SECONDS = 2.0
@@ -97,17 +99,17 @@
         While the queue moves to another holder, nobody can admit the call; it asks
         again for a limited time, longer in the own zone than in others.
         """
-        holder_deadline = min(
-            deadline, time.monotonic() + self._holder_timeout_seconds(target)
-        )
+        asked_at = time.monotonic()
         while time.monotonic() < deadline:
             answer = self.acquire(target, req)
             if answer.is_ok() and (answer.ok.admitted or answer.ok.refusal):
                 return answer
             if answer.is_error():
-                late = time.monotonic() >= holder_deadline
-                if late or answer.error.reason is Reason.NO_TARGET:
+                if answer.error.reason is Reason.NO_TARGET:
                     return answer
+                seconds = self._holder_timeout_seconds(target)
+                if time.monotonic() >= asked_at + seconds:
+                    return Error(_without_queue(answer.error))
                 self.membership.invalidate_views()
                 time.sleep(HOLDER_RETRY_SECONDS)
         self.withdraw(target, req.ticket_id)
@@ -122,15 +124,14 @@
     def _holder_timeout_seconds(self, target: Target) -> float:
         """Return the time in seconds to wait for the holder of a queue.
 
-        In the own zone, another host takes the queue over soon. Another zone may be
-        disconnected for long, and other targets can be tried.
+        In the own zone, another host takes the queue over soon, unless the platform is
+        unavailable. Another zone may be disconnected for long, and other targets can be
+        tried.
         """
-        own = target.zone == self.membership.me.zone
-        return (
-            OWN_ZONE_HOLDER_TIMEOUT_SECONDS
-            if own
-            else OTHER_ZONE_HOLDER_TIMEOUT_SECONDS
-        )
+        is_own = target.zone == self.membership.me.zone
+        if is_own and self.membership.platform.available:
+            return OWN_ZONE_HOLDER_TIMEOUT_SECONDS
+        return OTHER_ZONE_HOLDER_TIMEOUT_SECONDS
 
     def release(
         self,
@@ -214,3 +215,18 @@
                 by_target.setdefault(target, []).append(call)
             for target, calls in by_target.items():
                 self._send(target, "renew", RenewRequest(tuple(calls)))
+
+
+def _without_queue(refusal: Refusal) -> Refusal:
+    """Return the refusal of a call whose target has no holder of its queue.
+
+    ``not_holder`` would tell the entry host that the holder of the call's program has
+    changed, and the call would be sent there again.
+    """
+    if refusal.reason is not Reason.NOT_HOLDER:
+        return refusal
+    return Refusal(
+        Reason.NO_TARGET,
+        "no host holds the queue of the target",
+        retry_after_seconds=NO_QUEUE_RETRY_SECONDS,
+    )
