FIX Readiness doesn't hang on the slot of one key

Cause: /readyz asked for the holder of the slot of the key "any". If this slot is without a holder when the platform goes away, all hosts of the zone report that they aren't ready until it is back, and balancers take the whole zone out.

Evidence: by reading, while looking for other places that need a holder; with a fake view in which only that slot is free.

Change: a host is ready if the view of its zone names a holder of any slot.

Test: TestHasHolders in membership/tests/test_service.py.

--- a/packages/swifttide_daemon/src/swifttide_daemon/_health.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_health.py
@@ -1,6 +1,5 @@
 """Handlers of the health, readiness and metrics endpoints."""
 
-from swifttide_core.slots import SlotKind
 from swifttide_daemon.configuration import ConfigService
 from swifttide_daemon.entry import (
     Gate,
@@ -53,8 +52,7 @@
 
     def ready(self, req: Request) -> Response:
         """Answer ``/readyz`` with 200 if the host accepts new requests, else 503."""
-        slot = self.membership.holder(SlotKind.PROGRAM, "any")
-        ready = self.gate.state is GateState.OPEN and slot is not None
+        ready = self.gate.state is GateState.OPEN and self.membership.has_holders()
         state = {
             "ready": ready,
             "state": self.gate.state,
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -183,6 +183,11 @@
             found = self.others.reread_view(zone).holder(slot)
         return found
 
+    def has_holders(self) -> bool:
+        """Return whether any slot of this host's zone is known to have a holder."""
+        view = self.view
+        return any(view.holder(slot) is not None for slot in range(len(view.slots)))
+
     def zone_hosts(self) -> list[HostRow]:
         """Return the hosts of this host's zone that aren't dead, this host included."""
         rows = self.view.hosts.values()
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_service.py
@@ -81,3 +81,19 @@
         membership._read_zone()
         assert membership.newer_views({"z": 6}) == {"z": membership.view}
         assert membership.newer_views({"z": 7, "unknown": 0}) == {}
+
+
+class TestHasHolders:
+    def test_one_slot_without_a_holder_is_not_all_slots(self):
+        """Guards against a zone that isn't ready as a whole while the slot of one key
+        has no holder.
+        """
+        membership = service()
+        assert not membership.has_holders()
+        hosts = {"h1": membership.me}
+        slots = tuple(SlotRow(slot) for slot in range(3))
+        membership.adopt_views({"z": ZoneView(8, hosts, slots)})
+        assert not membership.has_holders()
+        slots = (*slots, SlotRow(3, "h1", "i", 1))
+        membership.adopt_views({"z": ZoneView(9, hosts, slots)})
+        assert membership.has_holders()
