FIX A slot gets its next holder with the write that gives it up

What callers saw: after a host had registered and was lost at once (single zone, three hosts), programs in a third of the slots got no answer any more: the condition was never met in 60 s, and by the rows for an hour. The same slots had no holder for the whole of an outage of the platform that began while a host joined: 41 of 128 were free when two joining hosts were paused after their registration.

Cause: a host that should hold fewer slots released them and left it to the preferred host to claim them. The preferred host was any host with a live row, also one that had not read the zone yet. Such a host isn't deposed for max_extension_seconds, since it may extend its lease without asking hosts that it didn't know.

Change: the write of a handover names the next holder and its epoch. It is made only when the lease row of that host shows that it has read the zone (knows_head); the host announces this with the zone's head row, so that the others read it at once. Until then the slots stay where they are. Only a leaving host still releases the slots of a host that hasn't joined. A host remembers the epochs at which it gave up slots, so that it may hold them again later; a slot whose handover failed, and whose next holder was lost, is claimed again by its recorded holder, which denied it for good before.

--- a/packages/swifttide_core/src/swifttide_core/membership/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/membership/__init__.py
@@ -9,7 +9,12 @@
 from swifttide_core.membership._lease_times import LeaseTimes
 from swifttide_core.membership._promise import PlatformSeen, Promise
 from swifttide_core.membership._promise_state import PromiseState
-from swifttide_core.membership._slot_plan import is_held, plan_claims, plan_handovers
+from swifttide_core.membership._slot_plan import (
+    assign_slots,
+    is_held,
+    plan_claims,
+    plan_handovers,
+)
 from swifttide_core.membership._slot_row import SlotRow
 
 __all__ = [
@@ -18,6 +23,7 @@
     "PlatformSeen",
     "Promise",
     "PromiseState",
+    "assign_slots",
     "depose_delay_seconds",
     "HostLease",
     "HostRow",
--- a/packages/swifttide_core/src/swifttide_core/membership/tests/test_slot_plan.py
+++ b/packages/swifttide_core/src/swifttide_core/membership/tests/test_slot_plan.py
@@ -6,6 +6,7 @@
     HostRow,
     HostState,
     SlotRow,
+    assign_slots,
     plan_claims,
     plan_handovers,
     ring_successors,
@@ -63,6 +64,42 @@
         assert 0 < len(moved) < N_SLOTS
         assert plan_claims("h1", freed, hosts) == freed
 
+    def test_slot_whose_handover_failed_is_claimed_again(self):
+        """Guards against a slot that its recorded holder denies for good.
+
+        The write of the handover failed, and the next holder was lost.
+        """
+        hosts = rows_by_host(host_row("h0"))
+        slots = [SlotRow(0, "h0", "1", epoch=4), SlotRow(1, "h0", "1", epoch=4)]
+        assert plan_claims("h0", slots, hosts, {0: 4, 1: 3}) == slots[:1]
+
+
+class TestAssignSlots:
+    def assign(self, own_state, knows_head):
+        own = host_row("h0", own_state)
+        joining = replace(host_row("h1", incarnation="2"), knows_head=knows_head)
+        hosts = rows_by_host(own, joining)
+        slots = [SlotRow(s, "h0", "1", epoch=1, version=s) for s in range(N_SLOTS)]
+        planned = plan_handovers("h0", slots, hosts)
+        return planned, assign_slots("h0", planned, hosts)
+
+    def test_joined_host_is_named_by_the_same_write(self):
+        """Guards against slots without a holder between two writes."""
+        planned, assigned = self.assign(HostState.LIVE, knows_head=5)
+        assert assigned == [
+            replace(row, host="h1", incarnation="2", epoch=2) for row in planned
+        ]
+
+    def test_host_that_has_not_joined_gets_no_slots(self):
+        """Guards against slots of a host that is lost before anybody may depose it."""
+        planned, assigned = self.assign(HostState.LIVE, knows_head=0)
+        assert planned
+        assert assigned == []
+
+    def test_leaving_host_releases_slots_of_a_host_that_has_not_joined(self):
+        planned, assigned = self.assign(HostState.LEAVING, knows_head=0)
+        assert assigned == [replace(row, host="", incarnation="") for row in planned]
+
 
 class TestRingNeighbours:
     def test_wraps_around(self):
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/__init__.py
@@ -12,15 +12,19 @@
     PromiseAnswer,
     PromiseRequest,
 )
+from swifttide_daemon.membership._rows import HOSTS, SLOTS, ZONE_HEADS
 from swifttide_daemon.membership._service import MembershipService
 from swifttide_daemon.membership._zone_view import ZoneView
 
 __all__ = [
+    "HOSTS",
     "LeaseKeeper",
     "MembershipService",
     "MovedSlots",
     "OutageService",
     "PromiseAnswer",
     "PromiseRequest",
+    "SLOTS",
+    "ZONE_HEADS",
     "ZoneView",
 ]
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
@@ -71,6 +71,7 @@
         self.lease = HostLease.from_times(times)
         self.config_version = config_version
         self.registered_head = 0
+        self._announced_head = 0
         self._lock = threading.RLock()
 
     def set_urls(self, caller_url: str, peer_url: str) -> None:
@@ -93,7 +94,19 @@
             self.row = replace(self.row, knows_head=max(0, knows_head))
             if self.lease.row_version == 0:
                 return self._register()
-            return self._write(self.renewal())
+            if not self._has_news(knows_head):
+                return self._write(self.renewal())
+            confirmed = self._write(self.renewal(announce=True))
+            if confirmed:
+                self._announced_head = knows_head
+            return confirmed
+
+    def _has_news(self, knows_head: int) -> bool:
+        """Return whether the other hosts must learn that this host has joined.
+
+        They hand over slots to it only after it has read the zone.
+        """
+        return self._announced_head < self.registered_head <= knows_head
 
     def write_state(self, state: HostState) -> bool:
         """Write a new state of this host and update the zone's head row.
@@ -104,10 +117,10 @@
             self.row = replace(self.row, state=state)
             return self._write(self._transaction(announce=True))
 
-    def renewal(self) -> Transaction:
+    def renewal(self, announce: bool = False) -> Transaction:
         """Increment the renewal counter and return the transaction to commit."""
         self.row = replace(self.row, renewal=self.row.renewal + 1)
-        return self._transaction(announce=False)
+        return self._transaction(announce)
 
     def record_relayed_renewal(self, sent_at: float, row_version: int) -> None:
         """Record a renewal that a peer has committed on this host's behalf.
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -1,9 +1,9 @@
 """Membership of this host in its zone, and the assignment of slots to hosts.
 
 One thread renews this host's lease, monitors the leases of neighbouring hosts, deposes
-hosts whose lease has expired, claims free slots and hands over slots that another
-host should hold. Other threads read from the cached views which host decides for a
-key. Keys are hashed to the slots of a zone.
+hosts whose lease has expired, claims free slots and hands over slots to the hosts that
+should hold them. Other threads read from the cached views which host decides for a key.
+Keys are hashed to the slots of a zone.
 """
 
 import logging
@@ -19,6 +19,7 @@
     LeaseMonitor,
     LeaseTimes,
     SlotRow,
+    assign_slots,
     depose_delay_seconds,
     plan_claims,
     plan_handovers,
@@ -93,7 +94,7 @@
         self._known_zones: set[str] = set()
         self._held: dict[int, int] = {}
         self._held_since: dict[int, float] = {}
-        self._released_slots: set[int] = set()
+        self._released_epochs: dict[int, int] = {}
         self._moved_listeners: list[Callable[[MovedSlots], None]] = []
         self._lock = threading.Lock()
         self._leaving = False
@@ -365,7 +366,7 @@
             self.view = view
             self._known_head = view.head_version
             self._held = {
-                s: e for s, e in mine.items() if s not in self._released_slots
+                s: e for s, e in mine.items() if e > self._released_epochs.get(s, -1)
             }
             now = time.monotonic()
             since = self._held_since
@@ -424,7 +425,9 @@
             self._read_zone()
 
     def _claim_slots(self) -> None:
-        wanted = plan_claims(self.me.host, self.view.slots, self.view.hosts)
+        wanted = plan_claims(
+            self.me.host, self.view.slots, self.view.hosts, self._released_epochs
+        )
         if not wanted:
             return
         me = self.me
@@ -436,27 +439,28 @@
         log.info(
             "claimed slots", extra={"slots": _numbers(claimed), "written": written}
         )
-        if written:
-            with self._lock:
-                self._released_slots.difference_update(row.slot for row in claimed)
         self._read_zone()
 
     def _hand_over_slots(self) -> None:
-        moving = plan_handovers(self.me.host, self.view.slots, self.view.hosts)
-        if not moving:
+        view, me = self.view, self.me.host
+        planned = plan_handovers(me, view.slots, view.hosts)
+        assigned = assign_slots(me, planned, view.hosts)
+        if not assigned:
             return
+        moving = [view.slots[row.slot] for row in assigned]
         # This host stops acting for the slots before it writes the rows. In the
         # opposite order, two hosts would briefly grant the rate of one customer.
         with self._lock:
             for row in moving:
                 self._held.pop(row.slot, None)
                 self._held_since.pop(row.slot, None)
-                self._released_slots.add(row.slot)
-        freed = [replace(row, host="", incarnation="") for row in moving]
-        written = self._write_slots(freed)
-        log.info("released slots", extra={"slots": _numbers(freed), "written": written})
+                self._released_epochs[row.slot] = row.epoch
+        written = self._write_slots(assigned)
+        log.info(
+            "handed over slots", extra={"slots": _numbers(assigned), "written": written}
+        )
         if written:
-            moved = MovedSlots.from_rows(freed, self.view.hosts)
+            moved = MovedSlots.from_rows(moving, view.hosts)
             for listener in self._moved_listeners:
                 listener(moved)
         self._read_zone()
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_lease_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_lease_keeper.py
@@ -15,12 +15,14 @@
     def __init__(self):
         self.row = None
         self.lose_answer = False
+        self.written_tables = []
 
     def read(self, table, key):
         return Ok(self.row)
 
     def commit(self, tx, tries=1):
         known = self.row.version if self.row else 0
+        self.written_tables.append([write.table for write in tx.writes])
         if tx.checks[0].version != known:
             return Ok(Conflict("hosts", "z/h1", known))
         self.row = Row("z/h1", known + 1, tx.writes[0].value)
@@ -65,3 +67,12 @@
         assert not host.holds()
         assert host.keep(0)
         assert host.row.incarnation != incarnation
+
+    def test_host_announces_once_that_it_has_read_the_zone(self):
+        """Guards against a joined host that gets slots only at the next full read."""
+        host = keeper()
+        for knows_head in (0, 0, 1, 1):
+            assert host.keep(knows_head)
+        registered, before, joined, after = host.platform.written_tables
+        assert registered == joined == ["hosts", "zone_heads"]
+        assert before == after == ["hosts"]
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_service.py
@@ -70,7 +70,7 @@
     def test_released_slot_is_not_taken_back(self):
         """Guards against two holders of a slot that is being handed over."""
         membership = service()
-        membership._released_slots.add(1)
+        membership._released_epochs[1] = 2
         slots = (SlotRow(0, "h1", "i", 3), SlotRow(1, "h1", "i", 2))
         membership.adopt_views({"z": ZoneView(9, {}, slots)})
         assert membership.held() == {0: 3}
--- a/tests/fuzz/test_membership_fuzz.py
+++ b/tests/fuzz/test_membership_fuzz.py
@@ -15,6 +15,7 @@
     LeaseTimes,
     PromiseState,
     SlotRow,
+    assign_slots,
     depose_delay_seconds,
     plan_claims,
     plan_handovers,
@@ -56,7 +57,7 @@
     hosts: dict = field(default_factory=dict)
     slots: tuple = ()
     held: set = field(default_factory=set)
-    given_up: set = field(default_factory=set)
+    given_up: dict = field(default_factory=dict)
     n_writes: int = 0
 
 
@@ -173,8 +174,10 @@
         host.held = {
             row.slot
             for row in host.slots
-            if row.host == host.name and row.incarnation == host.incarnation
-        } - host.given_up
+            if row.host == host.name
+            and row.incarnation == host.incarnation
+            and row.epoch > host.given_up.get(row.slot, -1)
+        }
         for other, (version, row) in rows.items():
             if other != host.name and row is not None:
                 host.watch.observe(self.clock(host), other, version)
@@ -204,23 +207,24 @@
         now = self.clock(host)
         if not host.lease.is_valid(now) or not host.book.may_depose(now):
             return
-        rows = plan_claims(host.name, host.slots, host.hosts)
+        rows = plan_claims(host.name, host.slots, host.hosts, host.given_up)
         claimed = [
             replace(r, host=host.name, incarnation=host.incarnation, epoch=r.epoch + 1)
             for r in rows
         ]
-        if claimed and self.write_slots(host, claimed, weather):
-            host.given_up -= {row.slot for row in claimed}
+        if claimed:
+            self.write_slots(host, claimed, weather)
 
     def hand_over(self, name, weather):
         host = self.hosts[name]
-        rows = plan_handovers(host.name, host.slots, host.hosts)
+        planned = plan_handovers(host.name, host.slots, host.hosts)
+        rows = assign_slots(host.name, planned, host.hosts)
         if not host.lease.is_valid(self.clock(host)) or not rows:
             return
         host.held -= {row.slot for row in rows}
-        host.given_up |= {row.slot for row in rows}
-        freed = [replace(row, host="", incarnation="") for row in rows]
-        self.write_slots(host, freed, weather)
+        epochs = {row.slot: row.epoch for row in host.slots}
+        host.given_up |= {row.slot: epochs[row.slot] for row in rows}
+        self.write_slots(host, rows, weather)
 
     def write_slots(self, host, rows, weather):
         writes = [Write("slots", str(row.slot), row.version, row) for row in rows]
