FIX Leases are extended while renewals wait for an answer

What callers saw: the platform took requests and answered none. Calls without a program were refused at every host until its end, 503 not_holder (rate of the customer cannot be counted now) or no_target: 8 of 44 calls in 26 s with the default durations of leases, 6 of 20 with those of the tests.

Cause: one thread read the zone, renewed the lease and then asked for promises. A renewal waits 1.5 s for its answer and 1.5 s for its outcome, reads wait 1.5 s each, so that the lease had expired before the first promise was asked for; an expired lease isn't revived. A host promised nothing while its own requests hadn't timed out, and each host that did not promise was tried as a relay, one after the other, for up to 2 s.

Evidence: 'lease expired' in the logs of all hosts 5 to 12 s after the beginning, without any 'lease not extended' before.

Change: renewal, extension and reading are threads of their own. The extension begins when half of a lease's spare time is left, also while a renewal is without an answer, and is repeated each quarter of a second. A host promises when a request has been without an answer for 0.5 s; promising too much is safe. One host is asked to relay in a round, for at most half a second. Rows and leases are changed under a lock that isn't held during requests. The slots that a host holds belong to an incarnation, as registration and reading now overlap.

--- a/packages/swifttide_core/src/swifttide_core/membership/_lease_times.py
+++ b/packages/swifttide_core/src/swifttide_core/membership/_lease_times.py
@@ -22,3 +22,8 @@
     lease_seconds: float = 6.0
     renew_seconds: float = 2.0
     drift_margin_seconds: float = 1.0
+
+    @property
+    def spare_seconds(self) -> float:
+        """Time for which a lease is still valid when its renewal is due."""
+        return self.lease_seconds - self.drift_margin_seconds - self.renew_seconds
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
@@ -72,7 +72,10 @@
         self.config_version = config_version
         self.registered_head = 0
         self._announced_head = 0
-        self._lock = threading.RLock()
+        # Serializes writes to the platform. The lease may be extended meanwhile, so
+        # that a platform that doesn't answer can't delay its extension.
+        self._write_lock = threading.RLock()
+        self._lock = threading.Lock()
 
     def set_urls(self, caller_url: str, peer_url: str) -> None:
         """Set the URLs of this host, which are known once its ports are bound."""
@@ -90,8 +93,8 @@
         knows_head : int
             Version of the zone's head row at this host's last read of the zone.
         """
-        with self._lock:
-            self.row = replace(self.row, knows_head=max(0, knows_head))
+        with self._write_lock:
+            self._update_row(knows_head=max(0, knows_head))
             if self.lease.row_version == 0:
                 return self._register()
             if not self._has_news(knows_head):
@@ -113,15 +116,20 @@
 
         The newer version of the head row makes the other hosts read the zone again.
         """
-        with self._lock:
-            self.row = replace(self.row, state=state)
+        with self._write_lock:
+            self._update_row(state=state)
             return self._write(self._transaction(announce=True))
 
     def renewal(self, announce: bool = False) -> Transaction:
         """Increment the renewal counter and return the transaction to commit."""
-        self.row = replace(self.row, renewal=self.row.renewal + 1)
+        with self._lock:
+            self.row = replace(self.row, renewal=self.row.renewal + 1)
         return self._transaction(announce)
 
+    def _update_row(self, **changes: object) -> None:
+        with self._lock:
+            self.row = replace(self.row, **changes)
+
     def record_relayed_renewal(self, sent_at: float, row_version: int) -> None:
         """Record a renewal that a peer has committed on this host's behalf.
 
@@ -147,7 +155,7 @@
         version = found.ok.version if found.ok else 0
         # Each registration starts a new incarnation, so that slots claimed by the
         # previous one don't count as held.
-        self.row = replace(self.row, incarnation=new_id(), state=HostState.LIVE)
+        self._update_row(incarnation=new_id(), state=HostState.LIVE)
         tx = self._transaction(announce=True, base_version=version)
         return self._write(tx)
 
@@ -169,7 +177,8 @@
             return False
         match outcome.ok:
             case Committed(versions=versions):
-                self.lease = self.lease.with_renewal(sent_at, versions[0])
+                with self._lock:
+                    self.lease = self.lease.with_renewal(sent_at, versions[0])
                 if len(versions) > 1 and not self.registered_head:
                     self.registered_head = versions[1]
                 return True
@@ -189,11 +198,13 @@
             return
         row = host_row_of(found.ok) if found.ok else None
         if row is not None and _is_same_incarnation(row, self.row):
-            self.lease = replace(self.lease, row_version=found.ok.version)
+            with self._lock:
+                self.lease = replace(self.lease, row_version=found.ok.version)
             return
         log.warning("lease lost: another host deposed this incarnation")
         self.registered_head = 0
-        self.lease = self.lease.without_registration()
+        with self._lock:
+            self.lease = self.lease.without_registration()
 
 
 def _is_same_incarnation(row: HostRow, own: HostRow) -> bool:
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_outage_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_outage_service.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import random
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -33,6 +34,7 @@
 """Read timeout of a promise request; a late answer counts as no promise."""
 
 MAX_CONCURRENT_REQUESTS = 16
+MAX_RELAY_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,9 +108,10 @@
         The promise lasts `req.seconds`, limited to the configured promise duration.
         """
         seconds = min(req.seconds, self.times.promise_seconds)
+        sees_platform = not (self.platform.failing or self.platform.stalled)
         with self._lock:
             self._promise_state, answer = self._promise_state.answer(
-                time.monotonic(), seconds, not self.platform.failing
+                time.monotonic(), seconds, sees_platform
             )
         match answer:
             case Promise():
@@ -134,13 +137,21 @@
             return outcome.ok.versions
         return ()
 
-    def extend(self, others: list[HostRow]) -> None:
+    def extend(self, others: list[HostRow]) -> bool:
         """Extend this host's lease by promises, or renew it through another host.
 
+        Only one host is asked to relay a renewal. It may not have noticed yet that the
+        platform doesn't answer it either.
+
         Parameters
         ----------
         others : list of HostRow
             All other hosts of the zone that aren't dead.
+
+        Returns
+        -------
+        bool
+            Whether the lease was extended or renewed.
         """
         now = time.monotonic()
         asked = ExtensionRound.from_hosts(now, (r.host for r in others), self.times)
@@ -149,13 +160,15 @@
             found = answer.promise or answer.seen
             if found is not None:
                 asked = asked.with_answer(found)
-        for host in sorted(asked.relay_hosts):
-            if self._renew_via_peer(urls[host]):
-                return
+        if asked.relay_hosts:
+            relay_host = random.choice(sorted(asked.relay_hosts))
+            if self._renew_via_peer(urls[relay_host]):
+                return True
         self.keeper.extend(asked, self.times)
         if not asked.is_unanimous:
             silent = sorted(asked.asked - asked.promised)
             log.info("lease not extended", extra={"without_promise": silent})
+        return asked.is_unanimous
 
     def _request_promises(self, urls: list[str]) -> list[PromiseAnswer]:
         if not urls:
@@ -180,7 +193,12 @@
     def _renew_via_peer(self, url: str) -> bool:
         sent_at = time.monotonic()
         tx = self.keeper.renewal()
-        answer = self.peers.call(url, "POST", "/peer/v1/relays", tx)
+        # A relay that doesn't answer must leave time for another round of promises.
+        remaining = self.keeper.lease.remaining_seconds(sent_at)
+        seconds = min(MAX_RELAY_SECONDS, remaining / 3)
+        answer = self.peers.call(
+            url, "POST", "/peer/v1/relays", tx, read_seconds=seconds
+        )
         relayed = answer.is_ok() and answer.ok["versions"]
         if relayed:
             self.keeper.record_relayed_renewal(sent_at, answer.ok["versions"][0])
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -1,9 +1,11 @@
 """Membership of this host in its zone, and the assignment of slots to hosts.
 
-One thread renews this host's lease, monitors the leases of neighbouring hosts, deposes
-hosts whose lease has expired, claims free slots and hands over slots to the hosts that
-should hold them. Other threads read from the cached views which host decides for a key.
-Keys are hashed to the slots of a zone.
+One thread monitors the leases of neighbouring hosts, deposes hosts whose lease has
+expired, claims free slots and hands over slots to the hosts that should hold them. Two
+more keep the lease of this host: one renews it, the other one extends it without the
+platform. A platform that doesn't answer may hold up the first two for as long as a
+lease lasts. Other threads read from the cached views which host decides for a key. Keys
+are hashed to the slots of a zone.
 """
 
 import logging
@@ -51,12 +53,15 @@
 
 log = logging.getLogger(__name__)
 
+EXTENSION_INTERVAL_SECONDS = 0.25
+"""Interval of the attempts to extend a lease that is not renewed."""
+
 FULL_READ_INTERVAL_SECONDS = 30.0
 """Interval of full reads of the zone while its head row seems unchanged."""
 
 
 class MembershipService:
-    """Maintains the lease, the slots and the zone view of this host on one thread.
+    """Maintains the lease, the slots and the zone view of this host.
 
     Parameters
     ----------
@@ -93,6 +98,7 @@
         self._known_head = 0
         self._known_zones: set[str] = set()
         self._held: dict[int, int] = {}
+        self._held_incarnation = ""
         self._held_since: dict[int, float] = {}
         self._released_epochs: dict[int, int] = {}
         self._moved_listeners: list[Callable[[MovedSlots], None]] = []
@@ -102,7 +108,15 @@
         self._next_monitor_read_at = 0.0
         self._stop = threading.Event()
         self._wake = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._must_renew = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._repeat, args=args, daemon=True)
+            for args in (
+                (self._keep_lease, self._must_renew, self.times.renew_seconds),
+                (self._refresh, self._wake, self.times.renew_seconds / 2),
+                (self._extend, self._stop, EXTENSION_INTERVAL_SECONDS),
+            )
+        ]
 
     @classmethod
     def from_settings(
@@ -128,14 +142,16 @@
         return self.keeper.row
 
     def start(self) -> None:
-        """Start the thread that registers this host and renews its lease."""
-        self._thread.start()
+        """Start the threads; the first one registers this host."""
+        for thread in self._threads:
+            thread.start()
 
     def stop(self) -> None:
-        """Stop the membership thread; the lease then expires."""
-        self._stop.set()
-        self._wake.set()
-        self._thread.join(timeout=self.times.lease_seconds)
+        """Stop the threads; the lease then expires."""
+        for event in (self._stop, self._wake, self._must_renew):
+            event.set()
+        for thread in self._threads:
+            thread.join(timeout=self.times.lease_seconds)
 
     def slot(self, kind: SlotKind, key: str) -> int:
         """Return the slot number that a key hashes to."""
@@ -146,6 +162,9 @@
         if not self.keeper.holds():
             return None
         with self._lock:
+            if self._held_incarnation != self.me.incarnation:
+                # This host was deposed and has registered again.
+                return None
             return self._held.get(self.slot(kind, key))
 
     def fence(self, kind: SlotKind, key: str, epoch: int) -> Check | None:
@@ -275,19 +294,42 @@
     def _view_of(self, zone: str) -> ZoneView:
         return self.view if zone == self.me.zone else self.others.view(zone)
 
-    def _run(self) -> None:
-        renew_at = 0.0
+    def _repeat(
+        self, step: Callable[[], None], wake: threading.Event, interval_seconds: float
+    ) -> None:
+        """Run a step at an interval, and at once when `wake` is set."""
         while not self._stop.is_set():
+            next_at = time.monotonic() + interval_seconds
             try:
-                if time.monotonic() >= renew_at or self._must_publish_head():
-                    renew_at = time.monotonic() + self.times.renew_seconds
-                    self._keep_lease()
-                self._refresh()
+                step()
             except Exception:
-                # A malformed row must not end the thread that renews the lease.
+                # A malformed row must not end the thread.
                 log.exception("membership update failed")
-            self._wake.wait(self.times.renew_seconds / 2)
-            self._wake.clear()
+            wake.wait(max(0.0, next_at - time.monotonic()))
+            if wake is not self._stop:
+                wake.clear()
+
+    def _keep_lease(self) -> None:
+        # The view's head version isn't used, because it is reset when the view is
+        # invalidated. A host that dies with too old a head version in its lease row
+        # isn't deposed for an hour.
+        self.keeper.keep(self._known_head)
+        with self._lock:
+            if self._held_incarnation != self.me.incarnation:
+                self._held.clear()
+                self._held_since.clear()
+
+    def _extend(self) -> None:
+        """Extend the lease without the platform if its renewal is late.
+
+        A lease has `spare_seconds` left when its renewal is due. Half of them are left
+        to a slow renewal, unless the last request to the platform has failed.
+        """
+        spare_seconds = self.times.spare_seconds
+        min_remaining = spare_seconds if self.platform.failing else spare_seconds / 2
+        if 0.0 < self.lease_remaining() < min_remaining:
+            others = [r for r in self.zone_hosts() if r.host != self.me.host]
+            self.outages.extend(others)
 
     def _must_publish_head(self) -> bool:
         """Return whether the lease row must be written before the next renewal.
@@ -298,21 +340,6 @@
         joined = self.keeper.registered_head
         return self.me.knows_head < joined <= self._known_head
 
-    def _keep_lease(self) -> None:
-        incarnation = self.me.incarnation
-        # The view's head version isn't used, because it is reset when the view is
-        # invalidated. A host that dies with too old a head version in its lease row
-        # isn't deposed for an hour.
-        confirmed = self.keeper.keep(self._known_head)
-        if not confirmed and self.platform.failing:
-            others = [r for r in self.zone_hosts() if r.host != self.me.host]
-            self.outages.extend(others)
-        self._log_lease_change()
-        if self.me.incarnation != incarnation:
-            with self._lock:
-                self._held.clear()
-                self._held_since.clear()
-
     def _log_lease_change(self) -> None:
         holds = self.keeper.holds()
         if holds == self._logged_holds:
@@ -324,6 +351,7 @@
             log.warning("lease expired", extra={"slots": len(self.held())})
 
     def _refresh(self) -> None:
+        self._log_lease_change()
         if not self.platform.available:
             return
         if self._leaving and self.me.state is HostState.LIVE:
@@ -345,6 +373,8 @@
             if is_known and self.outages.may_depose():
                 self._claim_slots()
             self._hand_over_slots()
+        if self._must_publish_head():
+            self._must_renew.set()
         self.others.refresh(set(self.zones()) - {self.me.zone})
 
     def _read_zone(self) -> None:
@@ -354,17 +384,18 @@
 
     def _adopt(self, view: ZoneView) -> bool:
         """Replace the view of the own zone; return False if it was newer."""
-        me = self.me
-        mine = {
-            row.slot: row.epoch
-            for row in view.slots
-            if row.host == me.host and row.incarnation == me.incarnation
-        }
         with self._lock:
+            me = self.me
+            mine = {
+                row.slot: row.epoch
+                for row in view.slots
+                if row.host == me.host and row.incarnation == me.incarnation
+            }
             if view.head_version < self._known_head:
                 return False
             self.view = view
             self._known_head = view.head_version
+            self._held_incarnation = me.incarnation
             self._held = {
                 s: e for s, e in mine.items() if e > self._released_epochs.get(s, -1)
             }
--- a/packages/swifttide_daemon/src/swifttide_daemon/store/_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/store/_client.py
@@ -3,6 +3,8 @@
 No other module of this package depends on the platform's protocol.
 """
 
+import itertools
+import threading
 import time
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -32,9 +34,15 @@
 """
 
 RETRY_PAUSE_SECONDS = 0.05
+STALL_SECONDS = 0.5
+"""Age from which a request without a response suggests that the platform is silent,
+long before the request times out."""
+
 OUTAGE_DETECTION_SECONDS = 2.0
 """Time without a response after which a failing platform counts as unavailable."""
 
+_request_numbers = itertools.count()
+
 
 class PlatformClient:
     """Reads and writes rows and objects of the platform.
@@ -68,6 +76,8 @@
         self.timeout = timeout
         self._answered_at = time.monotonic()
         self._failing = False
+        self._pending_since: dict[int, float] = {}
+        self._lock = threading.Lock()
         self._group_commit = GroupCommit(self.commit)
 
     @classmethod
@@ -102,6 +112,13 @@
         """Whether the last request got no response or a server error."""
         return self._failing
 
+    @property
+    def stalled(self) -> bool:
+        """Whether a request has been without a response for `STALL_SECONDS`."""
+        with self._lock:
+            oldest = min(self._pending_since.values(), default=float("inf"))
+        return time.monotonic() - oldest >= STALL_SECONDS
+
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         """Read one row; the result is None if there is no such row."""
         answer = self._exchange("GET", f"/v1/rows/{table}/{quote(key, safe='')}")
@@ -232,6 +249,9 @@
         headers = self.headers
         if traceparent:
             headers = {**headers, "traceparent": traceparent}
+        number = next(_request_numbers)
+        with self._lock:
+            self._pending_since[number] = time.monotonic()
         try:
             answer = self.pool.request(
                 method,
@@ -244,6 +264,9 @@
             self._failing = True
             sent = verdict_for_error(exc) is not Verdict.NOT_RUN
             return Error(PlatformError(type(exc).__name__, may_have_committed=sent))
+        finally:
+            with self._lock:
+                del self._pending_since[number]
         self._failing = answer.status >= 500
         if not self._failing:
             self._answered_at = time.monotonic()
