--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_loader.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_loader.py
@@ -47,9 +47,11 @@
                 n for n in self.config.customers() if self._is_in(n, held)
             )
         for _ in range(min(MAX_READS_PER_STEP, len(self._waiting))):
-            if not self.shares.load(self._waiting[0]):
+            # Removed before the read, so that a malformed row doesn't stop the others.
+            customer = self._waiting.popleft()
+            if not self.shares.load(customer):
+                self._waiting.appendleft(customer)
                 return
-            self._waiting.popleft()
 
     def _is_in(self, customer: str, slots: Container[int]) -> bool:
         return self.membership.slot(SlotKind.CUSTOMER, customer) in slots
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/tests/test_share_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/tests/test_share_service.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+import pytest
 from expression import Error, Ok
 
 from swifttide_core.documents import Customer
@@ -163,6 +164,19 @@
         loader.step()
         assert CUSTOMER.name in service.managed_shares()
 
+    def test_malformed_row_does_not_stop_the_others(self):
+        """Guards against one row that keeps all shares of a host from being loaded."""
+        rows = Rows()
+        service = make_service(rows)
+        loader = ShareLoader(service.membership, config(2), service)
+        find = rows.find
+        rows.find = lambda customer: ZoneShares.from_row({"zones": {"za": -1}})
+        with pytest.raises(ValueError, match="below 0"):
+            loader.step()
+        rows.find = find
+        loader.step()
+        assert list(service.managed_shares()) == [f"{CUSTOMER.name}1"]
+
     def test_slots_of_other_hosts_are_not_read(self):
         """Guards against a store that each host reads for all customers."""
         rows = Rows()
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -3,9 +3,9 @@
 One thread monitors the leases of neighbouring hosts, deposes hosts whose lease has
 expired, claims free slots and hands over slots to the hosts that should hold them. Two
 more keep the lease of this host: one renews it, the other one extends it without the
-platform. A platform that doesn't answer may hold up the first two for as long as a
-lease lasts. Other threads read from the cached views which host decides for a key. Keys
-are hashed to the slots of a zone.
+platform. A platform that doesn't answer may hold up reading and renewing for as long
+as a lease lasts. Other threads read from the cached views which host decides for a key.
+Keys are hashed to the slots of a zone.
 """
 
 import logging
@@ -310,9 +310,6 @@
                 wake.clear()
 
     def _keep_lease(self) -> None:
-        # The view's head version isn't used, because it is reset when the view is
-        # invalidated. A host that dies with too old a head version in its lease row
-        # isn't deposed for an hour.
         self.keeper.keep(self._known_head)
         with self._lock:
             if self._held_incarnation != self.me.incarnation:
