ENH Logs tell at which software version streams begin and go on

Cause: no line of a host could tell whether a stream of two versions was chosen by the next attempt within an answer, by a caller that took it up, or by an entry that changed. The adapter read neither the version in a target's entry nor the field Resumes.

Change: both are decoded; target_seen, target_failed, request_served and the new line stream_begun name versions, and requests that take up a stream name the attempt that began it. No decision reads them. An entry without a readable version names no target, as the platform's page says of missing fields; the entry in test_documents lacked the field that every target writes, so it has one now, and two malformed ones are checked.

--- a/packages/swifttide_core/src/swifttide_core/forwarding/_target_entry.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/_target_entry.py
@@ -26,6 +26,8 @@
         Remaining warm-up time that the target reported when it wrote the entry; None
         if the reported value is invalid. It decreases with each entry and is therefore
         left out of comparisons.
+    software_version : str
+        Version of the software that the target runs. Versions have no order.
     """
 
     id: str
@@ -37,3 +39,4 @@
     draining: bool = False
     started_ms: int = 0
     cold_seconds: float | None = field(default=0.0, compare=False)
+    software_version: str = ""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
@@ -158,6 +158,8 @@
             zone=entry.zone,
             draining=entry.draining,
             cold_seconds=entry.cold_seconds,
+            software_version=entry.software_version,
+            started_ms=entry.started_ms,
             restarted=known is not None and known.started_ms != entry.started_ms,
         )
         return True
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
@@ -14,7 +14,11 @@
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway.callers._dialect import Dialect
 from swifttide_daemon.gateway.callers._event_reader import EventReader
-from swifttide_daemon.gateway.callers._job import request_age_seconds, work_fields
+from swifttide_daemon.gateway.callers._job import (
+    request_age_seconds,
+    resumption_fields,
+    work_fields,
+)
 from swifttide_daemon.gateway.callers._refusal import Refusal
 from swifttide_daemon.gateway.targets._target_answer import MayHaveRun, TargetFailure
 from swifttide_daemon.gateway.targets._target_client import (
@@ -120,7 +124,7 @@
             for event in self._parse_events(reader, piece, exchange):
                 if resumes:
                     _check_resume_position(progress, event)
-                await self._relay_event(job, progress, event)
+                await self._relay_event(job, progress, exchange.target, event)
         if reader.within_event:
             raise TargetFailure(MayHaveRun("ended within an event"))
         await self._store_turn(job, progress)
@@ -134,7 +138,7 @@
             exchange.cancel()
             raise TargetFailure(MayHaveRun(str(exc))) from exc
 
-    async def _relay_event(self, job, progress, event):
+    async def _relay_event(self, job, progress, target, event):
         if event.id is not None:
             if (
                 progress.last_event_id is not None
@@ -153,6 +157,7 @@
         progress.last_seconds = request_age_seconds(job.req)
         if progress.n_events == 1:
             progress.first_seconds = progress.last_seconds
+            self._log_begun(job, target)
         if job.route.keeps_turns and event.has_data:
             progress.output_chunks.append(event.data + b"\n")
         await job.channel.write(event.raw)
@@ -194,6 +199,19 @@
                 raise Refusal(502, "turn_not_stored")
             await asyncio.sleep(TURN_STORE_RETRY_SECONDS)
 
+    def _log_begun(self, job, target):
+        """Log the target of the first event.
+
+        If this host is lost, no later line tells which software began the stream.
+        """
+        self._log.info(
+            "stream_begun",
+            request_id=job.req.id,
+            **resumption_fields(job.req),
+            target=target.id,
+            software_version=target.software_version,
+        )
+
     def _log_served(self, job, progress, target, status):
         self._metrics.answered(status, "served")
         self._metrics.hop("rate", progress.rate_seconds)
@@ -205,7 +223,9 @@
             request_id=job.req.id,
             program=job.req.turn.program,
             **work_fields(job.work),
+            **resumption_fields(job.req),
             target=target.id,
+            software_version=target.software_version,
             target_load=round(progress.target_load, 2),
             first_turn=job.req.turn.is_first,
             status=status,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_caller_request.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_caller_request.py
@@ -73,6 +73,9 @@
     turn : TurnTerms
     last_event_id : int or None
         Id of the event after which a stream is to be resumed.
+    resumed_attempt : str
+        Id of the caller's attempt that received the first event of the stream that is
+        to be resumed; empty if not stated.
     received_at : float
         Time of the event loop, in seconds, at which the request was completely read.
     length_hint : int
@@ -96,6 +99,7 @@
     prompt_tokens: int = 0
     turn: TurnTerms = TurnTerms()
     last_event_id: int | None = None
+    resumed_attempt: str = ""
     length_hint: int = 0
     prefix_tokens: int = 0
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -20,6 +20,7 @@
 from swifttide_daemon.gateway.callers._job import (
     Progress,
     request_age_seconds,
+    resumption_fields,
     work_fields,
 )
 from swifttide_daemon.gateway.callers._refusal import Refusal
@@ -142,6 +143,7 @@
             program=req.turn.program,
             **work_fields(progress.work),
             first_turn=req.turn.is_first,
+            **resumption_fields(req),
             status=refusal.status,
             reason=refusal.reason,
             retry_after=retry_after,
@@ -190,7 +192,7 @@
                 return
             except TargetFailure as failure:
                 reason = failure.outcome.reason
-                self._note_failure(job, target, failure.outcome)
+                self._note_failure(job, progress, target, failure.outcome)
                 match failure.outcome:
                     case NotRun():
                         tried.add(target.id)
@@ -207,11 +209,13 @@
             raise Refusal(502, reason)
         raise Refusal(503, reason, random.uniform(0.1, 0.4))
 
-    def _note_failure(self, job, target, outcome):
+    def _note_failure(self, job, progress, target, outcome):
         self._log.info(
             "target_failed",
             request_id=job.req.id,
             target=target.id,
+            software_version=target.software_version,
+            n_events=progress.n_events,
             verdict=type(outcome).__name__,
             reason=outcome.reason,
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
@@ -136,6 +136,13 @@
     return asyncio.get_running_loop().time() - req.received_at
 
 
+def resumption_fields(req: CallerRequest) -> dict[str, str | int]:
+    """Return the fields of the log that say which stream a request resumes, if any."""
+    if req.last_event_id is None and not req.resumed_attempt:
+        return {}
+    return {"resumed_attempt": req.resumed_attempt, "resumed_after": req.last_event_id}
+
+
 def program_seconds_left(req: CallerRequest) -> float | None:
     """Return the time until the program's deadline; None if the caller states none."""
     if req.program_seconds_left is None:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_relay.py
@@ -36,7 +36,7 @@
     """Answer of a target with three events."""
 
     head = AnswerHead(200, (), "a", b"stamp")
-    target = SimpleNamespace(id="t")
+    target = SimpleNamespace(id="t", software_version="v1")
 
     def __init__(self):
         self._pieces = [*EVENTS, None]
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_dialect.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_dialect.py
@@ -26,6 +26,7 @@
 STAMP = b"swifttide-server-stamp"
 NOT_RUN = b"swifttide-not-executed"
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
 
 SET_BY_US = frozenset(
     {
@@ -84,6 +85,7 @@
                 previous=_text(fields, PREVIOUS),
             ),
             last_event_id=_optional_number(fields, LAST_EVENT),
+            resumed_attempt=_text(fields, RESUMES),
             length_hint=_hint(first_value(fields, LENGTH_HINT)),
             prefix_tokens=_prefix_tokens(fields),
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_documents.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_documents.py
@@ -63,6 +63,7 @@
             "service": str(service),
             "address": str(address),
             "zone": str(zone),
+            "version": str(version),
             "capacity": int(capacity),
             "state": "ready" | "draining" as state,
         } if not isinstance(capacity, bool) and capacity > 0:
@@ -80,6 +81,7 @@
                 draining=state == "draining",
                 started_ms=born if isinstance(born, int) else 0,
                 cold_seconds=_cold_seconds(raw),
+                software_version=version,
             )
     return None
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_dialect.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_dialect.py
@@ -87,6 +87,11 @@
         again = dict(DIALECT.target_fields(req, "", "i-1", 1.0, 7, 0))
         assert (first[b"last-event-id"], again[b"last-event-id"]) == (b"3", b"7")
 
+    def test_stream_that_a_caller_takes_up(self):
+        req = read((b"last-event-id", b"3"), (b"resumes", b"a0"))
+        assert (req.resumed_attempt, req.last_event_id) == ("a0", 3)
+        assert (read().resumed_attempt, read().last_event_id) == ("", None)
+
 
 class TestAnswers:
     def test_promise_and_idle_time(self):
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_documents.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_documents.py
@@ -26,6 +26,7 @@
     "service": "s1",
     "address": "10.0.0.9:8080",
     "zone": "a",
+    "version": "v1",
     "capacity": 12,
     "state": "ready",
     "born": 17,
@@ -75,6 +76,7 @@
     def test_fields(self):
         found = decode_target("i-1", json.dumps(ENTRY).encode())
         assert (found.ip, found.port, found.started_ms) == ("10.0.0.9", 8080, 17)
+        assert found.software_version == "v1"
         assert not found.draining
 
     @pytest.mark.parametrize(
@@ -87,6 +89,8 @@
             {"capacity": 0},
             {"capacity": True},
             {"zone": None},
+            {"version": 7},
+            {"version": None},
         ],
     )
     def test_foreign_entry_names_no_target(self, change):
