--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
@@ -123,9 +123,9 @@
         """Write the operator's document."""
         self.store.rows.put("op", "config", json.dumps(config).encode())
 
-    async def add_runner(self, id, service, zone="zone-a"):
+    async def add_runner(self, id, service, zone="zone-a", version="v1"):
         """Start a runner and register it."""
-        runner = Runner(id, service, zone)
+        runner = Runner(id, service, zone, version)
         await runner.server.start()
         self.runners[id] = runner
         self.store.rows.put("servers", id, runner.entry())
@@ -196,7 +196,7 @@
 
 def wire_name(name):
     """Return a field's name on the wire: ``attempt_id`` is the platform's own."""
-    if name in ("authorization", "last_event_id", "kv_from", "expect"):
+    if name in ("authorization", "last_event_id", "resumes", "kv_from", "expect"):
         return name.replace("_", "-")
     return "Swifttide-" + name.replace("_", "-")
 
--- a/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
+++ b/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
@@ -44,6 +44,8 @@
         Pause before each piece.
     break_after : int or None
         Pieces after which the connection is reset.
+    hold_after : int or None
+        Pieces after which the answer stays open and nothing more is sent.
     raw_before : bytes
         Bytes sent before the answer, such as another answer.
     raw_after : bytes
@@ -55,6 +57,7 @@
     pieces: tuple[bytes, ...] = ()
     gap_seconds: float = 0.0
     break_after: int | None = None
+    hold_after: int | None = None
     raw_before: bytes = b""
     raw_after: bytes = b""
 
@@ -146,6 +149,9 @@
             if reply.break_after == i:
                 await writer.drain()
                 return False
+            if reply.hold_after == i:
+                await writer.drain()
+                await asyncio.Event().wait()
             await asyncio.sleep(reply.gap_seconds)
             writer.write(http.send(h11.Data(data=piece)))
         if reply.break_after == len(reply.pieces):
--- a/packages/swifttide_standins/src/swifttide_standins/print_office/_runner.py
+++ b/packages/swifttide_standins/src/swifttide_standins/print_office/_runner.py
@@ -18,6 +18,8 @@
     id : str
     service : str
     zone : str
+    version : str
+        Version of its software.
 
     Attributes
     ----------
@@ -31,10 +33,13 @@
         Ids of requests whose connection was closed while they ran.
     """
 
-    def __init__(self, id: str, service: str, zone: str = "zone-a"):
+    def __init__(
+        self, id: str, service: str, zone: str = "zone-a", version: str = "v1"
+    ):
         self.id = id
         self.service = service
         self.zone = zone
+        self.version = version
         self.script: Script = self.events(3)
         self.run_seconds = 0.0
         self.ran: list[Request] = []
@@ -48,7 +53,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.server.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "capacity": 12,
             "state": state,
             "cold_left_ms": 0,
@@ -57,13 +62,19 @@
         }
         return json.dumps(document | more).encode()
 
-    def events(self, count: int, start: int = 1, **more) -> Script:
-        """Return a script that answers with numbered events."""
+    def events(
+        self, count: int, start: int = 1, stamped: bool = False, **more
+    ) -> Script:
+        """Return a script that answers with numbered events.
+
+        Stamped events name the version of the software that made them.
+        """
+        stamp = f" {self.version}" if stamped else ""
 
         def script(request):
             first = int(request.fields.get("last-event-id", start - 1)) + 1
             numbers = range(first, count + 1)
-            pieces = tuple(f"id: {n}\ndata: d{n}\n\n".encode() for n in numbers)
+            pieces = tuple(f"id: {n}\ndata: d{n}{stamp}\n\n".encode() for n in numbers)
             return self.reply(request, pieces, **more)
 
         return script
