FIX A broken stream goes on within its answer at the version that began it

Callers saw one answer whose first events came from one software version of a service and whose next ones from another; what two versions write doesn't fit together.

Cause: after a target has broken off, the forwarder chose the next one by load, zone and cache.

Fix: the first event settles the stream's origin (service and software version of its target), and only targets of that origin are chosen after it. Where none is left, the answer is cut, so that its caller can begin the stream anew.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from swifttide_core.forwarding import RequestKind
+from swifttide_core.resumption import StreamOrigin
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway.callers._dialect import Dialect
@@ -157,6 +158,7 @@
         progress.last_seconds = request_age_seconds(job.req)
         if progress.n_events == 1:
             progress.first_seconds = progress.last_seconds
+            progress.origin = StreamOrigin.of(target)
             self._log_begun(job, target)
         if job.route.keeps_turns and event.has_data:
             progress.output_chunks.append(event.data + b"\n")
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -23,7 +23,7 @@
     resumption_fields,
     work_fields,
 )
-from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.callers._refusal import NO_TARGET_OF_ORIGIN, Refusal
 from swifttide_daemon.gateway.callers._target_finder import TargetFinder
 from swifttide_daemon.gateway.peers._fleet import Fleet
 from swifttide_daemon.gateway.targets._scheduler_client import SchedulerClient
@@ -183,6 +183,8 @@
         for _ in range(MAX_SEND_ATTEMPTS):
             target, place = await self._targets.find(job, tried, progress)
             if target is None:
+                if progress.origin is not None:
+                    reason = NO_TARGET_OF_ORIGIN
                 break
             n_before = len(progress.sent_target_ids)
             is_whole = False
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from swifttide_core.forwarding import AllowedRegions, CustomerTerms, Route, ServiceSpec
+from swifttide_core.resumption import StreamOrigin
 from swifttide_core.scheduling import TurnResult, WorkClass
 from swifttide_daemon.gateway.budgets._reservation import Reservation
 from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
@@ -91,6 +92,8 @@
         """Whether each event id so far was the one before plus 1."""
         self.n_events = 0
         """Events relayed to the caller."""
+        self.origin: StreamOrigin | None = None
+        """Software that made the first event; None before it."""
         self.output_chunks: list[bytes] = []
         """Data of the relayed events, for the transcript."""
         self.work: WorkClass | None = None
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_refusal.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_refusal.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+NO_TARGET_OF_ORIGIN = "no_target_of_origin"
+"""Reason to end a stream: no target of the software that began it is left."""
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal(Exception):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_target_finder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_target_finder.py
@@ -98,7 +98,7 @@
             place = await self._request_placement(job, tried, progress, waited)
             if isinstance(place, Place):
                 return place.target, place
-            found = self._choose(job, tried, progress.sent_target_ids)
+            found = self._choose(job, tried, progress)
             match found:
                 case PlacementDeferred(seconds):
                     if isinstance(place, PlacementDeferred):
@@ -165,17 +165,18 @@
         targets = self._beliefs.targets_of(job.service.name, job.homes)
         return frozenset(t.id for t in targets if self._client.is_connected(t))
 
-    def _choose(
-        self, job, tried, may_have_run
-    ) -> TargetEntry | PlacementDeferred | None:
+    def _choose(self, job, tried, progress) -> TargetEntry | PlacementDeferred | None:
         """Choose the next target without the scheduler; None when none is left.
 
         The route's ``max_attempts`` limits the number of targets that may run the
         request. A target that has terminated since it got the request isn't counted.
+        A stream that has begun goes on only at targets of its origin.
         """
         targets = self._beliefs.targets_of(job.service.name, job.homes)
+        if progress.origin is not None:
+            targets = [t for t in targets if progress.origin.fits(t)]
         usable = [t for t in targets if t.id not in tried]
-        used = {t for t in may_have_run if not self._health.has_ended(t)}
+        used = {t for t in progress.sent_target_ids if not self._health.has_ended(t)}
         if len(used) >= job.route.max_attempts:
             usable = [t for t in usable if t.id in used]
         else:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_relay.py
@@ -9,6 +9,7 @@
     RequestKind,
     Route,
     ServiceSpec,
+    TargetEntry,
     WeightedService,
 )
 from swifttide_daemon.gateway._metrics import GatewayMetrics
@@ -36,7 +37,9 @@
     """Answer of a target with three events."""
 
     head = AnswerHead(200, (), "a", b"stamp")
-    target = SimpleNamespace(id="t", software_version="v1")
+    target = TargetEntry(
+        "t", "chat", "127.0.0.1", 1, "zone-0", 1, software_version="v1"
+    )
 
     def __init__(self):
         self._pieces = [*EVENTS, None]
