FIX A stream that its caller takes up goes on at the version that began it

Callers saw a stream whose first events came from one software version of a service and whose later ones, taken up after a loss of hosts or connections, from another one.

Cause: at which version a stream began was known to no host but the one that began it, and not even there: the field Resumes wasn't read, and the host at which the stream was taken up chose its target like that of a new stream. Class: a fact that decides what is correct was neither kept where it survives nor checked where it matters.

Fix: with a stream's first event its host tells three others, in three zones, at which service and version it began; whoever takes it up asks them, and the placement, the own choice and the relay keep to it. Where nobody knows, the versions of the last seconds decide, if all hosts have seen one only; otherwise the request is refused at once, as a guess could join what doesn't fit.

--- a/packages/swifttide_core/src/swifttide_core/resumption/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/resumption/__init__.py
@@ -1,5 +1,17 @@
 """Decides at which targets a stream that broke off may go on, without I/O."""
 
+from swifttide_core.resumption._known_origin import KnownOrigin, OriginSource
+from swifttide_core.resumption._origin_keepers import rank_origin_keepers
+from swifttide_core.resumption._origin_records import OriginRecords
 from swifttide_core.resumption._stream_origin import StreamOrigin
+from swifttide_core.resumption._version_history import VersionHistory, VersionsSeen
 
-__all__ = ["StreamOrigin"]
+__all__ = [
+    "KnownOrigin",
+    "OriginRecords",
+    "OriginSource",
+    "StreamOrigin",
+    "VersionHistory",
+    "VersionsSeen",
+    "rank_origin_keepers",
+]
--- a/packages/swifttide_core/src/swifttide_core/scheduling/_requests.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_requests.py
@@ -89,6 +89,8 @@
     is_stream : bool
         Whether it is a turn of a model. Turns wait for free slots, and are placed by
         their predicted completion; other requests are placed by the number of requests.
+    software_version : str
+        Version of the software that the target must run; empty for any.
     """
 
     id: TurnId
@@ -108,6 +110,12 @@
     excluded_targets: frozenset[str] = field(default=frozenset())
     regions: AllowedRegions = None
     is_stream: bool = True
+    software_version: str = ""
+
+    def accepts(self, target: TargetEntry) -> bool:
+        """Return whether a target in service may run the turn."""
+        is_version = self.software_version in ("", target.software_version)
+        return is_version and target.id not in self.excluded_targets
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Callable, Set
+from dataclasses import replace
 
 from swifttide_core.forwarding import (
     AllowedRegions,
@@ -16,6 +17,7 @@
     ZoneRules,
     exclusion_reason,
 )
+from swifttide_core.resumption import VersionHistory, VersionsSeen
 from swifttide_daemon.gateway.targets._cold_targets import ColdTargets
 from swifttide_daemon.telemetry import EventLog
 
@@ -66,6 +68,7 @@
         self._store_back_at = float("-inf")
         self._is_store_unavailable = False
         self._lapsing: dict[str, float] = {}
+        self._versions = VersionHistory()
 
     @property
     def emptied_zones(self) -> Set[str]:
@@ -136,6 +139,7 @@
 
     def replace_targets(self, entries: dict[str, TargetEntry]) -> None:
         """Apply the full list of targets; targets that are not in it are removed."""
+        self._versions.restart(asyncio.get_running_loop().time())
         for target_id in set(self.targets) - set(entries):
             self.remove_target(target_id)
         for entry in entries.values():
@@ -150,6 +154,8 @@
         turned_cold = self.cold.update_from_entry(entry, self._spec_of(entry), is_new)
         if known == entry:
             return turned_cold
+        if known is not None:
+            self._versions.record_left(known, asyncio.get_running_loop().time())
         self.targets[entry.id] = entry
         self._log.info(
             "target_seen",
@@ -211,14 +217,32 @@
         """Whether a target accepts new requests restricted to these regions."""
         return exclusion_reason(target, self._zones, homes) is None
 
+    def versions_within(self, service: str, seconds: float) -> VersionsSeen:
+        """Return the software versions that a service has had lately.
+
+        Parameters
+        ----------
+        service : str
+        seconds : float
+            Length of the period that ends now. While the store doesn't answer, other
+            hosts may know targets that this one doesn't.
+        """
+        now = asyncio.get_running_loop().time()
+        seen = self._versions.versions_within(
+            service, seconds, self.targets.values(), now
+        )
+        return replace(seen, is_complete=False) if self._is_store_unavailable else seen
+
     def _spec_of(self, target) -> ServiceSpec:
         if self.config is None:
             return ServiceSpec(target.service)
         return self.config.service(target.service)
 
     def _drop(self, target_id, reason) -> bool:
-        if self.targets.pop(target_id, None) is None:
+        target = self.targets.pop(target_id, None)
+        if target is None:
             return False
+        self._versions.record_left(target, asyncio.get_running_loop().time())
         self.cold.forget(target_id)
         self._on_left(target_id)
         self._log.info("target_left", target=target_id, reason=reason)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -46,6 +46,7 @@
 from swifttide_daemon.gateway.store._row_reaper import RowReaper
 from swifttide_daemon.gateway.store._shared_store import SharedStore
 from swifttide_daemon.gateway.store._table_watches import TableWatches
+from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
 from swifttide_daemon.gateway.targets._cold_targets import ColdTargets
 from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
 from swifttide_daemon.gateway.targets._scheduler_endpoint import SchedulerEndpoint
@@ -130,6 +131,7 @@
             lambda: self._budgets,
             lambda: self._lender,
             lambda: self._turns,
+            lambda: self._origins,
             lambda slot: self._shares.owner_of(slot),
             lambda table: self._feeds.watch_of(table),
             log,
@@ -218,6 +220,10 @@
             self._reaper,
             log,
         )
+        self._origins = StreamOrigins(
+            self._fleet, self._peers, self.beliefs, self._datagrams.send
+        )
+        self._datagrams.on_stream_began = self._origins.handle_message
         self._entry = ProgramEntry(
             self.beliefs, self._health, self._scheduling.client, log
         )
@@ -237,10 +243,12 @@
                 self._rates,
                 self._strikes,
                 self._entry,
+                self._origins,
             ),
             AnswerRelay(
                 dialect,
                 turns,
+                self._origins,
                 retry_elsewhere_seconds,
                 self.beliefs,
                 self._metrics,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_metrics.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_metrics.py
@@ -49,7 +49,12 @@
             labels,
             self._registry,
         )
-
+        self._resumed = Counter(
+            "swifttide_streams_resumed_total",
+            "Attempts to resume a stream at a target, by how its origin was known.",
+            labels,
+            self._registry,
+        )
         self._given_up = Counter(
             "swifttide_readers_given_up_total",
             "Connections of callers aborted because their unread answers filled the "
@@ -74,6 +79,16 @@
         """Set the gauge for one value of this host's view, such as ``targets``."""
         self._beliefs.set({"belief": what}, value)
 
+    def stream_resumed(self, source: str) -> None:
+        """Count an attempt to resume a stream at a target.
+
+        Parameters
+        ----------
+        source : str
+            How the software that began the stream was known.
+        """
+        self._resumed.inc({"source": source})
+
     def reader_given_up(self) -> None:
         """Count a caller whose connection was aborted to release memory."""
         self._given_up.inc({})
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
@@ -16,6 +16,7 @@
     Route,
     intersect_regions,
 )
+from swifttide_core.resumption import KnownOrigin
 from swifttide_core.strikes import Refused, fingerprint_of
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway.budgets._account_rows import program_key
@@ -31,8 +32,9 @@
     work_class,
 )
 from swifttide_daemon.gateway.callers._program_entry import ProgramEntry
-from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.callers._refusal import NO_TARGET_OF_ORIGIN, Refusal
 from swifttide_daemon.gateway.rates._rate_limiter import RateLimiter
+from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
 
@@ -53,6 +55,10 @@
 emptied zones, or because none is in the regions allowed for the request. It takes an
 operator seconds at least to put an emptied zone back into service."""
 
+NEW_STREAM_RETRY_SECONDS = 0.0
+"""Retry delay sent to the caller whose stream can't go on. Waiting doesn't help, and a
+new stream can begin at once."""
+
 PROGRAM_KEY_PREFIX_CHARS = 12
 """Characters of a program's key that identify it to the rate limiter. They are enough
 to tell apart the programs of one customer that run at the same time."""
@@ -79,6 +85,8 @@
         Fingerprints of requests that crashed targets.
     entry : ProgramEntry
         Admission of new programs by the load of the targets.
+    origins : StreamOrigins
+        Knows at which software streams began.
     """
 
     def __init__(
@@ -89,6 +97,7 @@
         rates: RateLimiter,
         strikes: StrikeKeeper,
         entry: ProgramEntry,
+        origins: StreamOrigins,
     ):
         self._beliefs = beliefs
         self._budgets = budgets
@@ -96,6 +105,7 @@
         self._rates = rates
         self._strikes = strikes
         self._entry = entry
+        self._origins = origins
 
     async def admit(
         self, req: CallerRequest, channel: CallerChannel, progress: Progress
@@ -125,12 +135,17 @@
         progress.work = work_class(route, terms)
         timeout = req.timeout_seconds or DEFAULT_REQUEST_TIMEOUT_SECONDS
         expires_at = req.received_at + min(timeout, route.timeout_seconds)
-        service = self._beliefs.config.service(self._pick_service(route))
         homes = _allowed_regions(route, terms)
-        self._check_targets(service, homes)
         customer = terms.name if terms else ""
+        resumed = await self._find_resumed_origin(req, route, customer, homes)
+        service = self._beliefs.config.service(
+            resumed.origin.service if resumed else self._pick_service(route)
+        )
+        self._check_targets(service, homes)
+        if resumed is not None:
+            self._check_origin_serves(resumed.origin, service, homes)
         fingerprint = self._check_strikes(req, customer)
-        may_be_new = self._may_be_new(req, customer)
+        may_be_new = resumed is None and self._may_be_new(req, customer)
         if req.turn.budget_tokens and route.kind is RequestKind.STREAMING:
             self._entry.observe_load(service)
             if may_be_new:
@@ -162,6 +177,7 @@
             channel,
             fingerprint,
             homes,
+            resumed,
         )
 
     def refund_unsent(self, job: Job) -> None:
@@ -191,6 +207,30 @@
             raise Refusal(401, "unknown_key")
         return route, terms
 
+    async def _find_resumed_origin(
+        self, req, route, customer, homes
+    ) -> KnownOrigin | None:
+        """Return the software that began the stream that a request resumes, if any.
+
+        Raises `Refusal` if that can't be determined, or if the route doesn't lead to
+        it any more: what other software writes wouldn't fit.
+        """
+        is_resumption = req.last_event_id is not None or req.resumed_attempt
+        if route.kind is not RequestKind.STREAMING or not is_resumption:
+            return None
+        found = await self._origins.find(customer, req.resumed_attempt, route, homes)
+        if found is None:
+            raise Refusal(503, "stream_unknown", NEW_STREAM_RETRY_SECONDS)
+        if found.origin.service not in {s.service for s in route.services}:
+            raise Refusal(503, NO_TARGET_OF_ORIGIN, NEW_STREAM_RETRY_SECONDS)
+        return found
+
+    def _check_origin_serves(self, origin, service, homes):
+        """Refuse to resume a stream if no target of its software is left."""
+        targets = self._beliefs.targets_of(service.name, homes)
+        if not any(origin.fits(target) for target in targets):
+            raise Refusal(503, NO_TARGET_OF_ORIGIN, NEW_STREAM_RETRY_SECONDS)
+
     def _check_targets(self, service, homes):
         """Refuse a request that no target may run, before it uses rate or budget."""
         if self._beliefs.targets_of(service.name, homes):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
@@ -21,6 +21,7 @@
     work_fields,
 )
 from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
 from swifttide_daemon.gateway.targets._target_answer import MayHaveRun, TargetFailure
 from swifttide_daemon.gateway.targets._target_client import (
     NOT_RUN_STATUSES,
@@ -46,6 +47,8 @@
         Header fields of responses.
     turns : TurnKeeper
         Stores the transcripts of turns.
+    origins : StreamOrigins
+        Remembers at which software streams began.
     failover_delay_seconds : callable
         While this host is cut off from the store and the other zones, returns the
         seconds until callers are routed to another host; otherwise returns None.
@@ -59,6 +62,7 @@
         self,
         dialect: Dialect,
         turns: TurnKeeper,
+        origins: StreamOrigins,
         failover_delay_seconds: Callable[[], float | None],
         beliefs: Beliefs,
         metrics: GatewayMetrics,
@@ -66,6 +70,7 @@
     ):
         self._dialect = dialect
         self._turns = turns
+        self._origins = origins
         self._failover_delay_seconds = failover_delay_seconds
         self._beliefs = beliefs
         self._metrics = metrics
@@ -159,6 +164,7 @@
         if progress.n_events == 1:
             progress.first_seconds = progress.last_seconds
             progress.origin = StreamOrigin.of(target)
+            self._record_origin(job, progress.origin)
             self._log_begun(job, target)
         if job.route.keeps_turns and event.has_data:
             progress.output_chunks.append(event.data + b"\n")
@@ -201,6 +207,12 @@
                 raise Refusal(502, "turn_not_stored")
             await asyncio.sleep(TURN_STORE_RETRY_SECONDS)
 
+    def _record_origin(self, job, origin):
+        """Make the origin of a stream known before its caller has the first event."""
+        if job.route.resumable:
+            attempt = job.req.resumed_attempt or job.req.id
+            self._origins.record(job.customer, attempt, origin, job.route, job.homes)
+
     def _log_begun(self, job, target):
         """Log the target of the first event.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -183,7 +183,7 @@
         for _ in range(MAX_SEND_ATTEMPTS):
             target, place = await self._targets.find(job, tried, progress)
             if target is None:
-                if progress.origin is not None:
+                if job.required_origin(progress) is not None:
                     reason = NO_TARGET_OF_ORIGIN
                 break
             n_before = len(progress.sent_target_ids)
@@ -228,6 +228,24 @@
             case NotRun(refused=True):
                 self._strikes.record_refused_connection(target.id)
 
+    def _log_resumption(self, job, progress, target):
+        """Log and count that a stream goes on, and how its origin is known."""
+        origin = job.required_origin(progress)
+        if origin is None:
+            return
+        source = "answer" if progress.origin else job.resumed_origin.source.value
+        self._metrics.stream_resumed(source)
+        self._log.info(
+            "stream_resumed",
+            request_id=job.req.id,
+            **resumption_fields(job.req),
+            n_events=progress.n_events,
+            began_version=origin.software_version,
+            source=source,
+            target=target.id,
+            software_version=target.software_version,
+        )
+
     async def _send_to(self, job, progress, target):
         loop = asyncio.get_running_loop()
         req = job.req
@@ -250,6 +268,7 @@
                 # take seconds.
                 self._client.release(target, conn)
                 raise TargetFailure(NotRun("no longer takes new work"))
+            self._log_resumption(job, progress, target)
             # From here on the target may have run the request.
             progress.sent_target_ids.append(target.id)
             progress.sent_seconds = request_age_seconds(req)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from swifttide_core.forwarding import AllowedRegions, CustomerTerms, Route, ServiceSpec
-from swifttide_core.resumption import StreamOrigin
+from swifttide_core.resumption import KnownOrigin, StreamOrigin
 from swifttide_core.scheduling import TurnResult, WorkClass
 from swifttide_daemon.gateway.budgets._reservation import Reservation
 from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
@@ -37,6 +37,8 @@
         Identifies the request when it crashes targets; equal requests share it.
     homes : frozenset of str or None
         Regions in which the request may run and its data may be stored; None for any.
+    resumed_origin : KnownOrigin or None
+        Software that began the stream that the request resumes; None for a new stream.
     """
 
     req: CallerRequest
@@ -49,6 +51,7 @@
     channel: CallerChannel
     fingerprint: str
     homes: AllowedRegions = None
+    resumed_origin: KnownOrigin | None = None
 
     @property
     def customer(self) -> str:
@@ -66,6 +69,12 @@
         tokens_per_event = self.service.tokens_per_event
         return self.req.length_hint / tokens_per_event if tokens_per_event else 0.0
 
+    def required_origin(self, progress: "Progress") -> StreamOrigin | None:
+        """Return the only software that the job may be sent to; None for any."""
+        if progress.origin is not None or self.resumed_origin is None:
+            return progress.origin
+        return self.resumed_origin.origin
+
     def may_repeat(self, progress: "Progress") -> bool:
         """Return whether the job may be sent again although it may have run.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_target_finder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_target_finder.py
@@ -135,6 +135,7 @@
         if not is_scheduled or progress.sent_target_ids:
             return None
         req = job.req
+        origin = job.required_origin(progress)
         request = PlacementRequest(
             self._scheduler.new_id(),
             program_key(job.customer, req.turn.program) if req.turn.program else "",
@@ -154,6 +155,7 @@
             excluded_targets=frozenset(tried),
             regions=job.homes,
             is_stream=job.route.kind is RequestKind.STREAMING,
+            software_version=origin.software_version if origin else "",
         )
         place = await self._scheduler.place_turn(job.service, request)
         if isinstance(place, Place) and not self._health.usable(place.target.id):
@@ -173,8 +175,9 @@
         A stream that has begun goes on only at targets of its origin.
         """
         targets = self._beliefs.targets_of(job.service.name, job.homes)
-        if progress.origin is not None:
-            targets = [t for t in targets if progress.origin.fits(t)]
+        origin = job.required_origin(progress)
+        if origin is not None:
+            targets = [t for t in targets if origin.fits(t)]
         usable = [t for t in targets if t.id not in tried]
         used = {t for t in progress.sent_target_ids if not self._health.has_ended(t)}
         if len(used) >= job.route.max_attempts:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
@@ -18,13 +18,14 @@
 from swifttide_daemon.gateway.peers._fleet import Fleet
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.rates._rate_messages import RateMessage
+from swifttide_daemon.gateway.streams._origin_messages import StreamBegan
 from swifttide_daemon.gateway.targets._order_messages import (
     ORDER_MESSAGE_TYPES,
     OrderMessage,
 )
 from swifttide_daemon.telemetry import EventLog
 
-Datagram = Beacon | RateMessage | OrderMessage
+Datagram = Beacon | RateMessage | OrderMessage | StreamBegan
 
 _decoder = msgspec.json.Decoder(Datagram)
 
@@ -50,6 +51,8 @@
         Takes each beacon that is not outdated.
     on_rate_message, on_order_message : callable
         Take a message and the IP address of its sender.
+    on_stream_began : callable
+        Takes a message on a stream that another host began.
     """
 
     def __init__(self, fleet: Fleet, log: EventLog):
@@ -66,6 +69,7 @@
         self.on_order_message: Callable[[OrderMessage, str], None] = (
             lambda message, ip: None
         )
+        self.on_stream_began: Callable[[StreamBegan], None] = lambda message: None
 
     async def listen(self, ip: str, port: int) -> None:
         """Open the UDP socket."""
@@ -93,7 +97,7 @@
             for peer in group.peers:
                 self._transport.sendto(message, (peer.ip, peer.port))
 
-    def send(self, ip: str, message: RateMessage | OrderMessage) -> None:
+    def send(self, ip: str, message: RateMessage | OrderMessage | StreamBegan) -> None:
         """Send a message to a host without acknowledgement; it may be lost.
 
         A message to an unknown IP address is dropped.
@@ -114,6 +118,8 @@
             self._handle_beacon(message)
         elif isinstance(message, ORDER_MESSAGE_TYPES):
             self.on_order_message(message, addr[0])
+        elif isinstance(message, StreamBegan):
+            self.on_stream_began(message)
         else:
             self.on_rate_message(message, addr[0])
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from swifttide_core.budgets import ReleaseVerdict
+from swifttide_core.resumption import StreamOrigin, VersionsSeen
 from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Conflict,
@@ -172,6 +173,39 @@
     transcript: bytes | None
 
 
+class ReadStreamOrigin(msgspec.Struct, tag="read_stream_origin"):
+    """Return at which software a stream began, as far as the host knows.
+
+    Parameters
+    ----------
+    key : str
+        Key of the stream; empty if it has none.
+    service : str
+        Service at which the stream began; empty if that is unknown.
+    seconds : float
+        Longest time since the stream began.
+    """
+
+    key: str
+    service: str
+    seconds: float
+
+
+class FoundStreamOrigin(msgspec.Struct, tag="found_stream_origin"):
+    """What a host knows about the software at which a stream began.
+
+    Parameters
+    ----------
+    origin : StreamOrigin or None
+        None if the host wasn't told of the stream.
+    seen : VersionsSeen
+        Versions of the service in the time in which the stream may have begun.
+    """
+
+    origin: StreamOrigin | None
+    seen: VersionsSeen
+
+
 class Done(msgspec.Struct, tag="done"):
     """Whether the request was carried out."""
 
@@ -286,13 +320,16 @@
     | KeepCopy
     | DropCopies
     | ReadTurn
+    | ReadStreamOrigin
     | RelayCommit
     | RelayRead
     | RelayChanges
     | ReadCopy
     | FollowTable
 )
-PeerAnswer = Done | Released | HandedTokens | FoundTurn | StoreOutcome
+PeerAnswer = (
+    Done | Released | HandedTokens | FoundTurn | FoundStreamOrigin | StoreOutcome
+)
 
 _requests = msgspec.json.Decoder(PeerRequest)
 _answers = msgspec.json.Decoder(PeerAnswer)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_service.py
@@ -25,6 +25,7 @@
     PeerAnswer,
     PeerRequest,
     ReadCopy,
+    ReadStreamOrigin,
     ReadTurn,
     RelayChanges,
     RelayCommit,
@@ -35,6 +36,7 @@
 )
 from swifttide_daemon.gateway.store._shared_store import Rows, SharedStore, Unavailable
 from swifttide_daemon.gateway.store._table_watch import TableWatch
+from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
 from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
 from swifttide_daemon.telemetry import EventLog
 
@@ -84,6 +86,8 @@
         Returns the `TokenLender` that lends tokens while the store is unavailable.
     turns : callable
         Returns the `TurnKeeper`.
+    origins : callable
+        Returns the `StreamOrigins`.
     owner_of : callable
         Takes a hash slot; returns the IP address of the host that owns it, or None.
     watch_of : callable
@@ -99,6 +103,7 @@
         budgets: Callable[[], BudgetKeeper],
         lender: Callable[[], TokenLender],
         turns: Callable[[], TurnKeeper],
+        origins: Callable[[], StreamOrigins],
         owner_of: Callable[[int], str | None],
         watch_of: Callable[[str], TableWatch | None],
         log: EventLog,
@@ -109,6 +114,7 @@
         self._budgets = budgets
         self._lender = lender
         self._turns = turns
+        self._origins = origins
         self._owner_of = owner_of
         self._watch_of = watch_of
         self._log = log
@@ -132,6 +138,8 @@
                 return Done(True)
             case ReadTurn(turn):
                 return FoundTurn(self._turns().in_memory(turn))
+            case ReadStreamOrigin():
+                return self._origins().answer(request)
             case RelayCommit(tx):
                 return StoreOutcome.of(await store.commit(tx))
             case RelayRead(table, part, start, end):
--- /dev/null
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
@@ -0,0 +1,195 @@
+"""Remembers at which software streams began, and finds it out when they are resumed.
+
+A caller may resume a stream at any host, most often because the host that began it was
+lost. The host that sends the first event of a stream tells a few keepers, one in each
+of several availability zones. The host at which the stream is resumed asks them. No
+store is involved: the origins of all streams would exceed its rate of writes, and are
+needed for seconds only.
+
+Load: one datagram to each keeper for a stream, and one call to some hosts for a stream
+that is resumed.
+"""
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+
+from swifttide_core.forwarding import AllowedRegions, Route
+from swifttide_core.resumption import (
+    KnownOrigin,
+    OriginRecords,
+    OriginSource,
+    StreamOrigin,
+    VersionsSeen,
+    rank_origin_keepers,
+)
+from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway.peers._fleet import Fleet
+from swifttide_daemon.gateway.peers._peer_client import PeerClient
+from swifttide_daemon.gateway.peers._peer_messages import (
+    FoundStreamOrigin,
+    ReadStreamOrigin,
+)
+from swifttide_daemon.gateway.streams._origin_messages import StreamBegan
+
+N_KEEPERS = 3
+"""Hosts that are told of a stream. With one in each zone, a stream stays known after
+the loss of its host and of a zone."""
+
+N_ASKED = 6
+"""Hosts that are asked for a stream. More than there are keepers, as hosts that joined
+or left since have changed the order."""
+
+ASK_TIMEOUT_SECONDS = 0.1
+"""Time-out of a question to another host; an answer takes 2 to 5 ms."""
+
+RECORD_TIMEOUTS = 4.0
+"""Time for which a stream is remembered, in time-outs of its route: callers give up on
+a request after about one, and resume a stream within it."""
+
+STREAM_AGE_TIMEOUTS = 2.0
+"""Age of the oldest stream that is resumed, in time-outs of its route. The versions
+that served in this period are those at which it may have begun."""
+
+
+class StreamOrigins:
+    """Origins of streams, at this host and at the others.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    peers : PeerClient
+    beliefs : Beliefs
+        Knows the versions of the targets.
+    send : callable
+        Sends a message to an IP address. The message may be lost.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        peers: PeerClient,
+        beliefs: Beliefs,
+        send: Callable[[str, StreamBegan], None],
+    ):
+        self._fleet = fleet
+        self._peers = peers
+        self._beliefs = beliefs
+        self._send = send
+        self._records = OriginRecords()
+
+    def record(
+        self,
+        customer: str,
+        attempt: str,
+        origin: StreamOrigin,
+        route: Route,
+        homes: AllowedRegions = None,
+    ) -> None:
+        """Remember the origin of a stream, and tell its keepers.
+
+        Parameters
+        ----------
+        customer : str
+        attempt : str
+            Id of the caller's attempt that gets the stream's first event.
+        origin : StreamOrigin
+        route : Route
+        homes : frozenset of str or None
+            Regions whose hosts may keep it; None for any.
+        """
+        key = stream_key(customer, attempt)
+        seconds = RECORD_TIMEOUTS * route.timeout_seconds
+        message = StreamBegan(key, origin.service, origin.software_version, seconds)
+        self.handle_message(message)
+        for ip in self._keepers(key, homes)[:N_KEEPERS]:
+            if ip != self._fleet.own.ip:
+                self._send(ip, message)
+
+    def handle_message(self, message: StreamBegan) -> None:
+        """Remember a stream that this host or another one began."""
+        now = asyncio.get_running_loop().time()
+        origin = StreamOrigin(message.service, message.software_version)
+        self._records.add(message.key, origin, message.seconds, now)
+
+    async def find(
+        self,
+        customer: str,
+        attempt: str,
+        route: Route,
+        homes: AllowedRegions = None,
+    ) -> KnownOrigin | None:
+        """Return the origin of a stream that a caller resumes; None if it is unknown.
+
+        Parameters
+        ----------
+        customer : str
+        attempt : str
+            Id of the attempt that got the stream's first event; empty if the caller
+            doesn't state it. The origin then follows from the versions that served, or
+            is unknown.
+        route : Route
+        homes : frozenset of str or None
+            Regions whose hosts may have been told of the stream; None for any.
+        """
+        key = stream_key(customer, attempt) if attempt else ""
+        service = route.services[0].service if len(route.services) == 1 else ""
+        question = ReadStreamOrigin(
+            key, service, STREAM_AGE_TIMEOUTS * route.timeout_seconds
+        )
+        own = self.answer(question)
+        if own.origin is not None:
+            return KnownOrigin(own.origin, OriginSource.OWN_RECORD)
+        seen = own.seen
+        if key or seen.only_version is None:
+            found = await self._ask(question, homes)
+            if found.origin is not None:
+                return KnownOrigin(found.origin, OriginSource.PEER_RECORD)
+            seen |= found.seen
+        if not service or seen.only_version is None:
+            return None
+        origin = StreamOrigin(service, seen.only_version)
+        return KnownOrigin(origin, OriginSource.VERSION_HISTORY)
+
+    def answer(self, question: ReadStreamOrigin) -> FoundStreamOrigin:
+        """Return what this host knows of a stream and of a service's versions."""
+        now = asyncio.get_running_loop().time()
+        origin = self._records.find(question.key, now)
+        seen = VersionsSeen()
+        if question.service:
+            seen = self._beliefs.versions_within(question.service, question.seconds)
+        return FoundStreamOrigin(origin, seen)
+
+    async def _ask(self, question, homes) -> FoundStreamOrigin:
+        """Ask other hosts until one knows the stream; return what they know."""
+        asked = [
+            peer
+            for ip in self._keepers(question.key, homes)
+            if (peer := self._fleet.by_ip(ip)) is not None
+        ]
+        calls = [
+            asyncio.ensure_future(self._peers.call(peer, question, ASK_TIMEOUT_SECONDS))
+            for peer in asked[:N_ASKED]
+        ]
+        seen = VersionsSeen()
+        try:
+            for call in asyncio.as_completed(calls):
+                match await call:
+                    case FoundStreamOrigin(origin=StreamOrigin()) as found:
+                        return found
+                    case FoundStreamOrigin(seen=versions):
+                        seen |= versions
+        finally:
+            for call in calls:
+                call.cancel()
+        return FoundStreamOrigin(None, seen)
+
+    def _keepers(self, key, homes):
+        hosts = self._fleet.hosts_in(homes)
+        return rank_origin_keepers(key, [(host.ip, host.zone) for host in hosts])
+
+
+def stream_key(customer: str, attempt: str) -> str:
+    """Return the key of a stream; streams of two customers never share one."""
+    text = f"{customer}\0{attempt}".encode()
+    return hashlib.blake2b(text, digest_size=16).hexdigest()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_eligibility.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_eligibility.py
@@ -61,7 +61,7 @@
             standing = SchedulerStanding.established()
         else:
             standing = self._standing(service, scheduling_since)
-            targets = [t for t in targets if t.id not in request.excluded_targets]
+            targets = [t for t in targets if request.accepts(t)]
         spec = self._beliefs.config.service(service)
         capacity = sum(spec.concurrency_at(t) for t in targets)
         limits = self._beliefs.cold.keeper_limits(
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_requests.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_requests.py
@@ -80,6 +80,7 @@
         _deadline(request.program_seconds_left, elapsed_seconds),
         request.is_stream,
         round(work.weight, 3),
+        _shortened(request.software_version),
     )
 
 
@@ -114,6 +115,7 @@
         frozenset(ask.without),
         regions,
         ask.is_stream,
+        ask.software_version,
     )
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_client.py
@@ -182,7 +182,7 @@
         is_usable = (
             target is not None
             and target.service == service.name
-            and target.id not in request.excluded_targets
+            and request.accepts(target)
             and self._beliefs.may_use(target, request.regions)
         )
         if not is_usable:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_server.py
@@ -270,7 +270,8 @@
 
         def eligible(request: PlacementRequest | ProgramRequest) -> Eligible:
             excluded = getattr(request, "excluded_targets", None)
-            key = request.regions, excluded
+            version = getattr(request, "software_version", "")
+            key = request.regions, excluded, version
             if key not in known:
                 known[key] = self._eligibility.find(service, request, active.since)
             return known[key]
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
@@ -41,6 +41,15 @@
     fleet.alive = lambda: [Peer(i, 1, "zone-a", "") for i in reached() if i != ip]
     fleet.by_ip = lambda i: Peer(i, 1, "zone-a", "") if i in reached() else None
     service = PeerService(
-        None, fleet, calls, budgets, lender, lambda: None, owner_of, lambda t: None, log
+        None,
+        fleet,
+        calls,
+        budgets,
+        lender,
+        lambda: None,
+        lambda: None,
+        owner_of,
+        lambda t: None,
+        log,
     )
     return service, fleet
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
@@ -128,7 +128,7 @@
         strikes = StrikeKeeper(log)
         metrics = GatewayMetrics(ip, "zone-a")
         wire = FakeFields()
-        relay = AnswerRelay(wire, None, lambda: None, self.beliefs, metrics, log)
+        relay = AnswerRelay(wire, None, None, lambda: None, self.beliefs, metrics, log)
         entry = entry_type(self.beliefs, self.health, self.scheduling.client, log)
         self.forwarder = Forwarder(
             cfg,
@@ -138,7 +138,7 @@
             self.health,
             self.scheduling.client,
             heard,
-            Admission(self.beliefs, budgets, None, None, strikes, entry),
+            Admission(self.beliefs, budgets, None, None, strikes, entry, None),
             relay,
             lambda: None,
             strikes,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_relay.py
@@ -57,7 +57,9 @@
     async def main():
         beliefs = SimpleNamespace(config=SimpleNamespace(version=1))
         metrics = GatewayMetrics("h", "zone-0")
-        relay = AnswerRelay(FakeFields(), None, lambda: None, beliefs, metrics, log)
+        relay = AnswerRelay(
+            FakeFields(), None, None, lambda: None, beliefs, metrics, log
+        )
         now = asyncio.get_running_loop().time()
         req = CallerRequest("a", "POST", b"/", "chat", (), b"", now)
         service = ServiceSpec("chat", tokens_per_event=16)
--- a/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
+++ b/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
@@ -45,7 +45,7 @@
     break_after : int or None
         Pieces after which the connection is reset.
     hold_after : int or None
-        Pieces after which the answer stays open and nothing more is sent.
+        Pieces after which nothing more is sent until the other end closes.
     raw_before : bytes
         Bytes sent before the answer, such as another answer.
     raw_after : bytes
@@ -113,7 +113,9 @@
             watch = asyncio.create_task(_watch(reader, request.closed))
             try:
                 reply = await self._handle(request)
-                if reply is None or not await self._write(http, writer, reply):
+                if reply is None or not await self._write(
+                    http, writer, reply, request.closed
+                ):
                     writer.transport.abort()
                     return
             finally:
@@ -140,7 +142,7 @@
                 case _:
                     http.receive_data(await reader.read(65_536))
 
-    async def _write(self, http, writer, reply):
+    async def _write(self, http, writer, reply, closed):
         writer.write(reply.raw_before)
         fields = list(reply.fields.items())
         head = h11.Response(status_code=reply.status, headers=fields)
@@ -151,7 +153,8 @@
                 return False
             if reply.hold_after == i:
                 await writer.drain()
-                await asyncio.Event().wait()
+                await closed.wait()
+                return False
             await asyncio.sleep(reply.gap_seconds)
             writer.write(http.send(h11.Data(data=piece)))
         if reply.break_after == len(reply.pieces):
