FIX A target's entry is looked up again after the connection to it has opened

Callers' requests reached a target that had announced its shutdown, left, or restarted with other software while the connection to it opened, which may take seconds.

Cause: the check right before sending used the entry with which the target was chosen, so only an emptied zone could be noticed.

Evidence: two tests that change the entry while the connection opens failed before, each with 200 and a run at the target, and pass now with 503 and none.

Fix: the check uses the current entry, and asks for the service and version with which the target was chosen.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable
 
+from swifttide_core.resumption import StreamOrigin
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway.callers._admission import Admission
@@ -228,6 +229,17 @@
             case NotRun(refused=True):
                 self._strikes.record_refused_connection(target.id)
 
+    def _may_still_use(self, target, homes) -> bool:
+        """Return whether a target may be used as it was chosen.
+
+        While connecting, which may take seconds, its zone may have been emptied, or the
+        target may have drained, left, or restarted with other software.
+        """
+        current = self._beliefs.targets.get(target.id)
+        if current is None or StreamOrigin.of(current) != StreamOrigin.of(target):
+            return False
+        return self._beliefs.may_use(current, homes)
+
     def _log_resumption(self, job, progress, target):
         """Log and count that a stream goes on, and how its origin is known."""
         origin = job.required_origin(progress)
@@ -263,9 +275,7 @@
         self._health.record_sent(target.id)
         try:
             conn = await self._client.connect(target, len(job.body), job.expires_at)
-            if not self._beliefs.may_use(target, job.homes):
-                # The zone was emptied or the target drained while connecting, which may
-                # take seconds.
+            if not self._may_still_use(target, job.homes):
                 self._client.release(target, conn)
                 raise TargetFailure(NotRun("no longer takes new work"))
             self._log_resumption(job, progress, target)
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
@@ -157,6 +157,22 @@
         self.ports.append((cfg.ip, *ports))
         await until(gateway._pages.is_ready)
 
+    def change_while_connecting(self, runner, gateway=0, **changes):
+        """Change a runner's entry each time that a gateway has connected to it."""
+        client = self.gateways[gateway]._forwarder._client
+        beliefs = self.gateways[gateway].beliefs
+        connect = client.connect
+
+        async def connect_slowly(target, *args):
+            conn = await connect(target, *args)
+            if target.id == runner.id:
+                before = beliefs.targets[target.id]
+                self.store.rows.put("servers", runner.id, runner.entry(**changes))
+                await until(lambda: beliefs.targets[target.id] != before)
+            return conn
+
+        client.connect = connect_slowly
+
     def stop(self, number=0):
         """Send SIGTERM's equivalent to a gateway; return its task."""
         task, stop = self._tasks[number]
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_path_with_faults.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_path_with_faults.py
@@ -82,6 +82,19 @@
 
         assert play(scenario) == (0, 5)
 
+    def test_runner_that_drains_while_a_connection_opens(self, play):
+        """Guards against new work for a runner that is about to leave."""
+
+        async def scenario(site):
+            first = await site.add_runner("i-1", "app")
+            first.script = first.body(b"x")
+            await until(lambda: site.gateways[0].beliefs.targets)
+            site.change_while_connecting(first, state="draining")
+            return await site.send("/lookup/1"), first.ran
+
+        answer, ran = play(scenario)
+        assert (answer.status, ran) == (503, [])
+
 
 class TestRunnerFaults:
     def test_answer_that_is_no_http(self, play):
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_streams_of_one_version.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_streams_of_one_version.py
@@ -71,6 +71,17 @@
         assert (answer.whole, versions_in(answer.body)) == (False, ["v1", "v1"])
         assert not other.ran
 
+    def test_runner_restarts_at_another_version_while_a_connection_opens(self, play):
+        """Guards against a stream whose origin is the version of an earlier process."""
+
+        async def scenario(site):
+            runner = await add_runner(site, "i-1", "v1")
+            site.change_while_connecting(runner, version="v2", born=2)
+            return await site.send("/check/1"), runner.ran
+
+        answer, ran = play(scenario, routes=ROUTES)
+        assert (answer.status, ran) == (503, [])
+
 
 class TestTakenUpByItsCaller:
     def test_stream_goes_on_at_the_version_that_began_it(self, play):
