--- /dev/null
+++ b/tests/e2e/_gateway_fleet.py
@@ -0,0 +1,128 @@
+"""Gateway processes of the print office's platform on loopback addresses."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+from swifttide_standins.print_office import RowServer
+
+READY_SECONDS = 20.0
+SETTINGS = """
+node_name = "{name}"
+zone = "{zone}"
+internal_ports = [{ports[2]}, {ports[2]}]
+[listen]
+frontend = "{ip}:{ports[0]}"
+ready = "{ip}:{ports[1]}"
+[bounds]
+grace_s = 4
+[platform]
+address = "127.0.0.1:{store_port}"
+"""
+
+
+class GatewayFleet:
+    """A store in this process and gateways in processes of their own.
+
+    Parameters
+    ----------
+    directory : Path
+        Gets settings and logs.
+    n_hosts : int
+    zones : tuple of str
+    document : dict
+        The operator's document.
+    """
+
+    def __init__(self, directory, n_hosts, zones, document):
+        self.store = RowServer()
+        self.document = document
+        self._directory = directory
+        self._ports = _free_ports(3)
+        # Another run beside this one has other addresses.
+        subnet = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}"
+        self.zones = {
+            f"{subnet}.{n + 1}": zones[n % len(zones)] for n in range(n_hosts)
+        }
+        self._processes = {}
+
+    @property
+    def hosts(self):
+        """Addresses of all hosts."""
+        return list(self.zones)
+
+    async def start(self):
+        await self.store.server.start()
+        self.store.rows.put("op", "config", json.dumps(self.document).encode())
+        for ip in self.hosts:
+            self.start_host(ip)
+        async with asyncio.timeout(READY_SECONDS):
+            for ip in self.hosts:
+                while not await self.is_ready(ip):
+                    await asyncio.sleep(0.1)
+
+    def start_host(self, ip):
+        settings = self._directory / f"{ip}.toml"
+        settings.write_text(
+            SETTINGS.format(
+                name=ip,
+                zone=self.zones[ip],
+                ip=ip,
+                ports=self._ports,
+                store_port=self.store.server.port,
+            )
+        )
+        with (self._directory / f"{ip}.log").open("ab") as log:
+            self._processes[ip] = subprocess.Popen(
+                [sys.executable, "-m", "swifttide_daemon.platform"],
+                env=os.environ | {"SWIFTTIDE_SETTINGS": str(settings)},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def is_running(self, ip):
+        return self._processes[ip].poll() is None
+
+    def signal(self, ip, number):
+        if self.is_running(ip):
+            self._processes[ip].send_signal(number)
+
+    async def is_ready(self, ip):
+        """Whether a balancer would send callers to a host."""
+        try:
+            async with asyncio.timeout(0.5):
+                reader, writer = await asyncio.open_connection(ip, self._ports[1])
+                writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                return b" 200 " in line
+        except (OSError, TimeoutError):
+            return False
+
+    async def connect(self, ip):
+        """Open a connection as a caller."""
+        return await asyncio.open_connection(ip, self._ports[0])
+
+    async def stop(self):
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        await self.store.server.stop()
+
+
+def _free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [s.getsockname()[1] for s in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
