--- a/tests/e2e/test_streams_soak.py
+++ b/tests/e2e/test_streams_soak.py
@@ -204,6 +204,7 @@
 
     Parameters
     ----------
+    name : str
     first_attempt : str
         Attempt that got the first event.
     parts : list of (str, str, list of (int, str))
@@ -211,6 +212,7 @@
         each event.
     """
 
+    name: str
     first_attempt: str = ""
     parts: list = field(default_factory=list)
     is_whole: bool = False
@@ -251,9 +253,9 @@
         n_streams = 0
         while not self.ended:
             n_streams += 1
-            stream = Stream()
+            stream = Stream(f"{number}-{n_streams}")
             for attempt in range(1 + MAX_TAKE_UPS):
-                await self.try_once(stream, f"a{number}-{n_streams}-{attempt}")
+                await self.try_once(stream, f"a{stream.name}-{attempt}")
                 if stream.is_whole:
                     break
             if stream.parts:
@@ -298,12 +300,14 @@
 
     async def read(self, host, stream, attempt, leave_after):
         """Return the events of one attempt, and whether the stream came to its end."""
+        # Equal requests would share a fingerprint, and all be held to crash targets.
+        prompt = stream.name.encode()
         head = [
             ("Host", "shop.example"),
             ("Swifttide-Attempt-Id", attempt),
             ("Swifttide-Deadline-Ms", str(int(CALLER_SECONDS * 1000))),
-            ("Swifttide-Affinity-Key", attempt.split("-")[0]),
-            ("Content-Length", "0"),
+            ("Swifttide-Affinity-Key", stream.name),
+            ("Content-Length", str(len(prompt))),
         ]
         if stream.parts:
             head.append(("Resumes", stream.first_attempt))
@@ -315,7 +319,8 @@
                 reader, writer = await self.fleet.connect(host)
                 http = h11.Connection(h11.CLIENT)
                 request = h11.Request(method="POST", target="/check/1", headers=head)
-                writer.write(http.send(request) + http.send(h11.EndOfMessage()))
+                writer.write(http.send(request) + http.send(h11.Data(data=prompt)))
+                writer.write(http.send(h11.EndOfMessage()))
                 try:
                     while not is_whole:
                         match http.next_event():
