--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/conftest.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import logging
-import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -14,7 +13,7 @@
 from swifttide_daemon.gateway import GatewaySettings
 from swifttide_daemon.platform.__main__ import build
 from swifttide_daemon.telemetry import EventLog
-from swifttide_standins.print_office import RowServer, Runner
+from swifttide_standins.print_office import RowServer, Runner, free_ports
 
 HOST = "shop.example"
 
@@ -250,18 +249,6 @@
     return answer
 
 
-def free_ports(count):
-    """Return ports that the operating system names as free."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [s.getsockname()[1] for s in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
-
-
 async def until(condition, seconds=10.0):
     """Wait until a condition holds."""
     async with asyncio.timeout(seconds):
--- a/tests/e2e/_gateway_fleet.py
+++ b/tests/e2e/_gateway_fleet.py
@@ -4,11 +4,10 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 
-from swifttide_standins.print_office import RowServer
+from swifttide_standins.print_office import RowServer, free_ports
 
 READY_SECONDS = 20.0
 SETTINGS = """
@@ -42,7 +41,7 @@
         self.store = RowServer()
         self.document = document
         self._directory = directory
-        self._ports = _free_ports(3)
+        self._ports = free_ports(3)
         # Another run beside this one has other addresses.
         subnet = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}"
         self.zones = {
@@ -115,14 +114,3 @@
                 process.kill()
             process.wait()
         await self.store.server.stop()
-
-
-def _free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [s.getsockname()[1] for s in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
