FIX Streams stay known where most hosts of a small fleet are lost at once

Callers whose hosts were lost were told that their stream is unknown by the hosts that were left, although targets of its version served.

Cause: three hosts were told of each stream. Of a small fleet that loses most hosts at once, the one that is left is often none of them.

Fix: eight hosts are told, twelve are asked. A host receives as many more datagrams as it begins streams five times; beacons are 45 a second at ten hosts.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
@@ -34,11 +34,11 @@
 )
 from swifttide_daemon.gateway.streams._origin_messages import StreamBegan
 
-N_KEEPERS = 3
-"""Hosts that are told of a stream. With one in each zone, a stream stays known after
-the loss of its host and of a zone."""
+N_KEEPERS = 8
+"""Hosts that are told of a stream. A small fleet may lose most of its hosts at once, and
+the ones that are left take its streams up."""
 
-N_ASKED = 6
+N_ASKED = 12
 """Hosts that are asked for a stream. More than there are keepers, as hosts that joined
 or left since have changed the order."""
 
