--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
@@ -3,8 +3,8 @@
 A caller may resume a stream at any host, most often because the host that began it was
 lost. The host that sends the first event of a stream tells some other hosts, its
 keepers, in all availability zones. The host at which the stream is resumed asks them.
-No store is involved: the origins of all streams would exceed its rate of writes, and are
-needed for seconds only.
+No store is involved: the origins of all streams would exceed its rate of writes, and
+they are needed for seconds only.
 
 Load: one datagram to each keeper for a stream, and one call to some hosts for a stream
 that is resumed.
@@ -35,8 +35,8 @@
 from swifttide_daemon.gateway.streams._origin_messages import StreamBegan
 
 N_KEEPERS = 8
-"""Hosts that are told of a stream. A small fleet may lose most of its hosts at once; the
-ones that are left resume its streams."""
+"""Hosts that are told of a stream. A small fleet may lose most of its hosts at once,
+and those that are left resume its streams."""
 
 N_ASKED = 12
 """Hosts that are asked for a stream. More than there are keepers, as hosts that joined
