FIX A stream goes on only at its version, whatever has chosen the target

Callers of a service whose targets state an empty version could get a stream of two versions: in requests to the scheduler an empty version stood for any.

Cause: the field for the version of a placement had no value of its own for "any", and the check right before sending relied on the choice.

Evidence: test_version_without_a_name_is_a_version failed before (the target of v2 ran the rest of a stream of the empty version) and passes.

Fix: None stands for any version, and the check right before sending asks for the origin of the stream again.

--- a/packages/swifttide_core/src/swifttide_core/scheduling/_requests.py
+++ b/packages/swifttide_core/src/swifttide_core/scheduling/_requests.py
@@ -90,7 +90,7 @@
         Whether it is a turn of a model. Turns wait for free slots, and are placed by
         their predicted completion; other requests are placed by the number of requests.
     software_version : str
-        Version of the software that the target must run; empty for any.
+        Version of the software that the target must run; None for any.
     """
 
     id: TurnId
@@ -110,11 +110,11 @@
     excluded_targets: frozenset[str] = field(default=frozenset())
     regions: AllowedRegions = None
     is_stream: bool = True
-    software_version: str = ""
+    software_version: str | None = None
 
     def accepts(self, target: TargetEntry) -> bool:
         """Return whether a target in service may run the turn."""
-        is_version = self.software_version in ("", target.software_version)
+        is_version = self.software_version in (None, target.software_version)
         return is_version and target.id not in self.excluded_targets
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -229,16 +229,20 @@
             case NotRun(refused=True):
                 self._strikes.record_refused_connection(target.id)
 
-    def _may_still_use(self, target, homes) -> bool:
-        """Return whether a target may be used as it was chosen.
+    def _may_still_use(self, job, progress, target) -> bool:
+        """Return whether a target that was chosen may get a job.
 
         While connecting, which may take seconds, its zone may have been emptied, or the
-        target may have drained, left, or restarted with other software.
+        target may have drained, left, or restarted with other software. Whatever chose
+        the target, a stream goes on only at the software that began it.
         """
         current = self._beliefs.targets.get(target.id)
         if current is None or StreamOrigin.of(current) != StreamOrigin.of(target):
             return False
-        return self._beliefs.may_use(current, homes)
+        origin = job.required_origin(progress)
+        if origin is not None and not origin.fits(current):
+            return False
+        return self._beliefs.may_use(current, job.homes)
 
     def _log_resumption(self, job, progress, target):
         """Log and count that a stream goes on, and how its origin is known."""
@@ -275,7 +279,7 @@
         self._health.record_sent(target.id)
         try:
             conn = await self._client.connect(target, len(job.body), job.expires_at)
-            if not self._may_still_use(target, job.homes):
+            if not self._may_still_use(job, progress, target):
                 self._client.release(target, conn)
                 raise TargetFailure(NotRun("no longer takes new work"))
             self._log_resumption(job, progress, target)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_target_finder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_target_finder.py
@@ -155,7 +155,7 @@
             excluded_targets=frozenset(tried),
             regions=job.homes,
             is_stream=job.route.kind is RequestKind.STREAMING,
-            software_version=origin.software_version if origin else "",
+            software_version=origin.software_version if origin else None,
         )
         place = await self._scheduler.place_turn(job.service, request)
         if isinstance(place, Place) and not self._health.usable(place.target.id):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_messages.py
@@ -93,8 +93,8 @@
         Whether the request is a turn of a model.
     weight : float
         As in `AskEntry`.
-    software_version : str
-        Version of the software that the target must run; empty for any. Hosts of
+    software_version : str or None
+        Version of the software that the target must run; None for any. Hosts of
         earlier versions ignore it, so the answer has to be checked.
     """
 
@@ -120,7 +120,7 @@
     program_seconds: float = 0.0
     is_stream: bool = True
     weight: float = 1.0
-    software_version: str = ""
+    software_version: str | None = None
 
 
 class AskLeft(msgspec.Struct, array_like=True, tag="ask_left"):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_requests.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_order_requests.py
@@ -80,7 +80,7 @@
         _deadline(request.program_seconds_left, elapsed_seconds),
         request.is_stream,
         round(work.weight, 3),
-        _shortened(request.software_version),
+        request.software_version and _shortened(request.software_version),
     )
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_scheduler_server.py
@@ -270,7 +270,7 @@
 
         def eligible(request: PlacementRequest | ProgramRequest) -> Eligible:
             excluded = getattr(request, "excluded_targets", None)
-            version = getattr(request, "software_version", "")
+            version = getattr(request, "software_version", None)
             key = request.regions, excluded, version
             if key not in known:
                 known[key] = self._eligibility.find(service, request, active.since)
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_streams_of_one_version.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_streams_of_one_version.py
@@ -102,6 +102,22 @@
         assert set(versions_in(first, rest.body)) == {"v1"}
         assert not near.ran
 
+    def test_version_without_a_name_is_a_version(self, play):
+        """Guards against an empty version that is taken for any version."""
+
+        async def scenario(site):
+            first = await break_stream(*await begin_stream(site, "", "zone-b"))
+            near = await add_runner(site, "near", "v2")
+            await add_runner(site, "far", "", "zone-b")
+            rest = await site.send(
+                "/check/1", gateway=1, attempt_id="a2", resumes="a1", last_event_id=2
+            )
+            return first.body, rest, near
+
+        first, rest, near = play(scenario, routes=ROUTES, n_gateways=2)
+        assert ids_in(first, rest.body) == [1, 2, 3, 4, 5, 6]
+        assert not near.ran
+
     def test_stream_of_a_version_that_is_gone_is_refused(self, play):
         """Guards against another version where none of the first is left."""
 
