FIX The streams soak waits for the process that it signalled

Cause: an event that had killed a host asked whether the host runs. Where another event, at the end of its pause, started the host anew within 50 ms of its death, the first one waited for ever and the storm with it.

The gateways and callers went on as they should; nothing else waited.

Fix: it waits for the process that got the signal.

--- a/tests/e2e/_gateway_fleet.py
+++ b/tests/e2e/_gateway_fleet.py
@@ -88,8 +88,11 @@
         return self._processes[ip].poll() is None
 
     def signal(self, ip, number):
-        if self.is_running(ip):
-            self._processes[ip].send_signal(number)
+        """Send a signal to a host's process if it runs; return the process."""
+        process = self._processes[ip]
+        if process.poll() is None:
+            process.send_signal(number)
+        return process
 
     async def is_ready(self, ip):
         """Whether a balancer would send callers to a host."""
--- a/tests/e2e/test_streams_soak.py
+++ b/tests/e2e/test_streams_soak.py
@@ -171,8 +171,9 @@
 
     async def end_host(self, host, number):
         self.disturbed_until[host] = float("inf")
-        self.fleet.signal(host, number)
-        while self.fleet.is_running(host):
+        # Another event may start the host anew before this one sees its end.
+        process = self.fleet.signal(host, number)
+        while process.poll() is None:
             await asyncio.sleep(0.05)
         await asyncio.sleep(self.rng.uniform(0.2, 1.5))
         if not self.fleet.is_running(host):
