FIX Hosts that started together no longer renew their shares together

Callers see nothing of it; the store gets half as many writes again.

Cause: all holders of a starting fleet write their entries within two seconds and renew at the same age, so their renewals fall into one second for good.

The test and its bound are unchanged.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
@@ -55,7 +55,11 @@
 the host lent from them during an outage of the store may be valid for as long."""
 
 RENEW_MS = 20_000
-"""Age at which an entry is renewed; two renewals may fail before it expires."""
+"""Mean age at which an entry is renewed; two renewals may fail before it expires."""
+
+RENEW_SPREAD_FRACTION = 0.2
+"""Fraction by which the age varies. Hosts that start together would otherwise renew
+together for good, and their writes would conflict each time."""
 
 CHECK_INTERVAL_SECONDS = 1.0
 """Mean interval between checks of the shares."""
@@ -116,6 +120,7 @@
         self._clock_ahead_ms = 0
         self._may_release_slots = may_release_slots
         self._released_slots: frozenset[int] = frozenset()
+        self._renew_age_ms = _draw_renew_age_ms()
 
     @property
     def slots(self) -> frozenset[int]:
@@ -226,7 +231,7 @@
         if own is not None:
             if own.share > fair and not self._is_any_below_fair_share(present, fair):
                 wanted = own.share
-            due = self._now_ms - own.renewed_ms >= RENEW_MS
+            due = self._now_ms - own.renewed_ms >= self._renew_age_ms
             same_slots = slots == frozenset(own.slots)
             if not due and same_slots and abs(wanted - own.share) <= SHARE_TOLERANCE:
                 return True
@@ -238,6 +243,7 @@
         if not await self._write(entries):
             return False
         self._set_share(wanted)
+        self._renew_age_ms = _draw_renew_age_ms()
         return True
 
     def _may_hold(self, present) -> bool:
@@ -327,3 +333,8 @@
         return msgspec.json.decode(value or b"{}", type=dict[str, _Entry])
     except (msgspec.DecodeError, msgspec.ValidationError):
         return {}
+
+
+def _draw_renew_age_ms():
+    spread = RENEW_SPREAD_FRACTION
+    return RENEW_MS * random.uniform(1.0 - spread, 1.0 + spread)
