FIX An unforeseen failure while connecting counts as not run

Callers saw 502 for requests that other targets could serve: an address with an embedded NUL or an overlong label raises UnicodeError while it is resolved, a port out of range OverflowError. TargetClient expected OSError only, so the request ended as an internal error that may have run.

Nothing has been sent when a connection fails, so any failure there is now NotRun and the next target is tried; ClientConnection.open reports addresses that can't be used as OSError, for probes, the store and other hosts as well. A request that can't be written in HTTP is NotRun too.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_http_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_http_client.py
@@ -42,8 +42,12 @@
         cls, ip: str, port: int, seconds: float = CONNECT_TIMEOUT_SECONDS
     ) -> "ClientConnection":
         """Open a connection; raises `OSError`, including `TimeoutError`."""
-        async with asyncio.timeout(seconds):
-            reader, writer = await asyncio.open_connection(ip, port)
+        try:
+            async with asyncio.timeout(seconds):
+                reader, writer = await asyncio.open_connection(ip, port)
+        except (ValueError, OverflowError) as exc:
+            # A name that can't be encoded, or a port out of range.
+            raise OSError(f"an address that can't be used ({exc})") from exc
         sock = writer.get_extra_info("socket")
         if sock is not None and sock.family == socket.AF_INET:
             set_socket_options(sock)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_client.py
@@ -167,7 +167,8 @@
     async def _open(self, target):
         try:
             conn, _ = await self._pool.take(target.ip, target.port)
-        except OSError as exc:
+        except Exception as exc:
+            # Nothing was sent, whatever went wrong.
             self._prober.note_unreachable(target)
             reason = f"no connection: {describe_exception(exc)}"
             refused = isinstance(exc, ConnectionRefusedError)
@@ -212,7 +213,7 @@
         guard = SilenceGuard(conn, target, self._prober)
         try:
             self._uploads.prepare(conn)
-            conn.send(method, path, fields, body)
+            self._write(conn, method, path, fields, body)
             self._uploads.record_sent(target.id, conn)
             head = await self._read_own_head(conn, attempt)
         except (OSError, h11.RemoteProtocolError, EOFError) as exc:
@@ -234,6 +235,14 @@
         self._check(exchange)
         return exchange
 
+    def _write(self, conn, method, path, fields, body):
+        """Write a request; raises `TargetFailure` if it can't be expressed in HTTP."""
+        try:
+            conn.send(method, path, fields, body)
+        except h11.LocalProtocolError as exc:
+            reason = f"not sent: {describe_exception(exc)}"
+            raise TargetFailure(NotRun(reason, reached=False)) from exc
+
     async def _read_own_head(self, conn, attempt) -> AnswerHead:
         """Return the head of the answer to this attempt.
 
