FIX Digits that int doesn't take are refused with 400

A caller that sent a superscript digit in Last-Event-Id, the token budget or the token usage got its connection closed without an answer: str.isdigit is true for it, int raises ValueError outside of the decoder's errors. An attempt id of over 200 bytes in a target's answer raised BadRequest in the host, and the request ended as an internal error. Numbers are ASCII digits of at most 15 places now; what a target states is read at any length and then compared.

--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_dialect.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_dialect.py
@@ -49,6 +49,9 @@
 
 MAX_ID_LENGTH = 200
 
+MAX_NUMBER_LENGTH = 15
+"""Most digits of a whole number; every JSON parser represents it exactly."""
+
 
 class PrintOfficeDialect:
     """Translates header fields both ways."""
@@ -95,7 +98,7 @@
         return AnswerHead(
             status=status,
             fields=fields,
-            attempt=_text(fields, ATTEMPT),
+            attempt=_answered_attempt(fields),
             stamp=first_value(fields, STAMP) or b"",
             # 421 comes from another process at the address, without the field.
             not_run=first_value(fields, NOT_RUN) is not None or status == 421,
@@ -141,6 +144,11 @@
         return fields
 
 
+def _answered_attempt(fields) -> str:
+    """Return the attempt that a target says to answer, which may be any bytes."""
+    return (first_value(fields, ATTEMPT) or b"").decode("latin-1").strip()
+
+
 def _text(fields, name) -> str:
     value = first_value(fields, name)
     if value is None:
@@ -158,11 +166,16 @@
     text = _text(fields, name)
     if not text:
         return None
-    if not text.isdigit() or len(text) > 15:
+    if not _is_number(text):
         raise BadRequest(f"{name.decode()}_not_a_number")
     return int(text)
 
 
+def _is_number(text) -> bool:
+    # `str.isdigit` also takes digits that `int` doesn't, such as superscripts.
+    return text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_LENGTH
+
+
 def _milliseconds(fields, name) -> float | None:
     text = _text(fields, name)
     if not text:
@@ -182,7 +195,7 @@
     if not text:
         return 0, 0
     numbers = [n.strip() for n in text.split(",")]
-    if len(numbers) != 2 or not all(n.isdigit() for n in numbers):
+    if len(numbers) != 2 or not all(_is_number(n) for n in numbers):
         raise BadRequest("token_usage_not_two_numbers")
     return int(numbers[0]), int(numbers[1])
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_dialect.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_dialect.py
@@ -40,6 +40,10 @@
             (b"swifttide-deadline-ms", b"-1"),
             (b"swifttide-program-id", b"x" * 300),
             (b"last-event-id", b"1.5"),
+            (b"last-event-id", b"\xb2"),
+            (b"swifttide-token-budget", b"8\xb3"),
+            (b"swifttide-token-usage", b"1,\xb9"),
+            (b"swifttide-token-usage", b"1," + b"9" * 190),
         ],
     )
     def test_field_that_cannot_be_understood(self, field):
@@ -94,6 +98,11 @@
 
 
 class TestAnswers:
+    def test_attempt_of_any_length_is_read(self):
+        """Guards against an answer that fails in the host and not at its target."""
+        fields = ((b"swifttide-attempt-id", b"\xff" * 300),)
+        assert DIALECT.read_answer(200, fields).attempt == "\xff" * 300
+
     def test_promise_and_idle_time(self):
         head = DIALECT.read_answer(
             503,
