FIX An unreadable row of the store no longer ends hosts

All hosts ended at once, cut what they had passed on, and ended again after each start.

Cause: the decoder let RecursionError, ValueError and OverflowError through, and values that can be decoded but not used weren't checked. Nothing above it caught them: TableWatch.run, then the task group of Gateway.run, whose end is the end of the process.

Fix: JsonDecoder has a single error for input that can't be read, and is used for all that another process wrote. check_target_entry and check_routing_config state what a value must satisfy. UnusableRows skips, logs once and counts a row that can't be used.

decode_target now raises ValueError with the reason, where it returned None; its tests expect the error for the same entries.

--- a/packages/swifttide_core/src/swifttide_core/budgets/_lending_state.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/_lending_state.py
@@ -11,6 +11,9 @@
 """
 
 from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
 
 MIN_LENDING_DELAY_MS = 1_200
 """Smallest delay from the last record of a host until it may lend. It covers four
@@ -20,6 +23,10 @@
 LOAN_RETENTION_MS = 7_200_000
 """Time for which a loan may be in use: as long as the account of a program is kept."""
 
+StoreMilliseconds = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+"""Time of the store's clock, or its estimate. Every JSON parser represents it
+exactly."""
+
 
 @dataclass(frozen=True, slots=True)
 class LendingState:
@@ -40,9 +47,9 @@
         the whole budget.
     """
 
-    told_ms: int
-    wait_ms: int = 0
-    barred_until_ms: int = 0
+    told_ms: StoreMilliseconds
+    wait_ms: StoreMilliseconds = 0
+    barred_until_ms: StoreMilliseconds = 0
     closed: bool = False
     released: tuple[str, ...] = ()
 
--- a/packages/swifttide_core/src/swifttide_core/checks/_ranges.py
+++ b/packages/swifttide_core/src/swifttide_core/checks/_ranges.py
@@ -11,6 +11,16 @@
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 _KEY_HASH = re.compile(r"[0-9a-f]{64}")
+_HOST_LABEL = re.compile(r"(?!-)[A-Za-z0-9_-]{1,63}(?<!-)")
+_NUMERIC_LABEL = re.compile(r"[0-9]+|0[xX][0-9A-Fa-f]*")
+
+MAX_HOST_NAME_CHARACTERS = 253
+"""Longest name of the domain name system, without the final dot (RFC 1035)."""
+
+MAX_FIELD_VALUE_CHARACTERS = 200
+"""Longest value that is sent in a header field."""
+
+MAX_PORT = 65_535
 
 
 def check_between(
@@ -58,6 +68,54 @@
     return ()
 
 
+def check_host_address(path: str, value: str) -> tuple[FieldError, ...]:
+    """Check the IP address or host name of a server.
+
+    An unspecified address such as ``0.0.0.0`` would reach this host itself, and a name
+    that ends with a number would be read as an IPv4 address (``1`` as ``0.0.0.1``).
+    """
+    try:
+        ip = ipaddress.ip_address(value)
+    except ValueError:
+        is_valid = _is_host_name(value)
+    else:
+        is_valid = not (ip.is_unspecified or ip.is_multicast)
+    if is_valid:
+        return ()
+    expected = "an IP address or host name of a server"
+    return (FieldError(path, format_value(value), expected),)
+
+
+def _is_host_name(value: str) -> bool:
+    name = value.removesuffix(".")
+    labels = name.split(".")
+    return (
+        len(name) <= MAX_HOST_NAME_CHARACTERS
+        and all(_HOST_LABEL.fullmatch(label) for label in labels)
+        and not _NUMERIC_LABEL.fullmatch(labels[-1])
+    )
+
+
+def check_port(path: str, value: int) -> tuple[FieldError, ...]:
+    """Check the number of a TCP or UDP port."""
+    return check_between(path, value, 1, MAX_PORT)
+
+
+def check_field_value(path: str, value: str) -> tuple[FieldError, ...]:
+    """Check a text that is sent in a header field, such as the id of a target.
+
+    A line break could add a header field to a request.
+    """
+    if (
+        0 < len(value) <= MAX_FIELD_VALUE_CHARACTERS
+        and value.isprintable()
+        and value == value.strip()
+    ):
+        return ()
+    expected = f"1 to {MAX_FIELD_VALUE_CHARACTERS} printable characters"
+    return (FieldError(path, format_value(value), expected),)
+
+
 def check_key_hash(path: str, value: str) -> tuple[FieldError, ...]:
     """Check the SHA-256 hash of a key in lower-case hex.
 
--- a/packages/swifttide_core/src/swifttide_core/forwarding/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/forwarding/__init__.py
@@ -1,5 +1,7 @@
 """Routing configuration and target selection for forwarded requests, without I/O."""
 
+from swifttide_core.forwarding._check_routing_config import check_routing_config
+from swifttide_core.forwarding._check_target_entry import check_target_entry
 from swifttide_core.forwarding._choose import Candidate, choose_target
 from swifttide_core.forwarding._customer_terms import CustomerTerms
 from swifttide_core.forwarding._exclusion import (
@@ -33,6 +35,8 @@
     "WeightedService",
     "ZoneRules",
     "Candidate",
+    "check_routing_config",
+    "check_target_entry",
     "choose_target",
     "exclusion_reason",
     "intersect_regions",
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -6,6 +6,7 @@
 
 from swifttide_core.buffering import MemoryBudget
 from swifttide_core.forwarding import RoutingConfig
+from swifttide_daemon.gateway._background_tasks import BackgroundTasks
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._graceful_shutdown import GracefulShutdown
 from swifttide_daemon.gateway._metrics import GatewayMetrics
@@ -46,6 +47,7 @@
 from swifttide_daemon.gateway.store._row_reaper import RowReaper
 from swifttide_daemon.gateway.store._shared_store import SharedStore
 from swifttide_daemon.gateway.store._table_watches import TableWatches
+from swifttide_daemon.gateway.store._unusable_rows import UnusableRows
 from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
 from swifttide_daemon.gateway.targets._cold_targets import ColdTargets
 from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
@@ -170,18 +172,19 @@
         self._datagrams.on_order_message = self._scheduling.handle_message
 
     def _build_table_watches(self):
+        unusable = UnusableRows(self._log, self._metrics)
         self._feeds = TableWatches.build(
             self._store,
             PeerFedStore(self._store, self._fleet, self._peers),
             self._decoders,
-            OperatorFeed(self._decoders, self.beliefs, self._apply_config, self._log),
+            OperatorFeed(self._decoders, self.beliefs, self._apply_config, unusable),
             MembershipFeed(
                 self._decoders,
                 self.beliefs,
                 self._strikes,
                 self._fleet,
                 self._shares,
-                self._log,
+                unusable,
             ),
             self._peer_service.find_copy,
             self._log,
@@ -317,29 +320,31 @@
         await self._datagrams.listen(cfg.ip, cfg.peer_port)
         await self._peer_server.listen(cfg.ip, cfg.peer_port)
         async with asyncio.TaskGroup() as tasks:
-            background = [
-                *(tasks.create_task(watch.run()) for watch in self._feeds.all()),
-                tasks.create_task(self._fleet.register(self._store)),
-                tasks.create_task(self._shares.run()),
-                tasks.create_task(self._rates.run()),
-                tasks.create_task(self._record.run()),
-                tasks.create_task(self._lender.run()),
-                tasks.create_task(self._turns.memory.run()),
-                tasks.create_task(self._reaper.run()),
-                tasks.create_task(self._settings_watch.run(cfg)),
-                tasks.create_task(self._datagrams.run()),
-                tasks.create_task(self._scheduling.server.run()),
-                tasks.create_task(self._run_housekeeping()),
-            ]
+            background = BackgroundTasks(tasks, self._log, self._metrics)
+            self._start_background_tasks(background)
             await self._front.listen(cfg.ip, cfg.caller_port)
             await self._ready.listen(cfg.ip, cfg.ready_port)
             await self._metrics_server.listen(cfg.ip, cfg.metrics_port)
             await stop.wait()
             await self._shutdown.run()
-            for task in background:
-                task.cancel()
+            background.cancel()
         self._log.info("stop")
 
+    def _start_background_tasks(self, background):
+        for table, watch in self._feeds.by_table.items():
+            background.start(f"watch_{table}", watch.run)
+        background.start("register", lambda: self._fleet.register(self._store))
+        background.start("shares", self._shares.run)
+        background.start("rates", self._rates.run)
+        background.start("lending_record", self._record.run)
+        background.start("lender", self._lender.run)
+        background.start("turn_memory", self._turns.memory.run)
+        background.start("reaper", self._reaper.run)
+        background.start("settings", lambda: self._settings_watch.run(self._cfg))
+        background.start("beacons", self._datagrams.run)
+        background.start("scheduler", self._scheduling.server.run)
+        background.start("housekeeping", self._run_housekeeping)
+
     def _record_period(self) -> float:
         """Return the seconds between writes of the lending record, by fleet size."""
         n_hosts = min(MAX_HOLDERS, len(self._fleet.all()) + 1)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_metrics.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_metrics.py
@@ -62,6 +62,18 @@
             labels,
             self._registry,
         )
+        self._unusable_rows = Counter(
+            "swifttide_unusable_rows_total",
+            "Rows of the store that couldn't be used, by table; each fault once.",
+            labels,
+            self._registry,
+        )
+        self._failed_tasks = Counter(
+            "swifttide_background_failures_total",
+            "Unexpected failures of background tasks, which were restarted, by task.",
+            labels,
+            self._registry,
+        )
 
     def answered(self, status: int, reason: str) -> None:
         """Count an answer to a caller."""
@@ -93,6 +105,14 @@
         """Count a caller whose connection was aborted to release memory."""
         self._given_up.inc({})
 
+    def row_unusable(self, table: str) -> None:
+        """Count a row of the store that couldn't be used."""
+        self._unusable_rows.inc({"table": table})
+
+    def background_failure(self, task: str) -> None:
+        """Count an unexpected failure of a background task."""
+        self._failed_tasks.inc({"task": task})
+
     def render(self) -> tuple[bytes, str]:
         """Return all series in the text format, and the content type."""
         return text.TextFormatter().marshall(self._registry), text.TEXT_CONTENT_TYPE
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_account_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_account_rows.py
@@ -5,14 +5,18 @@
 """
 
 import hashlib
+from typing import Annotated
 
 import msgspec
 
 from swifttide_core.budgets import ProgramAccount, outage_reserve
+from swifttide_core.checks import JsonDecoder
 from swifttide_daemon.gateway.store._shared_store import RowKey
 
 TABLE = "budgets"
 
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
 
 class _AccountRow(msgspec.Struct):
     """Account of a program as stored in its row.
@@ -22,16 +26,19 @@
     effect.
     """
 
-    budget: int
-    granted: int
+    budget: Tokens
+    granted: Tokens
     holders: list[str]
     mark: str = ""
     released: bool = False
-    held: int | None = None
+    held: Tokens | None = None
     """Size of the reserve for outages, in tokens. None in rows written by an earlier
     release, which reserved a quarter of the budget."""
 
 
+_rows = JsonDecoder(_AccountRow)
+
+
 def encode_account(account: ProgramAccount, mark: str) -> bytes:
     """Return the row value of an account.
 
@@ -53,8 +60,14 @@
 
 
 def decode_account(value: bytes) -> tuple[ProgramAccount, str]:
-    """Return the account in a row value and the id of the transaction that wrote it."""
-    row = msgspec.json.decode(value, type=_AccountRow)
+    """Return the account in a row value and the id of the transaction that wrote it.
+
+    Raises
+    ------
+    ValueError
+        The value is no account.
+    """
+    row = _rows.decode(value)
     held = outage_reserve(row.budget, 0) if row.held is None else row.held
     holders = tuple(row.holders)
     account = ProgramAccount(row.budget, row.granted, holders, row.released, held)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
@@ -226,7 +226,7 @@
         try:
             async with asyncio.timeout(ACCOUNT_READ_TIMEOUT_SECONDS):
                 await self._read_account(key, found)
-        except TimeoutError:
+        except (TimeoutError, Refusal):
             return False
         if found.account is None:
             return False
@@ -261,14 +261,14 @@
         # locked, and the holder of its lock may be waiting for the caller (a deadlock).
         known = LocalProgramBudget()
         for _ in range(MAX_GRANT_ATTEMPTS):
-            if not await self._read_account(key, known):
-                return None
-            account = known.account or ProgramAccount(loan.budget, held=loan.held)
-            account = account.with_loans_charged(loan.lent, tuple(loan.holders))
             try:
+                if not await self._read_account(key, known):
+                    return None
+                account = known.account or ProgramAccount(loan.budget, held=loan.held)
+                account = account.with_loans_charged(loan.lent, tuple(loan.holders))
                 if await self._write_account(key, known, account):
                     return account
-            except StoreUnavailable:
+            except Refusal:
                 return None
         return None
 
@@ -400,12 +400,30 @@
         """Update `known` from the stored rows.
 
         Returns whether the transaction with the id `mark` wrote the account.
+
+        Raises
+        ------
+        Refusal
+            With status 503 if the row can't be read.
         """
         found = next((r for r in rows if r.value is not None), None)
         if found is None:
             known.account, known.version = None, 0
             return False
-        known.account, found_mark = decode_account(found.value)
+        try:
+            known.account, found_mark = decode_account(found.value)
+        except ValueError as exc:
+            # What was granted isn't known: more tokens might exceed the budget.
+            self._log.warning(
+                "row_unusable",
+                table=found.key.table,
+                key=found.key.key,
+                version=found.version,
+                reason=str(exc),
+            )
+            raise Refusal(
+                503, "account_unreadable", OUTAGE_RETRY_AFTER_SECONDS
+            ) from exc
         known.version = found.version
         return bool(mark) and found_mark == mark
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_lending_record.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_lending_record.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from swifttide_core.budgets import MIN_LENDING_DELAY_MS, LendingState
+from swifttide_core.checks import JsonDecoder
 from swifttide_daemon.gateway.budgets._token_lender import TokenLender
 from swifttide_daemon.gateway.store._shared_store import (
     Applied,
@@ -50,6 +51,8 @@
 READ_RETRY_SECONDS = 0.2
 """Pause between attempts to read the record while the store is unavailable."""
 
+_records = JsonDecoder(LendingState)
+
 
 def record_interval_seconds(n_hosts: int, writes_per_second: float) -> float:
     """Return the time between two records of a host, in seconds.
@@ -157,7 +160,8 @@
 
     async def run(self) -> None:
         """Read the record of the predecessor, then renew the record until cancelled."""
-        await self._read_predecessor_record()
+        if not self._has_read_predecessor:
+            await self._read_predecessor_record()
         while True:
             # Each record that is sent restarts the delay before lending, because it
             # may take effect. None is sent while the store is known to be unreachable.
@@ -186,7 +190,7 @@
             self._version = 0
             for row in found.rows:
                 self._version = row.version
-                before = _decode(row)
+                before = self._decode(row)
                 barred = before.successor_barred_until(found.now_ms)
                 self._barred_until_ms = max(self._barred_until_ms, barred)
                 self._lender().restore_released_programs(before.released)
@@ -194,6 +198,20 @@
         if self._barred_until_ms > self._store_now_ms:
             self._log.warning("lending_barred", until_ms=self._barred_until_ms)
 
+    def _decode(self, row: StoredRow) -> LendingState:
+        """Return a record; an unreadable one counts as old, which bars lending."""
+        try:
+            return _records.decode(row.value or b"")
+        except ValueError as exc:
+            self._log.warning(
+                "row_unusable",
+                table=row.key.table,
+                key=row.key.key,
+                version=row.version,
+                reason=str(exc),
+            )
+            return LendingState(0)
+
     async def _read(self, part) -> Rows:
         key = self._row_key.key
         while True:
@@ -262,11 +280,3 @@
 
 def _monotonic_ms():
     return int(asyncio.get_running_loop().time() * 1000)
-
-
-def _decode(row: StoredRow) -> LendingState:
-    try:
-        return msgspec.json.decode(row.value or b"", type=LendingState)
-    except (msgspec.DecodeError, msgspec.ValidationError):
-        # An unreadable record counts as written long ago, which bars lending.
-        return LendingState(0)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon.py
@@ -1,8 +1,14 @@
 """Beacon message: the state that each host sends to the others at short intervals."""
 
+from typing import Annotated
+
 import msgspec
 
 from swifttide_daemon.gateway.peers._beacon_rounds import BEACON_INTERVAL_SECONDS
+from swifttide_daemon.gateway.peers._host_row import Cores, Port, Text
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 
 
 class Beacon(msgspec.Struct, array_like=True, tag="beacon"):
@@ -48,18 +54,18 @@
         Processor time available to the sender, in CPU seconds per second.
     """
 
-    ip: str
-    port: int
-    zone: str
-    boot: str
-    number: int
+    ip: Text
+    port: Port
+    zone: Text
+    boot: Text
+    number: Count
     store_up: bool = True
     store_full: bool = False
-    away_seconds: float | None = None
-    config_change: int = 0
-    target_change: int = 0
-    outstanding: dict[str, int] = {}
+    away_seconds: Seconds | None = None
+    config_change: Count = 0
+    target_change: Count = 0
+    outstanding: dict[str, Count] = {}
     strikes: list[tuple[str, str, str]] = []
-    lending: list[int] = []
-    pause_seconds: float = BEACON_INTERVAL_SECONDS
-    cores: float = 1.0
+    lending: list[Count] = []
+    pause_seconds: Seconds = BEACON_INTERVAL_SECONDS
+    cores: Cores = 1.0
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from swifttide_core.checks import JsonDecoder, check_host_address
 from swifttide_daemon.gateway.peers._beacon import Beacon
 from swifttide_daemon.gateway.peers._beacon_rounds import (
     BEACON_INTERVAL_SECONDS,
@@ -27,7 +28,7 @@
 
 Datagram = Beacon | RateMessage | OrderMessage | StreamBegan
 
-_decoder = msgspec.json.Decoder(Datagram)
+_decoder = JsonDecoder(Datagram)
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
@@ -59,6 +60,7 @@
         self._fleet = fleet
         self._log = log
         self._transport = None
+        self._n_rounds = 0
         self._newest_beacons: dict[str, tuple[str, int]] = {}
         self.compose_beacon: Callable[[int, float], Beacon] | None = None
         self.sends_to_all: Callable[[], bool] = lambda: False
@@ -80,10 +82,9 @@
 
     async def run(self) -> None:
         """Send beacons until cancelled."""
-        number = 0
         while True:
-            number += 1
-            self._send_beacons(number)
+            self._n_rounds += 1
+            self._send_beacons(self._n_rounds)
             self._fleet.log_lost_peers()
             await asyncio.sleep(BEACON_INTERVAL_SECONDS * random.uniform(0.9, 1.1))
 
@@ -111,8 +112,8 @@
         """Decode a datagram and pass it to the callback for its type."""
         try:
             message = _decoder.decode(data)
-        except (msgspec.DecodeError, msgspec.ValidationError):
-            self._log.warning("datagram_unreadable", peer=addr[0])
+        except ValueError as exc:
+            self._log.warning("datagram_unreadable", peer=addr[0], reason=str(exc))
             return
         if isinstance(message, Beacon):
             self._handle_beacon(message)
@@ -127,6 +128,11 @@
         """Ignore errors such as a closed port: missing beacons reveal a lost peer."""
 
     def _handle_beacon(self, beacon):
+        if beacon.ip not in self._newest_beacons:
+            errors = check_host_address("ip", beacon.ip)
+            if errors:
+                self._log.warning("datagram_unreadable", reason=str(errors[0]))
+                return
         boot, number = self._newest_beacons.get(beacon.ip, ("", 0))
         if beacon.boot == boot and beacon.number <= number:
             return
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
@@ -5,12 +5,13 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 
-import msgspec
 import xxhash
 
 from swifttide_core.forwarding import AllowedRegions, RegionMap
 from swifttide_daemon.gateway.peers._beacon_rounds import BEACON_INTERVAL_SECONDS
+from swifttide_daemon.gateway.peers._host_row import decode_host, encode_host
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.store._shared_store import (
     Applied,
@@ -82,7 +83,7 @@
 
     async def register(self, store: SharedStore) -> None:
         """Write this host's row to the store; retry until the write succeeds."""
-        value = msgspec.json.encode(msgspec.structs.asdict(_HostRow.of(self.own)))
+        value = encode_host(self.own)
         key = RowKey(FLEET_TABLE, "", HOST_KEY_PREFIX + self.own.ip)
         tx = Transaction(puts=(Put(key, value),))
         while not isinstance(await store.commit(tx), Applied):
@@ -94,23 +95,30 @@
         await store.commit(Transaction(removes=(key,)))
 
     def take_row(self, row: StoredRow) -> None:
-        """Apply one row of the fleet table; a deleted row removes its host."""
+        """Apply one row of the fleet table; a deleted row removes its host.
+
+        Raises
+        ------
+        ValueError
+            The row describes no host. A host that was known by it is removed.
+        """
         ip = row.key.key.removeprefix(HOST_KEY_PREFIX)
         if ip == self.own.ip:
             return
-        peer = _decode(row.value)
-        if peer is not None:
-            self._peers[ip] = peer
-        else:
-            self._peers.pop(ip, None)
-
-    def take_all(self, rows: tuple[StoredRow, ...]) -> None:
-        """Apply a full read of the fleet table; remove hosts without a row."""
-        ips = {r.key.key.removeprefix(HOST_KEY_PREFIX) for r in rows}
-        for ip in set(self._peers) - ips:
+        peer = None
+        try:
+            if not row.deleted:
+                peer = _decode(row, ip)
+        finally:
+            if peer is None:
+                self._peers.pop(ip, None)
+            else:
+                self._peers[ip] = peer
+
+    def keep_only(self, ips: Iterable[str]) -> None:
+        """Remove the hosts whose addresses aren't among those of a full read."""
+        for ip in set(self._peers) - set(ips):
             del self._peers[ip]
-        for row in rows:
-            self.take_row(row)
 
     def record_beacon(
         self,
@@ -341,23 +349,10 @@
     return xxhash.xxh32_intdigest(ip.encode())
 
 
-class _HostRow(msgspec.Struct):
-    ip: str
-    port: int
-    zone: str
-    boot: str
-    cores: float = 1.0
-
-    @classmethod
-    def of(cls, peer: Peer):
-        return cls(peer.ip, peer.port, peer.zone, peer.boot, peer.cores)
-
-
-def _decode(value) -> Peer | None:
-    if value is None:
-        return None
-    try:
-        row = msgspec.json.decode(value, type=_HostRow)
-    except (msgspec.DecodeError, msgspec.ValidationError):
-        return None
-    return Peer(row.ip, row.port, row.zone, row.boot, row.cores)
+def _decode(row: StoredRow, ip: str) -> Peer:
+    if row.value is None:
+        raise ValueError("got a value that isn't base64")
+    peer = decode_host(row.value)
+    if peer.ip != ip:
+        raise ValueError(f"got the address {peer.ip}, expected that of the key")
+    return peer
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_client.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import h11
-import msgspec
 
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.peers._peer_messages import (
@@ -56,13 +55,7 @@
                 await conn.read_head()
                 raw = await conn.read_body(MAX_BODY_BYTES, limit)
                 answer = decode_answer(raw)
-        except (
-            OSError,
-            EOFError,
-            h11.RemoteProtocolError,
-            msgspec.DecodeError,
-            msgspec.ValidationError,
-        ):
+        except (OSError, EOFError, h11.RemoteProtocolError, ValueError):
             if conn is not None:
                 conn.close()
             return None
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from swifttide_core.budgets import ReleaseVerdict
+from swifttide_core.checks import JsonDecoder
 from swifttide_core.resumption import StreamOrigin, VersionsSeen
 from swifttide_daemon.gateway.store._shared_store import (
     Applied,
@@ -331,8 +332,8 @@
     Done | Released | HandedTokens | FoundTurn | FoundStreamOrigin | StoreOutcome
 )
 
-_requests = msgspec.json.Decoder(PeerRequest)
-_answers = msgspec.json.Decoder(PeerAnswer)
+_requests = JsonDecoder(PeerRequest)
+_answers = JsonDecoder(PeerAnswer)
 
 
 def encode(message: PeerRequest | PeerAnswer) -> bytes:
@@ -341,10 +342,10 @@
 
 
 def decode_request(data: bytes) -> PeerRequest:
-    """Decode a request; raises `msgspec.DecodeError`."""
+    """Decode a request; raises `ValueError`."""
     return _requests.decode(data)
 
 
 def decode_answer(data: bytes) -> PeerAnswer:
-    """Decode an answer; raises `msgspec.DecodeError`."""
+    """Decode an answer; raises `ValueError`."""
     return _answers.decode(data)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_server.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable, Callable
 
 import h11
-import msgspec
 
 from swifttide_daemon.gateway._sockets import set_socket_options
 from swifttide_daemon.gateway.peers._peer_messages import (
@@ -54,6 +53,8 @@
             return
         except (OSError, EOFError, h11.ProtocolError) as exc:
             self._log.debug("peer_connection_lost", detail=type(exc).__name__)
+        except Exception as exc:
+            self._log.error("peer_call_failed", exc)
         finally:
             writer.close()
 
@@ -62,11 +63,12 @@
         if body is None:
             return False
         try:
-            answer = encode(await self._handle(decode_request(body)))
-            status = 200
-        except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+            request = decode_request(body)
+        except ValueError as exc:
             self._log.warning("peer_call_unreadable", detail=str(exc))
             answer, status = b"", 400
+        else:
+            answer, status = encode(await self._handle(request)), 200
         fields = [
             (b"Content-Type", b"application/json"),
             (b"Content-Length", str(len(answer)).encode()),
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
@@ -18,10 +18,12 @@
 import itertools
 import random
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
-from swifttide_core.budgets import plan_slots
+from swifttide_core.budgets import N_SLOTS, plan_slots
+from swifttide_core.checks import JsonDecoder
 from swifttide_daemon.gateway.peers._fleet import FLEET_TABLE, Fleet
 from swifttide_daemon.gateway.rates._rate_limiter import RateLimiter
 from swifttide_daemon.gateway.store._shared_store import (
@@ -81,9 +83,12 @@
 
 
 class _Entry(msgspec.Struct, array_like=True):
-    share: float
-    renewed_ms: int
-    slots: list[int] = []
+    share: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+    renewed_ms: Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+    slots: list[Annotated[int, msgspec.Meta(ge=0, lt=N_SLOTS)]] = []
+
+
+_rows = JsonDecoder(dict[str, _Entry])
 
 
 class ShareAllocator:
@@ -143,12 +148,28 @@
         """Apply the row of shares, unless it is older than the known version."""
         if row.version < self._version:
             return
-        self._apply_entries(_decode(row.value), row.version)
+        self._apply_entries(self._decode(row), row.version)
         self._clear_released_slots()
         own = self._entries.get(self._ip)
         if own is not None and not self._rates.share:
             self._set_share(own.share)
 
+    def _decode(self, row) -> dict[str, _Entry]:
+        """Return the entries of a row; an unreadable row counts as empty."""
+        if row.value is None:
+            return {}
+        try:
+            return _rows.decode(row.value)
+        except ValueError as exc:
+            self._log.warning(
+                "row_unusable",
+                table=row.key.table,
+                key=row.key.key,
+                version=row.version,
+                reason=str(exc),
+            )
+            return {}
+
     def _apply_entries(self, entries, version):
         self._entries, self._version = entries, version
         holders = (ip for ip, entry in entries.items() if entry.share > 0.0)
@@ -328,13 +349,6 @@
             self._rates.share = share
 
 
-def _decode(value) -> dict[str, _Entry]:
-    try:
-        return msgspec.json.decode(value or b"{}", type=dict[str, _Entry])
-    except (msgspec.DecodeError, msgspec.ValidationError):
-        return {}
-
-
 def _draw_renew_age_ms():
     spread = RENEW_SPREAD_FRACTION
     return RENEW_MS * random.uniform(1.0 - spread, 1.0 + spread)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_decoders.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_decoders.py
@@ -20,8 +20,8 @@
         Takes the bytes of the document and returns a `RoutingConfig`; raises
         `ValueError`.
     target : callable
-        Takes the key and the bytes of an entry; returns a `TargetEntry`, or None for an
-        entry that does not describe a target.
+        Takes the key and the bytes of an entry; returns a `TargetEntry`. Raises
+        `ValueError` for an entry that does not describe a usable target.
     emptied_zone : callable
         Takes a key of the operator's table. Returns the availability zone that the row
         drains of requests, or None for any other row.
@@ -33,6 +33,6 @@
     config_key: str
     targets_table: str
     config: Callable[[bytes], RoutingConfig]
-    target: Callable[[str, bytes | None], TargetEntry | None]
+    target: Callable[[str, bytes], TargetEntry]
     emptied_zone: Callable[[str], str | None]
     ready_path: str
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_membership_feed.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_membership_feed.py
@@ -6,8 +6,8 @@
 from swifttide_daemon.gateway.rates._share_allocator import ShareAllocator
 from swifttide_daemon.gateway.store._decoders import Decoders
 from swifttide_daemon.gateway.store._shared_store import StoredRow
+from swifttide_daemon.gateway.store._unusable_rows import UnusableRows
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
-from swifttide_daemon.telemetry import EventLog
 
 RowsTuple = tuple[StoredRow, ...]
 
@@ -25,7 +25,7 @@
     fleet : Fleet
     shares : ShareAllocator
         Gets the row with the shares of the customers' rate limits.
-    log : EventLog
+    unusable : UnusableRows
     """
 
     def __init__(
@@ -35,14 +35,14 @@
         strikes: StrikeKeeper,
         fleet: Fleet,
         shares: ShareAllocator,
-        log: EventLog,
+        unusable: UnusableRows,
     ):
         self._decoders = decoders
         self._beliefs = beliefs
         self._strikes = strikes
         self._fleet = fleet
         self._shares = shares
-        self._log = log
+        self._unusable = unusable
         self._store_up = True
 
     def set_store_state(self, up: bool) -> None:
@@ -57,10 +57,11 @@
         """Apply a full read of the table of targets."""
         entries = {}
         for row in rows:
-            entry = self._decode_target(row)
-            if entry is not None:
-                entries[entry.id] = entry
-                self._strikes.record_entry(entry)
+            with self._unusable.skip(row):
+                entry = self._decode_target(row)
+                if entry is not None:
+                    self._strikes.record_entry(entry)
+                    entries[entry.id] = entry
         self._beliefs.replace_targets(entries)
 
     def apply_target_changes(self, rows: RowsTuple) -> int:
@@ -71,35 +72,50 @@
         """
         newest = 0
         for row in rows:
-            entry = self._decode_target(row)
-            if entry is None:
-                is_news = self._beliefs.remove_target(row.key.key)
-            else:
-                self._strikes.record_entry(entry)
-                is_news = self._beliefs.put_target(entry)
-            if is_news:
+            if self._apply_target(row):
                 newest = max(newest, row.version)
         return newest
 
+    def _apply_target(self, row) -> bool:
+        """Apply one entry; return whether it changed this host's view.
+
+        An entry that can't be used names no target, also where its id had one before.
+        """
+        entry = None
+        with self._unusable.skip(row):
+            entry = self._decode_target(row)
+            if entry is not None:
+                self._strikes.record_entry(entry)
+        if entry is None:
+            return self._beliefs.remove_target(row.key.key)
+        return self._beliefs.put_target(entry)
+
     def replace_hosts(self, rows: RowsTuple) -> None:
         """Apply a full read of the fleet table."""
-        hosts = tuple(r for r in rows if r.key.key.startswith(HOST_KEY_PREFIX))
-        self._fleet.take_all(hosts)
+        self._fleet.keep_only(_host_ip(r) for r in rows if _is_host(r))
         self.apply_host_changes(rows)
 
     def apply_host_changes(self, rows: RowsTuple) -> int:
         """Apply changed rows of the fleet table; return the newest version, or 0."""
         for row in rows:
-            if row.key.key.startswith(HOST_KEY_PREFIX):
-                self._fleet.take_row(row)
-            elif row.key.key == SHARES_KEY:
-                self._shares.apply_row(row)
+            with self._unusable.skip(row):
+                if _is_host(row):
+                    self._fleet.take_row(row)
+                elif row.key.key == SHARES_KEY:
+                    self._shares.apply_row(row)
         return max((row.version for row in rows), default=0)
 
     def _decode_target(self, row):
-        if row.key.part:
+        if row.key.part or row.deleted:
             return None
-        entry = self._decoders.target(row.key.key, row.value)
-        if entry is None and row.value is not None:
-            self._log.warning("target_entry_unreadable", target=row.key.key)
-        return entry
+        if row.value is None:
+            raise ValueError("got a value that isn't base64")
+        return self._decoders.target(row.key.key, row.value)
+
+
+def _is_host(row) -> bool:
+    return row.key.key.startswith(HOST_KEY_PREFIX)
+
+
+def _host_ip(row) -> str:
+    return row.key.key.removeprefix(HOST_KEY_PREFIX)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_operator_feed.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_operator_feed.py
@@ -6,7 +6,7 @@
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway.store._decoders import Decoders
 from swifttide_daemon.gateway.store._shared_store import StoredRow
-from swifttide_daemon.telemetry import EventLog
+from swifttide_daemon.gateway.store._unusable_rows import UnusableRows
 
 
 class OperatorFeed:
@@ -19,7 +19,7 @@
         This host's view of configuration and targets, which is updated.
     on_config : callable
         Takes each configuration that takes effect.
-    log : EventLog
+    unusable : UnusableRows
     """
 
     def __init__(
@@ -27,12 +27,12 @@
         decoders: Decoders,
         beliefs: Beliefs,
         on_config: Callable[[RoutingConfig], None],
-        log: EventLog,
+        unusable: UnusableRows,
     ):
         self._decoders = decoders
         self._beliefs = beliefs
         self._on_config = on_config
-        self._log = log
+        self._unusable = unusable
 
     def replace_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply a full read of the table; zones without a row are no longer drained."""
@@ -60,14 +60,13 @@
         return self._beliefs.set_zone_emptied(zone, not row.deleted)
 
     def _apply_config(self, row) -> bool:
+        """Apply a configuration; an unusable one leaves the current in effect."""
         if row.key.key != self._decoders.config_key or row.value is None:
             return False
-        try:
+        is_news = False
+        with self._unusable.skip(row):
             cfg = self._decoders.config(row.value)
-        except ValueError as exc:
-            self._log.error("configuration_unreadable", detail=str(exc))
-            return False
-        if not self._beliefs.apply_config(cfg, "store"):
-            return False
-        self._on_config(cfg)
-        return True
+            is_news = self._beliefs.apply_config(cfg, "store")
+            if is_news:
+                self._on_config(cfg)
+        return is_news
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
@@ -8,6 +8,7 @@
 from swifttide_daemon.gateway.budgets._account_rows import program_key
 from swifttide_daemon.gateway.budgets._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.peers._peer_messages import Loan
 from swifttide_daemon.gateway.store._row_reaper import RowReaper
 from swifttide_daemon.gateway.tests._hosts import InProcessPeerClient, make_peer_service
 from swifttide_standins.paused_clock import run_paused
@@ -203,3 +204,25 @@
             return sum(generated_tokens)
 
         assert run_paused(main()) <= budget
+
+
+class TestForeignRow:
+    @pytest.mark.parametrize("value", [b"[" * 2000, b"{}", b'{"budget": -1}'])
+    def test_unusable_account_refuses_the_turn(self, store, log, value):
+        """Guards against a turn that is answered as if it may have run."""
+
+        async def main():
+            key = program_key("c", "p")
+            store.rows.put("budgets", key, value, part=key[:2])
+            keeper = Hosts(store, log, 1).any(0)
+            with pytest.raises(Refusal) as caught:
+                await keeper.reserve("r", "c", "p", 300, MAX_TURN_TOKENS)
+            known = await keeper.has_account("c", "p")
+            charged = await keeper.charge(key, Loan(300, lent=10))
+            return caught.value, known, charged
+
+        refusal, known, charged = run_paused(main())
+        assert (refusal.status, refusal.reason) == (503, "account_unreadable")
+        assert refusal.retry_after > 0
+        assert not known
+        assert charged is None
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_share_allocator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_share_allocator.py
@@ -275,3 +275,30 @@
             return hosts.max_total_share
 
         assert run_paused(main()) <= 1.000001
+
+
+class TestForeignRow:
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"[" * 2000,
+            b'{"x": [0.5, ' + b"9" * 400 + b", []]}",
+            b'{"x": [-7.0, 1, []]}',
+            b'{"x": [0.5, 1, [-1]]}',
+        ],
+    )
+    def test_unusable_row_is_written_anew(self, store, log, value):
+        """Guards against the end of the task, and against shares beyond one."""
+
+        async def main():
+            hosts = Hosts(store, log)
+            for n in range(3):
+                hosts.start(f"h{n}")
+            await hosts.run(5.0)
+            store.rows.put("fleet", "shares", value)
+            await hosts.run(30.0)
+            return [r.share for r in hosts.rates.values()], hosts.max_total_share
+
+        shares, most = run_paused(main())
+        assert sum(shares) == pytest.approx(1.0)
+        assert most <= 1.0 + 1e-6
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/turns/_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/turns/_turn_keeper.py
@@ -133,8 +133,12 @@
         if known is not None:
             return known
         found = await self._store_for(homes).read(TABLE, key[:2], key, key + "~")
+        if isinstance(found, Rows) and any(r.value is None for r in found.rows):
+            # A transcript without one of its pieces would change the history.
+            self._log.warning("turn_unreadable", request_id=request_id, turn=turn)
+            raise Refusal(503, "turn_unreadable", STORE_RETRY_AFTER_SECONDS)
         if isinstance(found, Rows) and found.rows:
-            pieces = sorted((r.key.key, r.value or b"") for r in found.rows)
+            pieces = sorted((r.key.key, r.value) for r in found.rows)
             transcript = b"".join(value for _, value in pieces)
             self._cache_transcript(key, transcript)
             return transcript
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_settings_file.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_settings_file.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+from swifttide_core.checks import check_host_address, check_port
 from swifttide_core.forwarding import RegionMap
 from swifttide_daemon.gateway import GatewaySettings
 
@@ -13,6 +14,13 @@
 METRICS_PORT = 9464
 """Where the deploy file says that metrics are served."""
 
+MAX_REASON_CHARACTERS = 200
+
+MAX_PORT_DIGITS = 5
+
+MAX_NUMBER = 2**53
+"""Largest number of a setting: sums and products of such numbers stay finite."""
+
 BYTES_PER_MB = 1_000_000
 """Unit of ``limits.memory_mb``. If the platform means 1,048,576, the budget is 5 %
 smaller than it could be; the other way round it would be too large."""
@@ -43,8 +51,9 @@
         raise SettingsError(f"{path}: {got}, expected TOML") from exc
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
-        raise SettingsError(f"{path}: got {exc}, expected TOML") from exc
+    except (ValueError, RecursionError) as exc:
+        got = str(exc)[:MAX_REASON_CHARACTERS]
+        raise SettingsError(f"{path}: got {got}, expected TOML") from exc
     return _decode(raw)
 
 
@@ -84,7 +93,10 @@
         return default
     kinds = (int, float) if kind is float else kind
     if isinstance(value, bool) or not isinstance(value, kinds):
-        raise SettingsError(f"{place}: got {value!r}, expected {kind.__name__}")
+        raise SettingsError(f"{place}: got {value!r:.80}, expected {kind.__name__}")
+    if kind in (int, float) and not 0 <= value <= MAX_NUMBER:
+        expected = f"a number from 0 to {MAX_NUMBER}"
+        raise SettingsError(f"{place}: got {value!r:.80}, expected {expected}")
     return value
 
 
@@ -95,9 +107,11 @@
 
 def _address(raw, place: str) -> tuple[str, int]:
     text = _get(raw, place, str)
-    ip, colon, port = text.rpartition(":")
-    if not colon or not port.isdigit():
-        raise SettingsError(f"{place}: got {text!r}, expected IP:PORT")
+    ip, _, port = text.rpartition(":")
+    # Other digits than ASCII ones, such as superscripts, are no number for `int`.
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not is_number or check_port(place, int(port)) or check_host_address(place, ip):
+        raise SettingsError(f"{place}: got {text!r:.80}, expected IP:PORT")
     return ip, int(port)
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/_store_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/_store_client.py
@@ -4,12 +4,13 @@
 import base64
 import binascii
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
 from urllib.parse import urlencode
 
 import h11
 import msgspec
 
+from swifttide_core.checks import JsonDecoder
 from swifttide_daemon.gateway import (
     Applied,
     Conflict,
@@ -37,10 +38,44 @@
 """Rows of one answer."""
 
 
+Version = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
+class _Row(msgspec.Struct):
+    table: str
+    key: str
+    row_version: Version
+    part: str | None = None
+    value: Any = None
+    deleted: bool | None = None
+
+
+class _RowsDocument(msgspec.Struct):
+    rows: list[_Row]
+    row_version: Version
+    now_ms: Milliseconds
+    has_more: bool | None = None
+
+
+class _AppliedDocument(msgspec.Struct):
+    row_version: Version
+    now_ms: Milliseconds
+
+
+class _ConflictDocument(msgspec.Struct):
+    rows: list[_Row]
+
+
+_rows = JsonDecoder(_RowsDocument)
+_applied = JsonDecoder(_AppliedDocument)
+_conflict = JsonDecoder(_ConflictDocument)
+
+
 @dataclass(frozen=True, slots=True)
 class _Answer:
     status: int
-    document: Any
+    document: _RowsDocument | _AppliedDocument | _ConflictDocument | None
 
 
 class PrintOfficeStore:
@@ -61,15 +96,20 @@
     async def commit(self, tx: Transaction) -> Applied | Conflict | Unavailable:
         """Apply a transaction."""
         answer = await self._call(
-            "POST", "/-/rows-tx", _encode_tx(tx), COMMIT_SECONDS, tx.puts or tx.removes
+            "POST",
+            "/-/rows-tx",
+            _encode_tx(tx),
+            COMMIT_SECONDS,
+            {200: _applied, 412: _conflict},
+            bool(tx.puts or tx.removes),
         )
         match answer:
             case Unavailable():
                 return answer
-            case _Answer(200, {"row_version": int() as version, "now_ms": int(now)}):
-                return Applied(version, now)
-            case _Answer(412, {"rows": list() as rows}):
-                return Conflict(_decode_rows(rows))
+            case _Answer(200, document):
+                return Applied(document.row_version, document.now_ms)
+            case _Answer(412, document):
+                return Conflict(_decode_rows(document.rows))
             case _Answer(status):
                 # 429 and 503 say that nothing was done; of another status it isn't
                 # known.
@@ -80,24 +120,26 @@
     ) -> Rows | Unavailable:
         """Read the rows of a part, from ``start`` up to before ``end``."""
         found: list[StoredRow] = []
-        version, now_ms = 0, 0
+        version = 0
         while True:
             query = {"table": table, "part": part, "limit": ROWS_AT_ONCE}
             query |= {"start_key": start} if start else {}
             query |= {"to": end} if end else {}
             path = "/-/rows-get?" + urlencode(query)
-            answer = await self._call("GET", path, b"", READ_SECONDS, False)
+            answer = await self._call("GET", path, b"", READ_SECONDS, {200: _rows})
             match answer:
                 case Unavailable():
                     return answer
-                case _Answer(200, {"rows": list() as rows, "row_version": int(seen)}):
-                    found += _decode_rows(rows)
-                    version = version or seen
-                    now_ms = answer.document.get("now_ms", 0)
-                    if not answer.document.get("has_more") or not rows:
-                        return Rows(tuple(found), version, now_ms)
+                case _Answer(200, document):
+                    found += _decode_rows(document.rows)
+                    version = version or document.row_version
+                    if not document.has_more or not document.rows:
+                        return Rows(tuple(found), version, document.now_ms)
                     # The smallest key after the last one read.
-                    start = found[-1].key.key + "\0"
+                    following = document.rows[-1].key + "\0"
+                    if following <= start:
+                        return Unavailable("rows that aren't in order")
+                    start = following
                 case _Answer(status):
                     return _unavailable(status)
 
@@ -108,13 +150,13 @@
         query = {"table": table, "after": after, "wait_ms": int(wait_seconds * 1000)}
         path = "/-/rows-feed?" + urlencode(query)
         seconds = wait_seconds + READ_SECONDS
-        answer = await self._call("GET", path, b"", seconds, False)
+        answer = await self._call("GET", path, b"", seconds, {200: _rows})
         match answer:
             case Unavailable():
                 return answer
-            case _Answer(200, {"rows": list() as rows, "row_version": int(seen)}):
-                now_ms = answer.document.get("now_ms", 0)
-                return Rows(_decode_rows(rows), seen, now_ms)
+            case _Answer(200, document):
+                rows = _decode_rows(document.rows)
+                return Rows(rows, document.row_version, document.now_ms)
             case _Answer(410):
                 return HistoryLost()
             case _Answer(status):
@@ -124,8 +166,20 @@
         """Make the next calls on new connections."""
         self._pool.forget(self._ip, self._port)
 
-    async def _call(self, method, path, body, seconds, writes):
-        """Make a call; never raises but for cancellation."""
+    async def _call(self, method, path, body, seconds, decoders, writes=False):
+        """Make a call; never raises but for cancellation.
+
+        Parameters
+        ----------
+        method, path : str
+        body : bytes
+        seconds : float
+            Time-out, see `ClientConnection.read_body`.
+        decoders : dict of int to JsonDecoder
+            Decoders of the bodies that are used, by status.
+        writes : bool
+            Whether the call may change rows.
+        """
         fields = [(b"Host", f"{self._ip}:{self._port}".encode())]
         if method != "GET":
             fields.append((b"Content-Type", b"application/json"))
@@ -141,16 +195,18 @@
             if conn is None:
                 return Unavailable(f"no connection: {type(exc).__name__}")
             conn.close()
-            return Unavailable(f"no answer: {type(exc).__name__}", bool(writes))
+            return Unavailable(f"no answer: {type(exc).__name__}", writes)
         except BaseException:
             if conn is not None:
                 conn.close()
             raise
         self._pool.give_back(self._ip, self._port, conn, None)
+        if status not in decoders:
+            return _Answer(status, None)
         try:
-            return _Answer(status, msgspec.json.decode(raw) if raw else {})
-        except msgspec.DecodeError:
-            return Unavailable("an answer that can't be read", bool(writes))
+            return _Answer(status, decoders[status].decode(raw))
+        except ValueError as exc:
+            return Unavailable(str(exc), writes)
 
 
 def _unavailable(status: int, may_have_applied: bool = False) -> Unavailable:
@@ -175,24 +231,19 @@
     return {"table": key.table, "part": key.part, "key": key.key}
 
 
-def _decode_rows(rows) -> tuple[StoredRow, ...]:
-    return tuple(row for raw in rows if (row := _decode_row(raw)) is not None)
+def _decode_rows(rows: list[_Row]) -> tuple[StoredRow, ...]:
+    return tuple(_decode_row(row) for row in rows)
 
 
-def _decode_row(raw) -> StoredRow | None:
-    match raw:
-        case {"table": str(table), "key": str(key), "row_version": int(version)}:
-            place = RowKey(table, raw.get("part") or "", key)
-            deleted = bool(raw.get("deleted"))
-            return StoredRow(place, _decode_value(raw), version, deleted)
-    return None
+def _decode_row(row: _Row) -> StoredRow:
+    place = RowKey(row.table, row.part or "", row.key)
+    return StoredRow(place, _decode_value(row), row.row_version, bool(row.deleted))
 
 
-def _decode_value(raw) -> bytes | None:
-    value = raw.get("value")
-    if raw.get("deleted") or not isinstance(value, str):
+def _decode_value(row: _Row) -> bytes | None:
+    if row.deleted or not isinstance(row.value, str):
         return None
     try:
-        return base64.b64decode(value, validate=True)
+        return base64.b64decode(row.value, validate=True)
     except (binascii.Error, ValueError):
         return None
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_documents.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_documents.py
@@ -94,8 +94,9 @@
         ],
     )
     def test_foreign_entry_names_no_target(self, change):
-        assert decode_target("i-1", json.dumps(ENTRY | change).encode()) is None
+        with pytest.raises(ValueError, match=r"got .+"):
+            decode_target("i-1", json.dumps(ENTRY | change).encode())
 
     def test_bytes_that_cannot_be_read(self):
-        assert decode_target("i-1", b"\xff\xfe") is None
-        assert decode_target("i-1", None) is None
+        with pytest.raises(ValueError, match="got unreadable JSON"):
+            decode_target("i-1", b"\xff\xfe")
