FIX A stopping host takes no request that it can't finish

Cause: idle connections were closed once, 2.5 s after the SIGTERM. A connection whose answer began before the SIGTERM, without Connection: close, and ended after that moment took further requests until the process exited; nobody compared a request's time limit with the time left.

Fix: once the port is closed, a connection ends with the request that it has. A request that is being read then is served if it can end in time, and refused with 503 host_stopping and Retry-After 0 otherwise.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -247,6 +247,7 @@
                 self._strikes,
                 self._entry,
                 self._origins,
+                lambda: self._front.requests_end_at,
             ),
             AnswerRelay(
                 dialect,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_graceful_shutdown.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_graceful_shutdown.py
@@ -62,18 +62,20 @@
     async def run(self) -> None:
         """Finish the requests in progress, hand over state and leave the fleet.
 
-        The port stays open until the load balancer sends no new connections. Each
-        answer closes its connection. A connection that is aborted instead loses a
-        request.
+        The port stays open until the load balancer sends no new connections, and all
+        requests are taken until then. Each answer that begins now closes its
+        connection. Afterwards, connections whose answers began before the shutdown end
+        with them, and a request is taken only if it can end in time. A connection that
+        is aborted instead loses a request.
         """
         loop = asyncio.get_running_loop()
-        began = loop.time()
-        ends = began + self._stop_seconds() - STOP_MARGIN_SECONDS
+        seconds = max(0.0, self._stop_seconds() - STOP_MARGIN_SECONDS)
+        ends = loop.time() + seconds
         self._log.info("stopping", busy=self._front.n_busy)
-        self._front.stopping = True
-        await asyncio.sleep(NOT_READY_SECONDS)
+        self._front.begin_stop(ends)
+        await asyncio.sleep(min(NOT_READY_SECONDS, seconds / 2))
         self._front.stop_accepting()
-        self._front.close_idle()
+        self._front.end_reuse()
         while self._front.n_busy and loop.time() < ends:
             await asyncio.sleep(0.05)
         self._log.info("left", busy=self._front.n_busy)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from swifttide_core.forwarding import (
     AllowedRegions,
@@ -32,7 +33,11 @@
     work_class,
 )
 from swifttide_daemon.gateway.callers._program_entry import ProgramEntry
-from swifttide_daemon.gateway.callers._refusal import NO_TARGET_OF_ORIGIN, Refusal
+from swifttide_daemon.gateway.callers._refusal import (
+    HOST_STOPPING,
+    NO_TARGET_OF_ORIGIN,
+    Refusal,
+)
 from swifttide_daemon.gateway.rates._rate_limiter import RateLimiter
 from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
@@ -87,6 +92,9 @@
         Admission of new programs by the load of the targets.
     origins : StreamOrigins
         Knows at which software streams began.
+    requests_end_at : callable
+        Returns the time of the event loop by which a request that is admitted now must
+        end, because this host stops then; None while there is none.
     """
 
     def __init__(
@@ -98,6 +106,7 @@
         strikes: StrikeKeeper,
         entry: ProgramEntry,
         origins: StreamOrigins,
+        requests_end_at: Callable[[], float | None] = lambda: None,
     ):
         self._beliefs = beliefs
         self._budgets = budgets
@@ -106,6 +115,7 @@
         self._strikes = strikes
         self._entry = entry
         self._origins = origins
+        self._requests_end_at = requests_end_at
 
     async def admit(
         self, req: CallerRequest, channel: CallerChannel, progress: Progress
@@ -135,6 +145,7 @@
         progress.work = work_class(route, terms)
         timeout = req.timeout_seconds or DEFAULT_REQUEST_TIMEOUT_SECONDS
         expires_at = req.received_at + min(timeout, route.timeout_seconds)
+        self._check_stop(expires_at)
         homes = _allowed_regions(route, terms)
         customer = terms.name if terms else ""
         resumed = await self._find_resumed_origin(req, route, customer, homes)
@@ -180,6 +191,12 @@
             resumed,
         )
 
+    def _check_stop(self, expires_at):
+        """Refuse a request that may still run when this host stops."""
+        ends_at = self._requests_end_at()
+        if ends_at is not None and expires_at > ends_at:
+            raise Refusal(503, HOST_STOPPING, 0.0)
+
     def refund_unsent(self, job: Job) -> None:
         """Refund the rate token of a job that was sent to no target."""
         self._refund(job.terms)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_refusal.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_refusal.py
@@ -5,6 +5,9 @@
 NO_TARGET_OF_ORIGIN = "no_target_of_origin"
 """Reason to end a stream: no target of the software that began it is left."""
 
+HOST_STOPPING = "host_stopping"
+"""Reason to refuse a request that this host can't answer before its shutdown ends."""
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal(Exception):
