FIX Bytes without end hold up no other request

Callers saw: a target that sent small pieces at full speed, or two callers without a key that sent a body in chunks of one byte, stopped their host for all others; a refusal as not run, with a body that dripped, kept its request until its deadline (504 in place of a retry), and the connection stayed open after it.

Cause: events of a read were parsed without yielding, and a reader whose next bytes had arrived didn't yield either; events of streams were split off in quadratic time; bodies were bounded in bytes and not in pieces; the rest of a refusal was read without a bound and its connection leaked at the deadline; time-outs of the store's and the hosts' answers began anew with each piece.

Fix: http/_bounded_reading.py holds the bounds of all readers of HTTP (the client's connection, its pool and the socket options moved there): a yield after eight events, a budget of pieces by the bytes that they carry, 16 informational heads, 50 ms for the rest of an answer that isn't used, a least rate for large answers of store and hosts. A turn ends once its transcript is too long to be stored.

--- a/packages/swifttide_core/src/swifttide_core/buffering/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/buffering/__init__.py
@@ -1,4 +1,4 @@
-"""Bound on the bytes that a host buffers for slow connections, without I/O."""
+"""Bounds on what a host buffers and reads for other processes, without I/O."""
 
 from swifttide_core.buffering._memory_budget import (
     GiveUp,
@@ -6,5 +6,14 @@
     Pause,
     ReadOn,
 )
+from swifttide_core.buffering._piece_budget import PieceBudget
+from swifttide_core.buffering._transfer_deadline import TransferDeadline
 
-__all__ = ["GiveUp", "MemoryBudget", "Pause", "ReadOn"]
+__all__ = [
+    "GiveUp",
+    "MemoryBudget",
+    "Pause",
+    "PieceBudget",
+    "ReadOn",
+    "TransferDeadline",
+]
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/__init__.py
@@ -9,6 +9,7 @@
     end_to_end,
     first_value,
 )
+from swifttide_daemon.gateway.http._connection_pool import ConnectionPool
 from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Condition,
@@ -22,7 +23,6 @@
     Transaction,
     Unavailable,
 )
-from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
 from swifttide_daemon.gateway.targets._target_answer import (
     AnswerHead,
     MayHaveRun,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -28,6 +28,7 @@
 from swifttide_daemon.gateway.callers._forwarder import Forwarder
 from swifttide_daemon.gateway.callers._frontend import Frontend
 from swifttide_daemon.gateway.callers._program_entry import ProgramEntry
+from swifttide_daemon.gateway.http._connection_pool import ConnectionPool
 from swifttide_daemon.gateway.peers._beacon_exchange import BeaconExchange
 from swifttide_daemon.gateway.peers._datagrams import PeerDatagrams
 from swifttide_daemon.gateway.peers._fleet import Fleet
@@ -50,7 +51,6 @@
 from swifttide_daemon.gateway.store._unusable_rows import UnusableRows
 from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
 from swifttide_daemon.gateway.targets._cold_targets import ColdTargets
-from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
 from swifttide_daemon.gateway.targets._scheduler_endpoint import SchedulerEndpoint
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway.targets._target_client import TargetClient
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_graceful_shutdown.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_graceful_shutdown.py
@@ -73,6 +73,7 @@
         ends = loop.time() + seconds
         self._log.info("stopping", busy=self._front.n_busy)
         self._front.begin_stop(ends)
+        # With little time, half of it is left for the requests in progress.
         await asyncio.sleep(min(NOT_READY_SECONDS, seconds / 2))
         self._front.stop_accepting()
         self._front.end_reuse()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_status_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_status_server.py
@@ -7,7 +7,8 @@
 from swifttide_daemon.telemetry import EventLog
 
 REQUEST_TIMEOUT_SECONDS = 2.0
-"""Timeout for receiving a request. The load balancer probes every second."""
+"""Timeout for receiving a request and sending the page. The load balancer probes every
+second."""
 
 MAX_REQUEST_BYTES = 8_192
 
@@ -63,8 +64,8 @@
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
                 head = await reader.readuntil(b"\r\n\r\n")
-            writer.write(self._answer(head))
-            await writer.drain()
+                writer.write(self._answer(head))
+                await writer.drain()
         except (OSError, EOFError, asyncio.LimitOverrunError) as exc:
             # An unreadable or incomplete request gets no answer. A load balancer
             # counts that as a failed probe.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
@@ -45,6 +45,7 @@
     Transaction,
     Unavailable,
 )
+from swifttide_daemon.gateway.store._unusable_rows import log_unusable_row
 from swifttide_daemon.telemetry import EventLog
 
 MAX_GRANT_ATTEMPTS = 6
@@ -414,13 +415,7 @@
             known.account, found_mark = decode_account(found.value)
         except ValueError as exc:
             # What was granted isn't known: more tokens might exceed the budget.
-            self._log.warning(
-                "row_unusable",
-                table=found.key.table,
-                key=found.key.key,
-                version=found.version,
-                reason=str(exc),
-            )
+            log_unusable_row(self._log, found, str(exc))
             raise Refusal(
                 503, "account_unreadable", OUTAGE_RETRY_AFTER_SECONDS
             ) from exc
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_lending_record.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_lending_record.py
@@ -28,6 +28,7 @@
     StoredRow,
     Transaction,
 )
+from swifttide_daemon.gateway.store._unusable_rows import log_unusable_row
 from swifttide_daemon.telemetry import EventLog
 
 TABLE = "lending"
@@ -203,13 +204,7 @@
         try:
             return _records.decode(row.value or b"")
         except ValueError as exc:
-            self._log.warning(
-                "row_unusable",
-                table=row.key.table,
-                key=row.key.key,
-                version=row.version,
-                reason=str(exc),
-            )
+            log_unusable_row(self._log, row, str(exc))
             return LendingState(0)
 
     async def _read(self, part) -> Rows:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_buffers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_buffers.py
@@ -8,7 +8,7 @@
 
 from swifttide_core.buffering import GiveUp, MemoryBudget, ReadOn
 from swifttide_daemon.gateway._metrics import GatewayMetrics
-from swifttide_daemon.gateway._sockets import limit_kernel_unsent_bytes
+from swifttide_daemon.gateway.http._sockets import limit_kernel_unsent_bytes
 from swifttide_daemon.gateway.targets._target_uploads import TargetUploads
 from swifttide_daemon.telemetry import EventLog
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
@@ -21,13 +21,17 @@
     work_fields,
 )
 from swifttide_daemon.gateway.callers._refusal import Refusal
+from swifttide_daemon.gateway.http._bounded_reading import EventPace
 from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
 from swifttide_daemon.gateway.targets._target_answer import MayHaveRun, TargetFailure
 from swifttide_daemon.gateway.targets._target_client import (
     NOT_RUN_STATUSES,
     TargetExchange,
 )
-from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
+from swifttide_daemon.gateway.turns._turn_keeper import (
+    MAX_TRANSCRIPT_BYTES,
+    TurnKeeper,
+)
 from swifttide_daemon.telemetry import EventLog
 
 MAX_TURN_STORE_SECONDS = 1.8
@@ -109,11 +113,12 @@
 
     async def _relay_whole(self, job, progress, exchange):
         head = exchange.head
-        body = await exchange.read_body(job.channel.hold_collected)
         if head.status in NOT_RUN_STATUSES:
             # These statuses mean "not run" only with the header field that says so;
             # without it the target may have run the request.
+            await exchange.discard()
             raise TargetFailure(MayHaveRun(f"answered {head.status}"))
+        body = await exchange.read_body(job.channel.hold_collected)
         progress.first_seconds = request_age_seconds(job.req)
         await job.channel.hold_collected(0)
         await job.channel.answer(head.status, self._dialect.answer_fields(head), body)
@@ -125,9 +130,11 @@
             fields = self._dialect.answer_fields(head)
             await job.channel.start(head.status, fields, None)
         reader = EventReader()
+        pace = EventPace()
         resumes = progress.n_events > 0
         while (piece := await exchange.read_piece()) is not None:
             for event in self._parse_events(reader, piece, exchange):
+                await pace.step()
                 if resumes:
                     _check_resume_position(progress, event)
                 await self._relay_event(job, progress, exchange.target, event)
@@ -168,6 +175,10 @@
             self._log_begun(job, target)
         if job.route.keeps_turns and event.has_data:
             progress.output_chunks.append(event.data + b"\n")
+            progress.n_output_bytes += len(event.data) + 1
+            if len(job.body) + progress.n_output_bytes > MAX_TRANSCRIPT_BYTES:
+                # It couldn't be stored at its end, which may never come.
+                raise Refusal(502, "turn_too_long")
         await job.channel.write(event.raw)
 
     def _check_token_limit(self, job, progress):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_caller_connection.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_caller_connection.py
@@ -6,12 +6,17 @@
 
 import h11
 
+from swifttide_core.buffering import PieceBudget
 from swifttide_daemon.gateway.callers._answer_buffers import AnswerBuffer
 from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
 from swifttide_daemon.gateway.callers._caller_request import CallerRequest
 from swifttide_daemon.gateway.callers._dialect import BadRequest
 from swifttide_daemon.gateway.callers._http_fields import all_values
 from swifttide_daemon.gateway.callers._refusal import HOST_STOPPING, Refusal
+from swifttide_daemon.gateway.http._bounded_reading import (
+    MIN_REQUEST_PIECE_BYTES,
+    EventPace,
+)
 
 if TYPE_CHECKING:
     from swifttide_daemon.gateway.callers._frontend import Frontend
@@ -43,6 +48,7 @@
         self._buffer = buffer
         self._body_bytes = 0
         self._reading: asyncio.Timeout | None = None
+        self._pace = EventPace()
         self._disconnected = writer.transport.get_protocol().disconnected
         limit = front.limits().max_header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
@@ -111,7 +117,7 @@
         deadline = asyncio.get_running_loop().time() + limits.idle_seconds
         begun = False
         while True:
-            event = self._next_event()
+            event = await self._next_event()
             if isinstance(event, h11.Request):
                 self._frontend.set_busy(True)
                 return event
@@ -169,10 +175,13 @@
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._http.send(go_on))
+        pieces = PieceBudget(MIN_REQUEST_PIECE_BYTES)
         while True:
-            event = self._next_event()
+            event = await self._next_event()
             match event:
                 case h11.Data():
+                    if not pieces.take(len(event.data)):
+                        raise Refusal(400, "body_in_too_small_pieces")
                     body += event.data
                     # Bodies that callers send slowly take memory as well.
                     self._body_bytes += len(event.data)
@@ -212,7 +221,8 @@
         if not self._frontend.has_room_for_bodies:
             raise Refusal(503, "host_full", 1.0)
 
-    def _next_event(self):
+    async def _next_event(self):
+        await self._pace.step()
         try:
             event = self._http.next_event()
         except h11.RemoteProtocolError as exc:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_event_reader.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_event_reader.py
@@ -1,10 +1,17 @@
 """Splits a server-sent event stream into events."""
 
+import re
 from dataclasses import dataclass
 
+from swifttide_core.buffering import PieceBudget
+from swifttide_daemon.gateway.http._bounded_reading import MIN_ANSWER_PIECE_BYTES
+
 MAX_EVENT_BYTES = 262_144
 """A longer event is an error, since an event is held in memory until its end."""
 
+_END_OF_EVENT = re.compile(rb"\n\n|\r\n\r\n")
+_MAX_MARK_BYTES = 4
+
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
@@ -32,7 +39,9 @@
     """Assembles complete events from the pieces in which a stream is received."""
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._n_searched = 0
+        self._budget = PieceBudget(MIN_ANSWER_PIECE_BYTES)
 
     @property
     def within_event(self) -> bool:
@@ -45,27 +54,26 @@
         Raises
         ------
         ValueError
-            An event is longer than `MAX_EVENT_BYTES`.
+            An event is longer than `MAX_EVENT_BYTES`, its id is no number that can be
+            compared, or the stream consists of very many tiny events.
         """
         self._buffer += piece
         events = []
-        while (end := _end_of_event(self._buffer)) > 0:
-            events.append(_parse(self._buffer[:end]))
-            self._buffer = self._buffer[end:]
+        start = 0
+        while found := _END_OF_EVENT.search(self._buffer, max(start, self._n_searched)):
+            end = found.end()
+            if not self._budget.take(end - start):
+                raise ValueError("a stream of too small events")
+            events.append(_parse(bytes(self._buffer[start:end])))
+            start = end
+        del self._buffer[:start]
+        # The mark may be split between two pieces.
+        self._n_searched = max(0, len(self._buffer) - _MAX_MARK_BYTES + 1)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"an event of over {MAX_EVENT_BYTES} bytes")
         return events
 
 
-def _end_of_event(text):
-    ends = [
-        found + len(mark)
-        for mark in (b"\n\n", b"\r\n\r\n")
-        if (found := text.find(mark)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _parse(raw):
     number = None
     data = []
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_frontend.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_frontend.py
@@ -10,7 +10,6 @@
 import h11
 
 from swifttide_core.forwarding import RequestLimits
-from swifttide_daemon.gateway._sockets import set_socket_options
 from swifttide_daemon.gateway.callers._answer_buffers import AnswerBuffers
 from swifttide_daemon.gateway.callers._caller_connection import (
     READ_BYTES,
@@ -18,6 +17,7 @@
     Handler,
 )
 from swifttide_daemon.gateway.callers._dialect import Dialect
+from swifttide_daemon.gateway.http._sockets import set_socket_options
 from swifttide_daemon.telemetry import EventLog
 
 MAX_BUFFERED_BYTES = 41_943_040
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
@@ -105,6 +105,8 @@
         """Software that made the first event; None before it."""
         self.output_chunks: list[bytes] = []
         """Data of the relayed events, for the transcript."""
+        self.n_output_bytes = 0
+        """Size of this data."""
         self.work: WorkClass | None = None
         """Class of the request in scheduling; None until its route is known."""
         self.rate_seconds = 0.0
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_http_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_client_connection.py
@@ -8,11 +8,18 @@
 
 import h11
 
-from swifttide_daemon.gateway._sockets import (
+from swifttide_core.buffering import PieceBudget, TransferDeadline
+from swifttide_daemon.gateway.callers._http_fields import Fields
+from swifttide_daemon.gateway.http._bounded_reading import (
+    MAX_INFORMATIONAL_HEADS,
+    MIN_ANSWER_PIECE_BYTES,
+    MIN_TRANSFER_BYTES_PER_SECOND,
+    EventPace,
+)
+from swifttide_daemon.gateway.http._sockets import (
     CONNECT_TIMEOUT_SECONDS,
     set_socket_options,
 )
-from swifttide_daemon.gateway.callers._http_fields import Fields
 
 READ_BYTES = 65_536
 
@@ -36,6 +43,8 @@
         self.idle_until = 0.0
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
+        self._pace = EventPace()
+        self._pieces = PieceBudget(MIN_ANSWER_PIECE_BYTES)
 
     @classmethod
     async def open(
@@ -83,6 +92,7 @@
         answer a long request early and stop reading, and the wait would never end.
         """
         self._request = h11.Request(method=method, target=target, headers=fields)
+        self._pieces = PieceBudget(MIN_ANSWER_PIECE_BYTES)
         data = self._http.send(self._request)
         if body:
             data += self._http.send(h11.Data(data=body))
@@ -99,7 +109,7 @@
         h11.RemoteProtocolError
             The received data is not a valid answer.
         """
-        while True:
+        for _ in range(1 + MAX_INFORMATIONAL_HEADS):
             match await self._next():
                 case h11.Response() as head:
                     return head.status_code, tuple(head.headers)
@@ -107,11 +117,16 @@
                     continue
                 case other:
                     raise h11.RemoteProtocolError(f"got {type(other).__name__}")
+        raise h11.RemoteProtocolError(
+            f"over {MAX_INFORMATIONAL_HEADS} informational heads"
+        )
 
     async def read_data(self) -> bytes | None:
         """Return the next chunk of the answer's body, None at its end."""
         match await self._next():
             case h11.Data() as piece:
+                if not self._pieces.take(len(piece.data)):
+                    raise h11.RemoteProtocolError("a body in too small pieces")
                 return bytes(piece.data)
             case h11.EndOfMessage():
                 return None
@@ -129,16 +144,25 @@
         ----------
         max_bytes : int
         limit : asyncio.Timeout or None
-            Timeout that is extended with each received chunk. A large answer on a slow
-            link takes longer than a small one. If it were abandoned and requested
-            again, it would never arrive and the link would be busy all the time.
+            Timeout that is extended while bytes arrive, see `TransferDeadline`. A large
+            answer on a slow link takes longer than a small one. If it were abandoned
+            and requested again, it would never arrive and the link would be busy all
+            the time.
         """
         body = bytearray()
+        loop = asyncio.get_running_loop()
+        deadline = None
+        if limit is not None:
+            deadline = TransferDeadline(
+                loop.time(),
+                limit.when() - loop.time(),
+                MIN_TRANSFER_BYTES_PER_SECOND,
+                MAX_CHUNK_PAUSE_SECONDS,
+            )
         while (piece := await self.read_data()) is not None:
             body += piece
-            if limit is not None:
-                now = asyncio.get_running_loop().time()
-                limit.reschedule(max(limit.when(), now + MAX_CHUNK_PAUSE_SECONDS))
+            if deadline is not None:
+                limit.reschedule(deadline.extend(loop.time(), len(piece)))
             if len(body) > max_bytes:
                 raise h11.RemoteProtocolError(f"a body of over {max_bytes} bytes")
         return bytes(body)
@@ -175,6 +199,7 @@
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
+                await self._pace.step()
                 return event
             data = await self.reader.read(READ_BYTES)
             self._http.receive_data(data)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_connection_pool.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_connection_pool.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from swifttide_daemon.gateway.targets._http_client import ClientConnection
+from swifttide_daemon.gateway.http._client_connection import ClientConnection
 
 DEFAULT_IDLE_SECONDS = 4.0
 """Time for which an idle connection is kept if the other end announces no timeout."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_client.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from swifttide_daemon.gateway.http._connection_pool import ConnectionPool
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.peers._peer_messages import (
     PeerAnswer,
@@ -12,7 +13,6 @@
     encode,
 )
 from swifttide_daemon.gateway.peers._peer_server import MAX_BODY_BYTES, PEER_CALL_PATH
-from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
 
 
 class PeerClient:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_server.py
@@ -5,7 +5,13 @@
 
 import h11
 
-from swifttide_daemon.gateway._sockets import set_socket_options
+from swifttide_core.buffering import PieceBudget, TransferDeadline
+from swifttide_daemon.gateway.http._bounded_reading import (
+    MIN_REQUEST_PIECE_BYTES,
+    MIN_TRANSFER_BYTES_PER_SECOND,
+    EventPace,
+)
+from swifttide_daemon.gateway.http._sockets import set_socket_options
 from swifttide_daemon.gateway.peers._peer_messages import (
     PeerAnswer,
     PeerRequest,
@@ -19,6 +25,10 @@
 IDLE_TIMEOUT_SECONDS = 30.0
 MAX_BODY_BYTES = 4_194_304
 
+CALL_TIMEOUT_SECONDS = 2.0
+"""Time for a small call to arrive, once its first byte has, and longest pause within a
+large one. The other host gives most calls up within half a second."""
+
 
 class PeerServer:
     """Server for calls of other hosts: JSON over HTTP, one task per connection.
@@ -81,12 +91,21 @@
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
     async def _read(self, http, reader) -> bytes | None:
+        """Return the body of the next call; None at the end of the connection.
+
+        A call that has begun must arrive at the rate of a narrow link.
+        """
         body = bytearray()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + IDLE_TIMEOUT_SECONDS
+        pace, pieces = EventPace(), PieceBudget(MIN_REQUEST_PIECE_BYTES)
+        deadline: TransferDeadline | None = None
         while True:
+            await pace.step()
             match http.next_event():
                 case h11.Data(data=data):
                     body += data
-                    if len(body) > MAX_BODY_BYTES:
+                    if len(body) > MAX_BODY_BYTES or not pieces.take(len(data)):
                         return None
                 case h11.EndOfMessage():
                     return bytes(body)
@@ -95,5 +114,14 @@
                 case h11.Request():
                     continue
                 case _:
-                    async with asyncio.timeout(IDLE_TIMEOUT_SECONDS):
-                        http.receive_data(await reader.read(READ_CHUNK_BYTES))
+                    async with asyncio.timeout_at(until):
+                        data = await reader.read(READ_CHUNK_BYTES)
+                    http.receive_data(data)
+                    now = loop.time()
+                    deadline = deadline or TransferDeadline(
+                        now,
+                        CALL_TIMEOUT_SECONDS,
+                        MIN_TRANSFER_BYTES_PER_SECOND,
+                        CALL_TIMEOUT_SECONDS,
+                    )
+                    until = deadline.extend(now, len(data))
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
@@ -37,6 +37,7 @@
     StoredRow,
     Transaction,
 )
+from swifttide_daemon.gateway.store._unusable_rows import log_unusable_row
 from swifttide_daemon.telemetry import EventLog
 
 KEY = "shares"
@@ -161,13 +162,7 @@
         try:
             return _rows.decode(row.value)
         except ValueError as exc:
-            self._log.warning(
-                "row_unusable",
-                table=row.key.table,
-                key=row.key.key,
-                version=row.version,
-                reason=str(exc),
-            )
+            log_unusable_row(self._log, row, str(exc))
             return {}
 
     def _apply_entries(self, entries, version):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_table_watches.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_table_watches.py
@@ -24,8 +24,8 @@
     Parameters
     ----------
     config, targets, hosts : TableWatch
-    tables : dict of str to TableWatch
-        The same watches by table name.
+    by_table : dict of str to TableWatch
+        The same watches by table name, each of which has to be run as a task.
     """
 
     config: TableWatch
@@ -98,10 +98,6 @@
         }
         return cls(config, targets, hosts, tables)
 
-    def all(self) -> tuple[TableWatch, ...]:
-        """Return all watches, each of which has to be run as a task."""
-        return self.config, self.targets, self.hosts
-
     def watch_of(self, table: str) -> TableWatch | None:
         """Return the watch of a table, or None if the table is not followed."""
         return self.by_table.get(table)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_unusable_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_unusable_rows.py
@@ -58,10 +58,15 @@
         return True
 
     def _report(self, row, reason):
-        reason = reason[:MAX_REASON_CHARACTERS]
-        self._log.warning("row_unusable", **_place(row), reason=reason)
+        log_unusable_row(self._log, row, reason)
         self._metrics.row_unusable(row.key.table)
 
 
+def log_unusable_row(log: EventLog, row: StoredRow, reason: str) -> None:
+    """Log that a row can't be used, and why."""
+    reason = reason[:MAX_REASON_CHARACTERS]
+    log.warning("row_unusable", **_place(row), reason=reason)
+
+
 def _place(row):
     return {"table": row.key.table, "key": row.key.key, "version": row.version}
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_silence_guard.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_silence_guard.py
@@ -8,7 +8,7 @@
 import asyncio
 
 from swifttide_core.forwarding import TargetEntry
-from swifttide_daemon.gateway.targets._http_client import ClientConnection
+from swifttide_daemon.gateway.http._client_connection import ClientConnection
 from swifttide_daemon.gateway.targets._target_prober import TargetProber
 
 SILENCE_SECONDS = 0.4
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_client.py
@@ -5,14 +5,15 @@
 the id of the attempt.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 import h11
 
 from swifttide_core.forwarding import TargetEntry
 from swifttide_daemon.gateway.callers._dialect import Dialect
-from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
-from swifttide_daemon.gateway.targets._http_client import ClientConnection
+from swifttide_daemon.gateway.http._client_connection import ClientConnection
+from swifttide_daemon.gateway.http._connection_pool import ConnectionPool
 from swifttide_daemon.gateway.targets._silence_guard import SilenceGuard
 from swifttide_daemon.gateway.targets._target_answer import (
     AnswerHead,
@@ -30,6 +31,10 @@
 """Largest answer of a service without streaming, which is read whole before it is
 forwarded."""
 
+MAX_DISCARD_SECONDS = 0.05
+"""Time to read the rest of an answer that isn't used, so that its connection can be
+reused. An answer that says that its request has not run mostly comes in one piece."""
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """HTTP statuses by which a target states that the request has not run."""
 
@@ -103,6 +108,20 @@
                 await hold(len(body))
         return bytes(body)
 
+    async def discard(self) -> None:
+        """Read the rest of an answer that isn't used, or close its connection.
+
+        The head has decided: nothing waits for a body that may never end.
+        """
+        try:
+            async with asyncio.timeout(MAX_DISCARD_SECONDS):
+                await self.read_body()
+        except (TimeoutError, TargetFailure):
+            self.cancel()
+        except BaseException:
+            self.cancel()
+            raise
+
     def cancel(self) -> None:
         """Close the connection, so that the target stops processing the request."""
         self.complete = True
@@ -229,7 +248,7 @@
             raise
         exchange = TargetExchange(conn, guard, head, target, self._pool)
         if head.not_run:
-            await self._discard(exchange)
+            await exchange.discard()
             wrong = head.status == 421
             raise TargetFailure(NotRun(f"refused with {head.status}", wrong))
         self._check(exchange)
@@ -257,12 +276,6 @@
             conn.skip_answer()
         raise h11.RemoteProtocolError("only answers to other requests")
 
-    async def _discard(self, exchange):
-        try:
-            await exchange.read_body()
-        except TargetFailure:
-            exchange.cancel()
-
     def _check(self, exchange):
         """Reject a successful answer without the target's stamp or attempt id.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_prober.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_prober.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from swifttide_core.forwarding import TargetEntry
-from swifttide_daemon.gateway.targets._connection_pool import ConnectionPool
-from swifttide_daemon.gateway.targets._http_client import ClientConnection
+from swifttide_daemon.gateway.http._client_connection import ClientConnection
+from swifttide_daemon.gateway.http._connection_pool import ConnectionPool
 from swifttide_daemon.telemetry import EventLog
 
 PROBE_ATTEMPTS = 2
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_uploads.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_uploads.py
@@ -7,8 +7,8 @@
 import asyncio
 
 from swifttide_core.buffering import MemoryBudget
-from swifttide_daemon.gateway._sockets import limit_kernel_unsent_bytes
-from swifttide_daemon.gateway.targets._http_client import ClientConnection
+from swifttide_daemon.gateway.http._client_connection import ClientConnection
+from swifttide_daemon.gateway.http._sockets import limit_kernel_unsent_bytes
 from swifttide_daemon.gateway.targets._target_answer import NotRun, TargetFailure
 
 UPLOAD_WAIT_FRACTION = 0.1
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_event_reader.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_event_reader.py
@@ -28,3 +28,20 @@
     def test_overlong_event_is_an_error(self):
         with pytest.raises(ValueError, match="bytes"):
             EventReader().feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+
+class TestBounds:
+    def test_mark_split_between_pieces(self):
+        reader = EventReader()
+        events = [
+            e for p in (b"id: 1\r\n\r", b"\ndata: x\n", b"\n") for e in reader.feed(p)
+        ]
+        assert [e.raw for e in events] == [b"id: 1\r\n\r\n", b"data: x\n\n"]
+        assert not reader.within_event
+
+    def test_stream_of_tiny_events_is_an_error(self):
+        """Guards against a stream whose events cost more than all other requests."""
+        reader = EventReader()
+        with pytest.raises(ValueError, match="too small"):
+            for _ in range(10):
+                reader.feed(b"\n\n" * 1_000)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_target_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_target_client.py
@@ -6,7 +6,7 @@
 
 from swifttide_core.forwarding import TargetEntry
 from swifttide_daemon.gateway import ConnectionPool, NotRun, TargetFailure
-from swifttide_daemon.gateway.targets._http_client import ClientConnection
+from swifttide_daemon.gateway.http._client_connection import ClientConnection
 from swifttide_daemon.gateway.targets._target_client import TargetClient
 from swifttide_daemon.gateway.targets._target_prober import TargetProber
 from swifttide_daemon.gateway.targets._target_uploads import TargetUploads
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_target_prober.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_target_prober.py
@@ -4,7 +4,7 @@
 
 from swifttide_core.forwarding import TargetEntry
 from swifttide_daemon.gateway import ConnectionPool
-from swifttide_daemon.gateway.targets._http_client import ClientConnection
+from swifttide_daemon.gateway.http._client_connection import ClientConnection
 from swifttide_daemon.gateway.targets._target_prober import PROBE_ATTEMPTS, TargetProber
 from swifttide_standins.paused_clock import run_paused
 
--- a/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
+++ b/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
@@ -50,6 +50,11 @@
         Bytes sent before the answer, such as another answer.
     raw_after : bytes
         Bytes sent after it.
+    endless : bytes
+        If any, sent after `raw_before` in place of the answer, again and again until
+        the other end closes.
+    endless_gap_seconds : float
+        Pause between them; with 0 they are sent at full speed.
     """
 
     status: int = 200
@@ -60,6 +65,8 @@
     hold_after: int | None = None
     raw_before: bytes = b""
     raw_after: bytes = b""
+    endless: bytes = b""
+    endless_gap_seconds: float = 0.0
 
 
 class HttpServer:
@@ -144,6 +151,9 @@
 
     async def _write(self, http, writer, reply, closed):
         writer.write(reply.raw_before)
+        if reply.endless:
+            await _write_without_end(writer, reply, closed)
+            return False
         fields = list(reply.fields.items())
         head = h11.Response(status_code=reply.status, headers=fields)
         writer.write(http.send(head))
@@ -170,3 +180,16 @@
     """Note that the other end has closed; it sends nothing while it waits."""
     if not await reader.read(1):
         closed.set()
+
+
+async def _write_without_end(writer, reply, closed):
+    block = reply.endless
+    if not reply.endless_gap_seconds:
+        block *= 65_536 // len(block) + 1
+    try:
+        while not closed.is_set():
+            writer.write(block)
+            await writer.drain()
+            await asyncio.sleep(reply.endless_gap_seconds)
+    finally:
+        closed.set()
--- a/packages/swifttide_standins/src/swifttide_standins/print_office/_runner.py
+++ b/packages/swifttide_standins/src/swifttide_standins/print_office/_runner.py
@@ -87,6 +87,37 @@
 
         return script
 
+    def without_end(
+        self, endless: bytes, head: bytes | None = None, gap_seconds: float = 0.0
+    ) -> Script:
+        """Return a script that sends bytes until its connection is closed.
+
+        Parameters
+        ----------
+        endless : bytes
+            Sent again and again.
+        head : bytes or None
+            Sent before; ``ATTEMPT`` stands for the id of the request. By default that
+            of a chunked answer.
+        gap_seconds : float
+            Pause between them.
+        """
+        if head is None:
+            head = (
+                b"HTTP/1.1 200 OK\r\nSwifttide-Attempt-Id: ATTEMPT\r\n"
+                b"Swifttide-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+
+        def script(request):
+            attempt = request.fields["swifttide-attempt-id"].encode()
+            return Reply(
+                raw_before=head.replace(b"ATTEMPT", attempt),
+                endless=endless,
+                endless_gap_seconds=gap_seconds,
+            )
+
+        return script
+
     def refusal(self, status: int = 503) -> Script:
         """Return a script that refuses without running the request."""
 
