FIX Answers without end don't hold threads of the own interface

Callers saw nothing of it until all threads were held: the time-out of urllib3 counts from one received byte to the next, so a service that sent a byte at times, or an answer of any size, kept the thread of its call; an engine's event without end grew in memory, and was joined and split again for each piece. A chunked request in chunks of one byte cost many times its bytes.

Bodies of services are now read until the deadline of the call, 8 MB and a budget of pieces; events of engines until 256 KB and the same budget; chunked requests within it.

--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
@@ -12,6 +12,7 @@
 import msgspec
 import urllib3
 
+from swifttide_core.buffering import PieceBudget
 from swifttide_core.documents import Target
 from swifttide_core.verdicts import Reason, Verdict
 from swifttide_daemon.settings import TimeoutSettings
@@ -20,9 +21,16 @@
     EngineText,
     TargetFailure,
 )
-from swifttide_daemon.transport import make_connection_pool, verdict_for_error
+from swifttide_daemon.transport import (
+    MIN_PIECE_BYTES,
+    make_connection_pool,
+    verdict_for_error,
+)
 
 TRANSPORT_ERRORS = (urllib3.exceptions.HTTPError, OSError)
+MAX_EVENT_BYTES = 262_144
+"""A longer event is an error, since an event is held in memory until its end."""
+
 MAX_RESUMES = 20
 """Consecutive connections without a new event after which the stream has failed."""
 
@@ -285,10 +293,18 @@
     answer: urllib3.BaseHTTPResponse, request_id: str
 ) -> Iterator[EngineText | EngineDone]:
     """Decode server-sent events; an incomplete stream ends without `EngineDone`."""
-    rest = b""
+    event = bytearray()
+    budget = PieceBudget(MIN_PIECE_BYTES)
     for piece in answer.stream(amt=None):
-        rest += piece
-        *blocks, rest = rest.split(b"\n\n")
+        last = bytes(event[-1:])
+        event += piece
+        if len(event) > MAX_EVENT_BYTES or not budget.take(len(piece)):
+            raise _invalid_answer("event without end in the stream")
+        # The mark may be split between two pieces.
+        if b"\n\n" not in last + piece:
+            continue
+        *blocks, rest = bytes(event).split(b"\n\n")
+        event = bytearray(rest)
         for block in blocks:
             if block.startswith(b"data: ") and block != b"data: [DONE]":
                 yield _decode_event(block[len(b"data: ") :], request_id)
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_service_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_service_client.py
@@ -4,6 +4,7 @@
 """
 
 import re
+import time
 
 import urllib3
 
@@ -12,10 +13,18 @@
 from swifttide_daemon.settings import TimeoutSettings
 from swifttide_daemon.targets._engine_events import TargetFailure
 from swifttide_daemon.targets._service_answer import ServiceAnswer
-from swifttide_daemon.transport import make_connection_pool, verdict_for_error
+from swifttide_daemon.transport import (
+    make_connection_pool,
+    read_body,
+    verdict_for_error,
+)
 
 REQUEST_ID_HEADER = "X-Request-Id"
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+MAX_ANSWER_BYTES = 8_388_608
+"""Largest answer of a service, which is read whole before it is forwarded."""
+
 _PRINTABLE_ASCII = re.compile(r"[\x20-\x7e]{1,200}")
 
 
@@ -59,7 +68,7 @@
         headers : dict
             Headers, including the request id, which the answer may echo.
         timeout_seconds : float
-            Longest time without data from the service.
+            Longest time without data from the service, and for its whole body.
         reuse_connection : bool
             Whether a kept connection may be used. If the service has just closed a
             kept connection, it is unknown whether the call arrived. Calls that must
@@ -71,6 +80,7 @@
             If there is no complete answer to this call.
         """
         pool = self.pool if reuse_connection else make_connection_pool(1, 1)
+        deadline = time.monotonic() + timeout_seconds
         try:
             answer = pool.request(
                 "POST",
@@ -80,7 +90,9 @@
                 timeout=urllib3.Timeout(
                     connect=self.connect_seconds, read=timeout_seconds
                 ),
+                preload_content=False,
             )
+            data = read_body(answer, deadline, MAX_ANSWER_BYTES)
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             verdict = verdict_for_error(exc)
             raise TargetFailure(
@@ -99,7 +111,7 @@
                 "service answered another request",
                 Verdict.MAY_HAVE_RUN,
             )
-        return ServiceAnswer(answer.status, answer.data, _content_type(answer))
+        return ServiceAnswer(answer.status, data, _content_type(answer))
 
 
 def _content_type(answer: urllib3.BaseHTTPResponse) -> str:
--- a/packages/swifttide_daemon/src/swifttide_daemon/web/_chunked_body.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/web/_chunked_body.py
@@ -11,10 +11,16 @@
 
 from cheroot.server import CRLF
 
+from swifttide_core.buffering import PieceBudget
+
 _SIZE = re.compile(rb"[0-9a-fA-F]{1,8}")
 _MAX_SIZE_LINE_BYTES = 64
 _EXTENSION = b";"
 
+MIN_CHUNK_BYTES = 256
+"""Smallest mean size of the chunks of a body, beyond the first thousand. The work of
+reading grows with the chunks: 4 MB in chunks of one byte take many seconds."""
+
 
 class ChunkedBody:
     """Reader of a chunked body up to a limit.
@@ -38,6 +44,7 @@
         self._max_bytes = max_bytes
         self._buffer = bytearray()
         self._n_read = 0
+        self._budget = PieceBudget(MIN_CHUNK_BYTES)
         self.finished = False
 
     def read(self, size: int = -1) -> bytes:
@@ -64,6 +71,8 @@
         self._n_read += size
         if self._max_bytes and self._n_read > self._max_bytes:
             raise ValueError(f"the body is longer than {self._max_bytes} bytes")
+        if not self._budget.take(size):
+            raise ValueError("the body has too many small chunks")
         chunk = self._rfile.read(size)
         if len(chunk) < size:
             raise ValueError("the body ended within a chunk")
