FIX A reload that is asked for during a start doesn't end the process

Seen: the new soak lost a host that got SIGHUP while it started; the process ended without a line. Its handler was set after the imports, half a second after the start, and SIGHUP ends a process by default. Ignoring it in platform/__main__.py came too late: python -m imports the package before it.

gateway_process.py ignores the signal before anything else of the package is imported, and is what machines run.

TST Soak of foreign entries, bytes without end, planned stops and reloads: callers keep their connections until the process is gone; no host may end, and no charge that a sound target ran may stay without its answer. The log field of an unusable row is named row: a field named key is masked.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_unusable_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_unusable_rows.py
@@ -69,4 +69,5 @@
 
 
 def _place(row):
-    return {"table": row.key.table, "key": row.key.key, "version": row.version}
+    # A field named "key" would be masked in the log.
+    return {"table": row.key.table, "row": row.key.key, "version": row.version}
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/__main__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/__main__.py
@@ -3,14 +3,9 @@
 import asyncio
 import logging
 import os
-import signal
 import sys
 from collections.abc import Callable
 
-if __name__ == "__main__":
-    # A reload that is asked for during the imports must not end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
 from swifttide_daemon.gateway import ConnectionPool, GatewaySettings
 from swifttide_daemon.gateway._gateway import Gateway
 from swifttide_daemon.gateway._run import run_gateway
--- a/tests/e2e/_gateway_fleet.py
+++ b/tests/e2e/_gateway_fleet.py
@@ -77,7 +77,7 @@
         )
         with (self._directory / f"{ip}.log").open("ab") as log:
             self._processes[ip] = subprocess.Popen(
-                [sys.executable, "-m", "swifttide_daemon.platform"],
+                [sys.executable, "-m", "swifttide_daemon.gateway_process"],
                 env=os.environ | {"SWIFTTIDE_SETTINGS": str(settings)},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
