--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,10 @@
-"""A program whose budget is spent returns while the store is down."""
+"""All machines lose power; programs that had got three quarters of a budget go on."""
 
 import asyncio
 import contextlib
+import json
+import random
+import signal
 import sys
 import time
 from pathlib import Path
@@ -14,25 +17,25 @@
 from stand_ins_2._hosts import ZONES, Hosts  # noqa: E402
 from stand_ins_2._runners import RunnerProcess, keep_entries  # noqa: E402
 
-N_HOSTS = 3
+N_HOSTS = 5
 N_RUNNERS = 5
-N_PROGRAMS = 4
-CONTACT_SECONDS = 3.0
-DOWN_SECONDS = 7.0
-"""The pages' largest for an outage of the whole store."""
-
-RETURN_AFTER_SECONDS = 2.5
-"""Time from the begin of the outage until the stopped programs return."""
-
-CHUNK_TOKENS = 10
-BUDGET = 1600
-FIRST_TURN_TOKENS = 400
-"""The most of the first turn, a plan; it is the most of any turn of the program."""
-
-LATER_TURN_TOKENS = 300
+N_PROGRAMS = 20
+SETTLE_SECONDS = 8.0
+"""Time before the programs begin, in which the hosts divide their duties."""
+
+DARK_SECONDS = 1.4
+"""Time for which all machines are without power."""
+
+RECOVERY_SECONDS = 12.0
+LAST_SECONDS = 4.0
+CHUNK_TOKENS = 11
+TURN_TOKENS = 286
+N_TURNS = 8
+N_TURNS_BEFORE = 6
+BUDGET = N_TURNS * TURN_TOKENS
 EVENT_GAP_SECONDS = 0.01
 TURN_SECONDS = 4.0
-N_RETURNS = 3
+PROGRAM_SECONDS = 40.0
 
 DOCUMENT = {
     "version": 3,
@@ -49,7 +52,8 @@
             "max_attempts": 1,
             "priority": 0,
             "sticky": True,
-            "resumable": True,
+            "retained": True,
+            "retention_s": 60,
         }
     ],
     "services": [
@@ -65,7 +69,7 @@
         }
     ],
     "tenants": [
-        {"name": "club", "api_keys": ["key-club"], "rate_per_s": 60, "burst": 60}
+        {"name": "club", "api_keys": ["key-club"], "rate_per_s": 200, "burst": 200}
     ],
     "limits": {
         "max_header_bytes": 16384,
@@ -77,7 +81,7 @@
 
 
 class Case:
-    """The case: hosts, runners and programs that loop until they are stopped."""
+    """The case: hosts, runners, programs under way and others that begin."""
 
     def __init__(self, directory, record):
         self.record = record
@@ -89,62 +93,99 @@
             )
             for n in range(N_RUNNERS)
         ]
-        self.tokens: dict[str, int] = {}
-        self.n_stopped = 0
+        self.reached: set[str] = set()
+        self.lost: list[str] = []
+        self.n_others = 0
+        self.n_others_served = 0
+        self.recovered_at = float("inf")
 
     def script(self, request, runner):
         """Generate as many tokens as the turn may have."""
-        most = int(request.fields["swifttide-token-usage"].partition(",")[2])
-        numbers = range(1, most // CHUNK_TOKENS + 1)
+        self.reached.add(request.fields["swifttide-attempt-id"])
+        numbers = range(1, TURN_TOKENS // CHUNK_TOKENS + 1)
         pieces = tuple(f"id: {n}\ndata: w{n}\n\n".encode() for n in numbers)
         return runner.reply(request, pieces, gap_seconds=EVENT_GAP_SECONDS)
 
-    async def send_turn(self, program, number, most):
-        """Send a turn; count the tokens that it brought."""
+    async def send_turn(self, program, number, previous, until):
+        """Send a turn to a machine of the rotation."""
+        left = max(1, int((until - time.monotonic()) * 1000))
         fields = {
             "Authorization": "Bearer key-club",
             "Swifttide-Model": "m",
-            "Swifttide-Token-Usage": f"839,{most}",
+            "Swifttide-Token-Usage": f"839,{TURN_TOKENS}",
             "Swifttide-Program-Id": program,
             "Swifttide-Session-Id": f"s-{program}",
             "Swifttide-Token-Budget": str(BUDGET),
-            "Swifttide-Program-Deadline-Ms": "20000",
+            "Swifttide-Program-Deadline-Ms": str(left),
         }
-        ips = self.hosts.in_rotation()
-        out = await send(
+        if previous:
+            fields["Swifttide-Previous-Turn"] = previous
+        return await send(
             self.hosts,
-            ips[number % len(ips)],
+            random.choice(self.hosts.in_rotation()),
             self.record,
             "/pedigree/2f",
             fields,
-            f"{program} turn {number}".encode(),
+            f"{program} turn {number};".encode(),
             TURN_SECONDS,
             f"{program}.{number}",
         )
-        if out.status == 200:
-            self.tokens[program] += out.body.count(b"\n\n") * CHUNK_TOKENS
-        return out
-
-    async def loop_until_stopped(self, program):
-        """Run turns until the answer says that the budget is spent."""
-        self.tokens[program] = 0
-        for number in range(20):
-            most = LATER_TURN_TOKENS if number else FIRST_TURN_TOKENS
-            out = await self.send_turn(program, number, most)
-            if out.status == 402:
-                self.n_stopped += 1
+
+    async def run_before(self, program, until):
+        """Run the turns before the fault; return the attempt of the last one."""
+        previous = ""
+        for number in range(N_TURNS_BEFORE):
+            out = await self.send_turn(program, number, previous, until)
+            if out.status != 200 or not out.is_whole:
+                raise RuntimeError(f"{program} got {out.status} before the fault")
+            previous = out.attempt
+        return previous
+
+    async def go_on(self, program, previous, until):
+        """Send the next turn until it reaches a runner, is ended, or time is up.
+
+        The budget holds two more turns: all turns before have ended whole.
+        """
+        while time.monotonic() < self.recovered_at:
+            out = await self.send_turn(program, N_TURNS_BEFORE, previous, until)
+            if out.attempt in self.reached:
+                return
+            if out.status in (400, 401, 402, 403, 404, 413):
+                break
+            await asyncio.sleep(max(0.2, min(out.retry_after, TURN_SECONDS / 3)))
+        self.lost.append(program)
+        spent = N_TURNS_BEFORE * TURN_TOKENS
+        self.record.write(
+            "turn_reaches_no_runner",
+            program=program,
+            status=out.status,
+            spent=spent,
+            budget=BUDGET,
+        )
+
+    async def send_others(self):
+        """Begin other programs, and count their turns in the last seconds."""
+        for n in range(1_000):
+            if time.monotonic() >= self.recovered_at:
                 return
-            if out.status != 200:
-                await asyncio.sleep(out.retry_after)
+            out = await self.send_turn(
+                f"other-{n}", 0, "", time.monotonic() + PROGRAM_SECONDS
+            )
+            if out.sent_at >= self.recovered_at - LAST_SECONDS:
+                self.n_others += 1
+                self.n_others_served += out.status == 200 and out.is_whole
             await asyncio.sleep(0.1)
 
-    async def come_back(self, program):
-        """Send a turn once more, and twice after an answer of 402."""
-        for number in range(100, 100 + N_RETURNS):
-            out = await self.send_turn(program, number, LATER_TURN_TOKENS)
-            if out.status not in (200, 402):
-                await asyncio.sleep(min(out.retry_after, TURN_SECONDS / 3))
-            await asyncio.sleep(0.2)
+    async def lose_power(self):
+        """Write a configuration, and end all hosts when it is acknowledged."""
+        text = json.dumps(DOCUMENT | {"version": DOCUMENT["version"] + 4}).encode()
+        self.hosts.store.rows.put("op", "config", text)
+        self.record.write("configuration_acknowledged")
+        for ip in self.hosts.ips:
+            self.hosts.signal(ip, signal.SIGKILL)
+        await asyncio.sleep(DARK_SECONDS)
+        for ip in self.hosts.ips:
+            self.hosts.start_host(ip)
 
     async def play(self, has_trouble):
         """Play the case; return whether the rule was broken."""
@@ -155,28 +196,33 @@
             asyncio.ensure_future(self.hosts.balance()),
             asyncio.ensure_future(keep_entries(self.runners)),
         ]
-        await asyncio.sleep(CONTACT_SECONDS + 3.0)
+        await asyncio.sleep(SETTLE_SECONDS)
         programs = [f"program-{n}" for n in range(N_PROGRAMS)]
-        await asyncio.gather(*map(self.loop_until_stopped, programs))
-        if self.n_stopped < N_PROGRAMS:
-            raise RuntimeError("a program wasn't stopped")
-        await asyncio.sleep(1.0)
-        self.record.write("all_stopped", tokens=self.tokens)
-        began = time.monotonic()
-        self.hosts.store.refuse = has_trouble
-        self.record.write("store_down" if has_trouble else "store_stays")
-        await asyncio.sleep(RETURN_AFTER_SECONDS)
-        returning = [asyncio.ensure_future(self.come_back(p)) for p in programs]
-        await asyncio.sleep(began + DOWN_SECONDS - time.monotonic())
-        self.hosts.store.refuse = False
-        self.record.write("store_back")
-        await asyncio.gather(*returning)
+        until = time.monotonic() + PROGRAM_SECONDS
+        last = await asyncio.gather(*(self.run_before(p, until) for p in programs))
+        if has_trouble:
+            await self.lose_power()
+        self.recovered_at = time.monotonic() + RECOVERY_SECONDS
+        await asyncio.gather(
+            self.send_others(),
+            *(
+                self.go_on(p, previous, until)
+                for p, previous in zip(programs, last, strict=True)
+            ),
+        )
         for task in background:
             task.cancel()
         await asyncio.gather(*background, return_exceptions=True)
-        allowed = BUDGET + max(FIRST_TURN_TOKENS, LATER_TURN_TOKENS)
-        self.record.write("result", tokens=self.tokens, budget=BUDGET, allowed=allowed)
-        return any(tokens > allowed for tokens in self.tokens.values())
+        self.record.write(
+            "result",
+            lost=len(self.lost),
+            programs=N_PROGRAMS,
+            others=self.n_others,
+            others_served=self.n_others_served,
+        )
+        if self.n_others_served < 0.8 * self.n_others:
+            raise RuntimeError("other turns aren't served either")
+        return bool(self.lost)
 
     async def stop(self):
         """End everything that was started."""
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,9 @@
-"""A request that crashes runners comes again while the hosts are replaced in turn."""
+"""Configurations come in quick succession; some lack a tenant, others have it."""
 
 import asyncio
 import contextlib
-import itertools
+import json
+import random
 import sys
 import time
 from pathlib import Path
@@ -15,50 +16,50 @@
 from stand_ins_2._hosts import ZONES, Hosts  # noqa: E402
 from stand_ins_2._runners import RunnerProcess, keep_entries  # noqa: E402
 
-N_HOSTS = 5
-N_RUNNERS = 5
-N_CALLERS = 4
+N_HOSTS = 3
+N_RUNNERS = 3
+N_CALLERS = 40
+RATE = 20
+BURST = 100
+QUOTA_WINDOW_SECONDS = 5.0
+QUOTA_EXCESS = 0.1
+QUOTA_EXTRA = 20
 
-CRASHING_BODY = b"catalogue entry that no engine survives"
-RUNNER_DOWN_SECONDS = 2.0
-RETURN_SECONDS = 1.0
-"""Pause after which the crashing request comes again, at the next machine."""
+FILL_SECONDS = 10.0
+"""Time without requests, in which the burst becomes available."""
 
-BEFORE_SECONDS = 12.0
-ROLL_GAP_SECONDS = 8.0
-"""Pause after a host is ready and before the next one is stopped."""
-
-AFTER_SECONDS = 6.0
-CONTACT_SECONDS = 3.0
-MAX_RETRIES = 3
+BEFORE_SECONDS = 0.5
+STORM_SECONDS = 4.0
+STORM_GAP_SECONDS = 0.33
+AFTER_SECONDS = 2.0
+REQUEST_SECONDS = 1.2
 
 DOCUMENT = {
     "version": 3,
     "routes": [
         {
-            "name": "listing",
+            "name": "ring-lookup",
             "host": "app.example",
-            "prefix": "/listing/",
-            "service": "agent-models",
-            "type": "streaming",
-            "timeout_ms": 4000,
-            "latency_target_ms": 200,
-            "gap_target_ms": 200,
+            "prefix": "/ring/",
+            "service": "catalogue-app",
+            "type": "idempotent",
+            "timeout_ms": 1200,
+            "latency_target_ms": 101,
             "max_attempts": 1,
-            "priority": 1,
-            "sticky": True,
+            "priority": 2,
         }
     ],
     "services": [
-        {
-            "name": "agent-models",
-            "health_path": "/healthz",
-            "max_conns": 160,
-            "runtime": {"capacity": 12, "kv_capacity": 108066, "chunk_tokens": 11},
-        }
+        {"name": "catalogue-app", "health_path": "/healthz", "max_conns": 110}
     ],
     "tenants": [
-        {"name": "club", "api_keys": ["key-club"], "rate_per_s": 60, "burst": 60}
+        {
+            "name": "club",
+            "api_keys": ["key-club"],
+            "rate_per_s": RATE,
+            "burst": BURST,
+        },
+        {"name": "press", "api_keys": ["key-press"], "rate_per_s": 9, "burst": 9},
     ],
     "limits": {
         "max_header_bytes": 16384,
@@ -68,15 +69,9 @@
     },
 }
 
-FIELDS = {
-    "Authorization": "Bearer key-club",
-    "Swifttide-Model": "m",
-    "Swifttide-Token-Usage": "1166,80",
-}
-
 
 class Case:
-    """The case: hosts, runners, the crashing request and usual requests beside it."""
+    """The case: hosts, runners of a plain service and callers of one tenant."""
 
     def __init__(self, directory, record):
         self.record = record
@@ -84,70 +79,56 @@
         rows = self.hosts.store.rows
         self.runners = [
             RunnerProcess(
-                f"r{n}",
-                "agent-models",
-                ZONES[n % len(ZONES)],
-                rows,
-                record,
-                self.script,
+                f"r{n}", "catalogue-app", ZONES[n % 3], rows, record, self.script, 6
             )
             for n in range(N_RUNNERS)
         ]
-        self.crashes = []
-        self.retries = []
-        self.n_cut = 0
-        self.n_whole = 0
-        self._sent_from = {}
-        self._tasks = set()
+        self.ran_at: dict[str, float] = {}
+        self.sent_at: dict[str, float] = {}
 
     def script(self, request, runner):
-        """Crash on the crashing request, and stream an answer to any other."""
-        if request.body == CRASHING_BODY:
-            self._note_crash(request.fields["swifttide-attempt-id"])
-            task = asyncio.ensure_future(runner.crash(RUNNER_DOWN_SECONDS))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            return None
-        pieces = tuple(f"id: {n}\ndata: d{n}\n\n".encode() for n in range(1, 8))
-        return runner.reply(request, pieces, gap_seconds=0.04)
-
-    def _note_crash(self, attempt):
-        now = time.monotonic()
-        if len(self.crashes) >= 3 and now - self.crashes[2] > CONTACT_SECONDS:
-            self.retries.append(attempt)
-        self.crashes.append(now)
-
-    async def send_crashing(self):
-        """Send the crashing request again and again, at one machine after the other."""
-        for n in itertools.count():
-            ips = self.hosts.in_rotation()
-            ip = ips[n % len(ips)]
-            is_in_touch = self.hosts.is_in_touch(ip)
-            out = await send(
-                self.hosts, ip, self.record, "/listing/1", FIELDS, CRASHING_BODY, 4.0
-            )
-            if out.attempt in self.retries and not is_in_touch:
-                self.retries.remove(out.attempt)
-            await asyncio.sleep(RETURN_SECONDS)
-
-    async def send_usual(self, number):
-        """Send usual requests, and count how many of their answers are cut."""
-        for n in itertools.count():
-            ips = self.hosts.in_rotation()
-            body = f"entry form {number}-{n}".encode()
+        """Answer at once."""
+        self.ran_at[request.fields["swifttide-attempt-id"]] = time.monotonic()
+        return runner.reply(request, (b"ring 7",))
+
+    async def call(self):
+        """Send requests one after the other, and come back when told so."""
+        while True:
             out = await send(
                 self.hosts,
-                ips[(number + n) % len(ips)],
+                random.choice(self.hosts.in_rotation()),
                 self.record,
-                f"/listing/{number}",
-                FIELDS,
-                body,
-                4.0,
+                "/ring/7",
+                {"Authorization": "Bearer key-club"},
+                b"",
+                REQUEST_SECONDS,
+                method="GET",
+            )
+            self.sent_at[out.attempt] = out.sent_at
+            if out.status != 200:
+                left = out.sent_at + REQUEST_SECONDS - time.monotonic()
+                await asyncio.sleep(max(0.1, min(out.retry_after, left / 3)))
+
+    def write_version(self, version, has_tenant):
+        """Write a version of the configuration, with or without the busy tenant."""
+        tenants = [t for t in DOCUMENT["tenants"] if has_tenant or t["name"] != "club"]
+        document = DOCUMENT | {"version": version, "tenants": tenants}
+        text = json.dumps(document).encode()
+        self.hosts.store.rows.put("op", "config", text)
+        self.record.write("configuration", version=version, has_tenant=has_tenant)
+
+    def most_in_window(self):
+        """Return the most requests that were sent and ran within one window."""
+        times = sorted(
+            (self.sent_at[a], at) for a, at in self.ran_at.items() if a in self.sent_at
+        )
+        return max(
+            sum(
+                sent >= start and ran <= start + QUOTA_WINDOW_SECONDS
+                for sent, ran in times
             )
-            if out.status == 200:
-                self.n_whole += out.is_whole
-                self.n_cut += not out.is_whole
-            await asyncio.sleep(0.1)
+            for start, _ in times
+        )
 
     async def play(self, has_trouble):
         """Play the case; return whether the rule was broken."""
@@ -157,34 +138,29 @@
         background = [
             asyncio.ensure_future(self.hosts.balance()),
             asyncio.ensure_future(keep_entries(self.runners)),
-            *(asyncio.ensure_future(self.send_usual(n)) for n in range(N_CALLERS)),
         ]
-        await asyncio.sleep(CONTACT_SECONDS)
-        background.append(asyncio.ensure_future(self.send_crashing()))
+        await asyncio.sleep(FILL_SECONDS)
+        self.record.write("callers_begin")
+        background += [asyncio.ensure_future(self.call()) for _ in range(N_CALLERS)]
         await asyncio.sleep(BEFORE_SECONDS)
-        self.record.write("before_roll", crashes=len(self.crashes))
-        for ip in self.hosts.ips:
-            if has_trouble:
-                await self.hosts.replace_process(ip)
-            await asyncio.sleep(ROLL_GAP_SECONDS)
+        self.record.write("ran_before", count=len(self.ran_at))
+        for n in range(round(STORM_SECONDS / STORM_GAP_SECONDS / 2) * 2):
+            self.write_version(4 + n, has_tenant=n % 2 == 1 or not has_trouble)
+            await asyncio.sleep(STORM_GAP_SECONDS)
         await asyncio.sleep(AFTER_SECONDS)
         for task in background:
             task.cancel()
         await asyncio.gather(*background, return_exceptions=True)
+        allowed = RATE * QUOTA_WINDOW_SECONDS + BURST
+        allowed = allowed * (1 + QUOTA_EXCESS) + QUOTA_EXTRA
+        most = self.most_in_window()
         self.record.write(
-            "result",
-            crashes=len(self.crashes),
-            retries_after_third=len(self.retries),
-            allowed=MAX_RETRIES,
-            usual_whole=self.n_whole,
-            usual_cut=self.n_cut,
+            "result", most=most, allowed=allowed, ran=len(self.ran_at), rate=RATE
         )
-        return len(self.retries) > MAX_RETRIES
+        return most > allowed
 
     async def stop(self):
         """End everything that was started."""
-        for task in list(self._tasks):
-            task.cancel()
         for runner in self.runners:
             await runner.stop()
         await self.hosts.stop()
--- a/review/stand_ins_2/_hosts.py
+++ b/review/stand_ins_2/_hosts.py
@@ -228,9 +228,13 @@
         age = time.monotonic() - self.started_at[ip]
         return self.is_running(ip) and age >= CONTACT_SECONDS
 
+    def address(self, ip):
+        """Return the address at which a host takes requesters."""
+        return ip, self._ports[0]
+
     def connect(self, ip):
         """Open a connection as a requester."""
-        return asyncio.open_connection(ip, self._ports[0])
+        return asyncio.open_connection(*self.address(ip))
 
     def in_rotation(self):
         """Return the hosts that get new connections."""
--- a/review/stand_ins_2/_runners.py
+++ b/review/stand_ins_2/_runners.py
@@ -56,7 +56,7 @@
         return self._runner.id if self._runner else ""
 
     async def start(self):
-        """Start at the address of before, with a new id."""
+        """Start with a new id, at the address of before unless it was given up."""
         runner = Runner(f"i-{next(self._numbers):06x}", self._service, self._zone)
         runner.script = lambda request: self._run(request, runner)
         await runner.server.start(self._port)
@@ -77,8 +77,8 @@
         """Return an answer with the mark of the present start."""
         return self._runner.reply(request, pieces, **more)
 
-    async def crash(self, seconds):
-        """End at once with all requests; start again later."""
+    async def crash(self, seconds, moves=False):
+        """End at once with all requests; start again later, perhaps elsewhere."""
         runner, self._runner = self._runner, None
         if runner is None:
             return
@@ -86,6 +86,8 @@
         self._left_at[runner.id] = time.monotonic()
         await runner.server.stop()
         await asyncio.sleep(seconds)
+        if moves:
+            self._port = 0
         await self.start()
 
     def beat(self):
