--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,7 +23,7 @@
 SETTLE_SECONDS = 8.0
 """Time before the programs begin, in which the hosts divide their duties."""
 
-DARK_SECONDS = 1.4
+DARK_SECONDS = 1.3
 """Time for which all machines are without power."""
 
 RECOVERY_SECONDS = 12.0
