FIX A kept turn that is resumed is stored with what its caller has

Seen by callers: a turn on a route that keeps turns and may be resumed was cut as its host was killed, and resumed at another host.

Cause: the host at which a turn is resumed stores what it relayed itself. Only the lost host knew the rest. Evidence: in the case's record the history lacks just the events up to Last-Event-Id; a resumption within one answer keeps them, as the same host relays both parts.

Change: the host that relays such a turn tells three keepers, in different zones, each event before its caller has it. The host at which it is resumed asks them, and refuses with 503 turn_begin_unknown where nobody knows the beginning, or where answers to the same request differ. An attempt that goes on tells the keepers the whole anew, so that a turn may be resumed again. As the ids are known now, a target that leaves a gap as it resumes a turn is noticed too.

Weighed: refusing each resumption of a kept turn costs its caller a whole new turn; running the turn again from its start and leaving out what the caller has would pass on an answer that isn't the target's whole body; a row in the store for each event exceeds its rate of writes.

--- a/packages/swifttide_core/src/swifttide_core/resumption/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/resumption/__init__.py
@@ -7,6 +7,10 @@
 )
 from swifttide_core.resumption._origin_records import OriginRecords
 from swifttide_core.resumption._stream_origin import StreamOrigin
+from swifttide_core.resumption._turn_event_records import (
+    TurnEvent,
+    TurnEventRecords,
+)
 from swifttide_core.resumption._version_history import VersionHistory, VersionsSeen
 
 __all__ = [
@@ -14,6 +18,8 @@
     "OriginRecords",
     "OriginSource",
     "StreamOrigin",
+    "TurnEvent",
+    "TurnEventRecords",
     "VersionHistory",
     "VersionsSeen",
     "keeper_candidates",
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -50,6 +50,7 @@
 from swifttide_daemon.gateway.store._table_watches import TableWatches
 from swifttide_daemon.gateway.store._unusable_rows import UnusableRows
 from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
+from swifttide_daemon.gateway.streams._turn_events import TurnEvents
 from swifttide_daemon.gateway.targets._cold_targets import ColdTargets
 from swifttide_daemon.gateway.targets._scheduler_endpoint import SchedulerEndpoint
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
@@ -134,6 +135,7 @@
             lambda: self._lender,
             lambda: self._turns,
             lambda: self._origins,
+            lambda: self._turn_events,
             lambda slot: self._shares.owner_of(slot),
             lambda table: self._feeds.watch_of(table),
             log,
@@ -227,6 +229,8 @@
             self._fleet, self._peers, self.beliefs, self._datagrams.send
         )
         self._datagrams.on_stream_began = self._origins.handle_message
+        self._turn_events = TurnEvents(self._fleet, self._peers, self._datagrams.send)
+        self._datagrams.on_turn_generated = self._turn_events.handle_message
         self._entry = ProgramEntry(
             self.beliefs, self._health, self._scheduling.client, log
         )
@@ -247,12 +251,14 @@
                 self._strikes,
                 self._entry,
                 self._origins,
+                self._turn_events,
                 lambda: self._front.requests_end_at,
             ),
             AnswerRelay(
                 dialect,
                 turns,
                 self._origins,
+                self._turn_events,
                 retry_elsewhere_seconds,
                 self.beliefs,
                 self._metrics,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
@@ -17,7 +17,7 @@
     Route,
     intersect_regions,
 )
-from swifttide_core.resumption import KnownOrigin
+from swifttide_core.resumption import KnownOrigin, TurnEvent
 from swifttide_core.strikes import Refused, fingerprint_of
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway.budgets._account_rows import program_key
@@ -40,6 +40,7 @@
 )
 from swifttide_daemon.gateway.rates._rate_limiter import RateLimiter
 from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
+from swifttide_daemon.gateway.streams._turn_events import TurnEvents
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
 
@@ -92,6 +93,8 @@
         Admission of new programs by the load of the targets.
     origins : StreamOrigins
         Knows at which software streams began.
+    turn_events : TurnEvents
+        Knows what turns have generated that are resumed.
     requests_end_at : callable
         Returns the time of the event loop by which a request that is admitted now must
         end, because this host stops then; None while there is none.
@@ -106,6 +109,7 @@
         strikes: StrikeKeeper,
         entry: ProgramEntry,
         origins: StreamOrigins,
+        turn_events: TurnEvents,
         requests_end_at: Callable[[], float | None] = lambda: None,
     ):
         self._beliefs = beliefs
@@ -115,6 +119,7 @@
         self._strikes = strikes
         self._entry = entry
         self._origins = origins
+        self._turn_events = turn_events
         self._requests_end_at = requests_end_at
 
     async def admit(
@@ -155,6 +160,7 @@
         self._check_targets(service, homes)
         if resumed is not None:
             self._check_origin_serves(resumed.origin, service, homes)
+        resumed_events = await self._find_resumed_events(req, route, customer, homes)
         fingerprint = self._check_strikes(req, customer)
         may_be_new = resumed is None and self._may_be_new(req, customer)
         if req.turn.budget_tokens and route.kind is RequestKind.STREAMING:
@@ -189,6 +195,7 @@
             fingerprint,
             homes,
             resumed,
+            resumed_events,
         )
 
     def _check_stop(self, expires_at):
@@ -242,6 +249,21 @@
             raise Refusal(503, NO_TARGET_OF_ORIGIN, NEW_STREAM_RETRY_SECONDS)
         return found
 
+    async def _find_resumed_events(
+        self, req, route, customer, homes
+    ) -> tuple[TurnEvent, ...]:
+        """Return the events that the caller of a resumed turn has, to be stored too.
+
+        Raises `Refusal` if they aren't known: the turn's transcript would lack them,
+        and later turns would continue from another answer than their caller has.
+        """
+        if req.last_event_id is None or not route.keeps_turns:
+            return ()
+        found = await self._turn_events.find(customer, req, homes)
+        if found is None:
+            raise Refusal(503, "turn_begin_unknown", NEW_STREAM_RETRY_SECONDS)
+        return found
+
     def _check_origin_serves(self, origin, service, homes):
         """Refuse to resume a stream if no target of its software is left."""
         targets = self._beliefs.targets_of(service.name, homes)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_relay.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from swifttide_core.forwarding import RequestKind
-from swifttide_core.resumption import StreamOrigin
+from swifttide_core.resumption import StreamOrigin, TurnEvent
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway.callers._dialect import Dialect
@@ -23,6 +23,7 @@
 from swifttide_daemon.gateway.callers._refusal import Refusal
 from swifttide_daemon.gateway.http._bounded_reading import EventPace
 from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
+from swifttide_daemon.gateway.streams._turn_events import TurnEvents
 from swifttide_daemon.gateway.targets._target_answer import MayHaveRun, TargetFailure
 from swifttide_daemon.gateway.targets._target_client import (
     NOT_RUN_STATUSES,
@@ -53,6 +54,8 @@
         Stores the transcripts of turns.
     origins : StreamOrigins
         Remembers at which software streams began.
+    turn_events : TurnEvents
+        Remembers what turns have generated that may be resumed.
     failover_delay_seconds : callable
         While this host is cut off from the store and the other zones, returns the
         seconds until callers are routed to another host; otherwise returns None.
@@ -67,6 +70,7 @@
         dialect: Dialect,
         turns: TurnKeeper,
         origins: StreamOrigins,
+        turn_events: TurnEvents,
         failover_delay_seconds: Callable[[], float | None],
         beliefs: Beliefs,
         metrics: GatewayMetrics,
@@ -75,6 +79,7 @@
         self._dialect = dialect
         self._turns = turns
         self._origins = origins
+        self._turn_events = turn_events
         self._failover_delay_seconds = failover_delay_seconds
         self._beliefs = beliefs
         self._metrics = metrics
@@ -131,7 +136,7 @@
             await job.channel.start(head.status, fields, None)
         reader = EventReader()
         pace = EventPace()
-        resumes = progress.n_events > 0
+        resumes = progress.last_event_id is not None
         while (piece := await exchange.read_piece()) is not None:
             for event in self._parse_events(reader, piece, exchange):
                 await pace.step()
@@ -152,19 +157,14 @@
             raise TargetFailure(MayHaveRun(str(exc))) from exc
 
     async def _relay_event(self, job, progress, target, event):
-        if event.id is not None:
-            if (
-                progress.last_event_id is not None
-                and event.id <= progress.last_event_id
-            ):
-                # Relayed before the stream was resumed.
-                return
-            if (
-                progress.last_event_id is not None
-                and event.id != progress.last_event_id + 1
-            ):
-                progress.event_ids_consecutive = False
-            progress.last_event_id = event.id
+        if (
+            event.id is not None
+            and progress.last_event_id is not None
+            and event.id <= progress.last_event_id
+        ):
+            # Relayed before the stream was resumed.
+            return
+        progress.note_event_id(event.id)
         self._check_token_limit(job, progress)
         progress.n_events += 1
         progress.last_seconds = request_age_seconds(job.req)
@@ -173,14 +173,26 @@
             progress.origin = StreamOrigin.of(target)
             self._record_origin(job, progress.origin)
             self._log_begun(job, target)
-        if job.route.keeps_turns and event.has_data:
-            progress.output_chunks.append(event.data + b"\n")
-            progress.n_output_bytes += len(event.data) + 1
-            if len(job.body) + progress.n_output_bytes > MAX_TRANSCRIPT_BYTES:
-                # It couldn't be stored at its end, which may never come.
-                raise Refusal(502, "turn_too_long")
+        if job.route.keeps_turns:
+            self._record_turn_event(job, progress, event)
         await job.channel.write(event.raw)
 
+    def _record_turn_event(self, job, progress, event):
+        """Make an event of a turn known before its caller has it."""
+        data = event.data if event.has_data else None
+        progress.add_turn_event(TurnEvent(event.id, data))
+        if len(job.body) + progress.n_output_bytes > MAX_TRANSCRIPT_BYTES:
+            # It couldn't be stored at its end, which may never come.
+            raise Refusal(502, "turn_too_long")
+        if not job.route.resumable:
+            return
+        # Keepers may have lost what an earlier attempt told them.
+        n_before = len(progress.turn_events) - 1 if progress.n_events > 1 else 0
+        events = progress.turn_events[n_before:]
+        self._turn_events.record(
+            job.customer, job.req, n_before, events, job.route, job.homes
+        )
+
     def _check_token_limit(self, job, progress):
         """Fail a turn that would exceed its reserved tokens.
 
@@ -202,7 +214,7 @@
         """
         if not job.route.keeps_turns:
             return
-        transcript = job.body + b"".join(progress.output_chunks)
+        transcript = job.body + progress.turn_output
         loop = asyncio.get_running_loop()
         until = loop.time() + MAX_TURN_STORE_SECONDS
         keep = functools.partial(
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -158,6 +158,7 @@
 
     async def _admit_and_run(self, req, channel, progress):
         job = await self._admission.admit(req, channel, progress)
+        progress.resume_turn(job.resumed_events)
         try:
             await self._run_with_deadline(job, progress)
         except Refusal:
@@ -256,6 +257,7 @@
             request_id=job.req.id,
             **resumption_fields(job.req),
             n_events=progress.n_events,
+            n_turn_events=len(progress.turn_events),
             began_version=origin.software_version,
             source=source,
             target=target.id,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_job.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from swifttide_core.forwarding import AllowedRegions, CustomerTerms, Route, ServiceSpec
-from swifttide_core.resumption import KnownOrigin, StreamOrigin
+from swifttide_core.resumption import KnownOrigin, StreamOrigin, TurnEvent
 from swifttide_core.scheduling import TurnResult, WorkClass
 from swifttide_daemon.gateway.budgets._reservation import Reservation
 from swifttide_daemon.gateway.callers._caller_channel import CallerChannel
@@ -39,6 +39,9 @@
         Regions in which the request may run and its data may be stored; None for any.
     resumed_origin : KnownOrigin or None
         Software that began the stream that the request resumes; None for a new stream.
+    resumed_events : tuple of TurnEvent
+        Events of the resumed turn that its caller has from earlier attempts; empty
+        where turns aren't stored.
     """
 
     req: CallerRequest
@@ -52,6 +55,7 @@
     fingerprint: str
     homes: AllowedRegions = None
     resumed_origin: KnownOrigin | None = None
+    resumed_events: tuple[TurnEvent, ...] = ()
 
     @property
     def customer(self) -> str:
@@ -103,10 +107,10 @@
         """Events relayed to the caller."""
         self.origin: StreamOrigin | None = None
         """Software that made the first event; None before it."""
-        self.output_chunks: list[bytes] = []
-        """Data of the relayed events, for the transcript."""
+        self.turn_events: list[TurnEvent] = []
+        """Events of the turn, those of earlier attempts first, for the transcript."""
         self.n_output_bytes = 0
-        """Size of this data."""
+        """Size of their data in the transcript."""
         self.work: WorkClass | None = None
         """Class of the request in scheduling; None until its route is known."""
         self.rate_seconds = 0.0
@@ -124,6 +128,31 @@
         self.last_seconds = 0.0
         """Age of the request at the last event."""
 
+    def resume_turn(self, events: tuple[TurnEvent, ...]) -> None:
+        """Go on after the events that the caller has from earlier attempts."""
+        for event in events:
+            self.add_turn_event(event)
+            self.note_event_id(event.id)
+
+    def add_turn_event(self, event: TurnEvent) -> None:
+        """Add an event to what the turn has generated."""
+        self.turn_events.append(event)
+        if event.data is not None:
+            self.n_output_bytes += len(event.data) + 1
+
+    def note_event_id(self, event_id: int | None) -> None:
+        """Note the id of an event that the caller gets or has."""
+        if event_id is None:
+            return
+        if self.last_event_id is not None and event_id != self.last_event_id + 1:
+            self.event_ids_consecutive = False
+        self.last_event_id = event_id
+
+    @property
+    def turn_output(self) -> bytes:
+        """What the turn has generated, as it stands in a transcript."""
+        return b"".join(e.data + b"\n" for e in self.turn_events if e.data is not None)
+
     @property
     def first_event_wait_seconds(self) -> float | None:
         """Seconds from the last sending to the first event; None without events."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
@@ -20,13 +20,14 @@
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.rates._rate_messages import RateMessage
 from swifttide_daemon.gateway.streams._origin_messages import StreamBegan
+from swifttide_daemon.gateway.streams._turn_messages import TurnGenerated
 from swifttide_daemon.gateway.targets._order_messages import (
     ORDER_MESSAGE_TYPES,
     OrderMessage,
 )
 from swifttide_daemon.telemetry import EventLog
 
-Datagram = Beacon | RateMessage | OrderMessage | StreamBegan
+Datagram = Beacon | RateMessage | OrderMessage | StreamBegan | TurnGenerated
 
 _decoder = JsonDecoder(Datagram)
 
@@ -54,6 +55,8 @@
         Take a message and the IP address of its sender.
     on_stream_began : callable
         Takes a message on a stream that another host began.
+    on_turn_generated : callable
+        Takes a message on a turn that another host relays.
     """
 
     def __init__(self, fleet: Fleet, log: EventLog):
@@ -72,6 +75,7 @@
             lambda message, ip: None
         )
         self.on_stream_began: Callable[[StreamBegan], None] = lambda message: None
+        self.on_turn_generated: Callable[[TurnGenerated], None] = lambda message: None
 
     async def listen(self, ip: str, port: int) -> None:
         """Open the UDP socket."""
@@ -98,7 +102,11 @@
             for peer in group.peers:
                 self._transport.sendto(message, (peer.ip, peer.port))
 
-    def send(self, ip: str, message: RateMessage | OrderMessage | StreamBegan) -> None:
+    def send(
+        self,
+        ip: str,
+        message: RateMessage | OrderMessage | StreamBegan | TurnGenerated,
+    ) -> None:
         """Send a message to a host without acknowledgement; it may be lost.
 
         A message to an unknown IP address is dropped.
@@ -121,6 +129,8 @@
             self.on_order_message(message, addr[0])
         elif isinstance(message, StreamBegan):
             self.on_stream_began(message)
+        elif isinstance(message, TurnGenerated):
+            self.on_turn_generated(message)
         else:
             self.on_rate_message(message, addr[0])
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_messages.py
@@ -7,7 +7,7 @@
 
 from swifttide_core.budgets import ReleaseVerdict
 from swifttide_core.checks import JsonDecoder
-from swifttide_core.resumption import StreamOrigin, VersionsSeen
+from swifttide_core.resumption import StreamOrigin, TurnEvent, VersionsSeen
 from swifttide_daemon.gateway.store._shared_store import (
     Applied,
     Conflict,
@@ -207,6 +207,36 @@
     seen: VersionsSeen
 
 
+class ReadTurnEvents(msgspec.Struct, tag="read_turn_events"):
+    """Return how the answers to a turn begin, as far as the host knows.
+
+    Parameters
+    ----------
+    key : str
+        Key of the turn.
+    attempt : str
+        Id of the attempt that began the answer; empty for any.
+    last_event_id : int
+        Id of the last event that the caller of the turn has.
+    """
+
+    key: str
+    attempt: str
+    last_event_id: int
+
+
+class FoundTurnEvents(msgspec.Struct, tag="found_turn_events"):
+    """How the answers to a turn begin, up to the event that was asked for.
+
+    Parameters
+    ----------
+    answers : list of list of TurnEvent
+        Empty if the host knows none; more than one where answers differ.
+    """
+
+    answers: list[list[TurnEvent]]
+
+
 class Done(msgspec.Struct, tag="done"):
     """Whether the request was carried out."""
 
@@ -322,6 +352,7 @@
     | DropCopies
     | ReadTurn
     | ReadStreamOrigin
+    | ReadTurnEvents
     | RelayCommit
     | RelayRead
     | RelayChanges
@@ -329,7 +360,13 @@
     | FollowTable
 )
 PeerAnswer = (
-    Done | Released | HandedTokens | FoundTurn | FoundStreamOrigin | StoreOutcome
+    Done
+    | Released
+    | HandedTokens
+    | FoundTurn
+    | FoundStreamOrigin
+    | FoundTurnEvents
+    | StoreOutcome
 )
 
 _requests = JsonDecoder(PeerRequest)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_service.py
@@ -27,6 +27,7 @@
     ReadCopy,
     ReadStreamOrigin,
     ReadTurn,
+    ReadTurnEvents,
     RelayChanges,
     RelayCommit,
     RelayRead,
@@ -37,6 +38,7 @@
 from swifttide_daemon.gateway.store._shared_store import Rows, SharedStore, Unavailable
 from swifttide_daemon.gateway.store._table_watch import TableWatch
 from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
+from swifttide_daemon.gateway.streams._turn_events import TurnEvents
 from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
 from swifttide_daemon.telemetry import EventLog
 
@@ -88,6 +90,8 @@
         Returns the `TurnKeeper`.
     origins : callable
         Returns the `StreamOrigins`.
+    turn_events : callable
+        Returns the `TurnEvents`.
     owner_of : callable
         Takes a hash slot; returns the IP address of the host that owns it, or None.
     watch_of : callable
@@ -104,6 +108,7 @@
         lender: Callable[[], TokenLender],
         turns: Callable[[], TurnKeeper],
         origins: Callable[[], StreamOrigins],
+        turn_events: Callable[[], TurnEvents],
         owner_of: Callable[[int], str | None],
         watch_of: Callable[[str], TableWatch | None],
         log: EventLog,
@@ -115,6 +120,7 @@
         self._lender = lender
         self._turns = turns
         self._origins = origins
+        self._turn_events = turn_events
         self._owner_of = owner_of
         self._watch_of = watch_of
         self._log = log
@@ -140,6 +146,8 @@
                 return FoundTurn(self._turns().in_memory(turn))
             case ReadStreamOrigin():
                 return self._origins().answer(request)
+            case ReadTurnEvents():
+                return self._turn_events().answer(request)
             case RelayCommit(tx):
                 return StoreOutcome.of(await store.commit(tx))
             case RelayRead(table, part, start, end):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
@@ -21,18 +21,16 @@
     OriginSource,
     StreamOrigin,
     VersionsSeen,
-    keeper_candidates,
-    rank_origin_keepers,
 )
 from swifttide_daemon.gateway._beliefs import Beliefs
 from swifttide_daemon.gateway.peers._fleet import Fleet
-from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.peers._peer_client import PeerClient
 from swifttide_daemon.gateway.peers._peer_messages import (
     FoundStreamOrigin,
     ReadStreamOrigin,
 )
 from swifttide_daemon.gateway.streams._origin_messages import StreamBegan
+from swifttide_daemon.gateway.streams._stream_keepers import StreamKeepers
 
 N_KEEPERS = 8
 """Hosts that are told of a stream. A small fleet may lose most of its hosts at once,
@@ -42,13 +40,6 @@
 """Hosts that are asked for a stream. More than there are keepers, as hosts that joined
 or left since have changed the order."""
 
-MAX_CANDIDATES_PER_ZONE = 16
-"""Hosts of a zone that may be keepers. Ranking all hosts of a large fleet for each
-stream would take too long."""
-
-CANDIDATES_INTERVAL_SECONDS = 1.0
-"""Time after which a host that has joined may become a keeper."""
-
 ASK_TIMEOUT_SECONDS = 0.1
 """Time-out of a question to another host; an answer takes 2 to 5 ms."""
 
@@ -86,8 +77,7 @@
         self._beliefs = beliefs
         self._send = send
         self._records = OriginRecords()
-        self._chosen: list[Peer] = []
-        self._chosen_at = float("-inf")
+        self._keepers = StreamKeepers(fleet)
 
     def record(
         self,
@@ -113,7 +103,7 @@
         seconds = RECORD_TIMEOUTS * route.timeout_seconds
         message = StreamBegan(key, origin.service, origin.software_version, seconds)
         self.handle_message(message)
-        for ip in self._keepers(key, homes)[:N_KEEPERS]:
+        for ip in self._keepers.ranked(key, homes)[:N_KEEPERS]:
             if ip != self._fleet.own.ip:
                 self._send(ip, message)
 
@@ -175,7 +165,7 @@
         """Ask other hosts until one knows the stream; return what they know."""
         asked = [
             peer
-            for ip in self._keepers(question.key, homes)
+            for ip in self._keepers.ranked(question.key, homes)
             if (peer := self._fleet.by_ip(ip)) is not None
         ]
         calls = [
@@ -195,25 +185,6 @@
                 call.cancel()
         return FoundStreamOrigin(None, seen)
 
-    def _keepers(self, key, homes):
-        """Return the addresses of running hosts in the order in which they are told."""
-        running = [
-            (host.ip, host.zone)
-            for host in self._candidates()
-            if self._fleet.is_running_in(host, homes)
-        ]
-        return rank_origin_keepers(key, running)
-
-    def _candidates(self):
-        now = asyncio.get_running_loop().time()
-        if now - self._chosen_at >= CANDIDATES_INTERVAL_SECONDS:
-            self._chosen_at = now
-            hosts = {host.ip: host for host in (self._fleet.own, *self._fleet.all())}
-            zones = [(ip, host.zone) for ip, host in hosts.items()]
-            chosen = keeper_candidates(zones, MAX_CANDIDATES_PER_ZONE)
-            self._chosen = [hosts[ip] for ip in chosen]
-        return self._chosen
-
 
 def stream_key(customer: str, attempt: str) -> str:
     """Return the key of a stream; streams of two customers never share one."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
@@ -48,6 +48,7 @@
         lender,
         lambda: None,
         lambda: None,
+        lambda: None,
         owner_of,
         lambda t: None,
         log,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
@@ -128,7 +128,9 @@
         strikes = StrikeKeeper(log)
         metrics = GatewayMetrics(ip, "zone-a")
         wire = FakeFields()
-        relay = AnswerRelay(wire, None, None, lambda: None, self.beliefs, metrics, log)
+        relay = AnswerRelay(
+            wire, None, None, None, lambda: None, self.beliefs, metrics, log
+        )
         entry = entry_type(self.beliefs, self.health, self.scheduling.client, log)
         self.forwarder = Forwarder(
             cfg,
@@ -138,7 +140,7 @@
             self.health,
             self.scheduling.client,
             heard,
-            Admission(self.beliefs, budgets, None, None, strikes, entry, None),
+            Admission(self.beliefs, budgets, None, None, strikes, entry, None, None),
             relay,
             lambda: None,
             strikes,
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_relay.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_relay.py
@@ -58,7 +58,7 @@
         beliefs = SimpleNamespace(config=SimpleNamespace(version=1))
         metrics = GatewayMetrics("h", "zone-0")
         relay = AnswerRelay(
-            FakeFields(), None, None, lambda: None, beliefs, metrics, log
+            FakeFields(), None, None, None, lambda: None, beliefs, metrics, log
         )
         now = asyncio.get_running_loop().time()
         req = CallerRequest("a", "POST", b"/", "chat", (), b"", now)
