FIX A budget is granted whole, and only a turn beyond it is lent

Cause, one for both: a part of a budget, the reserve, belonged to the account and to the lender at once, and each sized and released it by itself. No longer or shorter clock helps: after a loss of all hosts nothing tells an outage that nobody survived from a loss of power.

Change, one rule: what the account's row grants is the budget, whole; what is lent without a row is the one turn's most by which a budget may be exceeded. They have no tokens in common, so neither has to know of the other. Reserve and its release are gone (a host of an earlier release that asks for one is told that nothing of it was lent). A bar by clock concerns loans only.

Price: a program that begins in an outage gets one turn's most, not a quarter of its budget more.

--- a/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
+++ b/packages/swifttide_cli/src/swifttide_cli/commands/_causes.py
@@ -31,6 +31,8 @@
     "no_target_of_origin": "no target of the software version that began the stream "
     "was in service, or its route leads elsewhere now; what another version writes "
     "doesn't fit",
+    "turn_begin_unknown": "no host that is left knows the beginning of the resumed "
+    "turn, so its history couldn't be stored whole",
     "stream_unknown": "more than one software version may have begun the stream, and "
     "no host that was told which one is left",
     "no_target": "no target of the service was in service",
--- a/packages/swifttide_core/src/swifttide_core/budgets/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/__init__.py
@@ -7,9 +7,7 @@
     Granted,
     ProgramAccount,
     grant_tokens,
-    outage_reserve,
 )
-from swifttide_core.budgets._release_verdict import ReleaseVerdict
 from swifttide_core.budgets._token_pool import TokenPool
 from swifttide_core.budgets._turn_size_estimate import TurnSizeEstimate
 
@@ -20,11 +18,9 @@
     "Granted",
     "LendingState",
     "ProgramAccount",
-    "ReleaseVerdict",
     "TokenPool",
     "TurnSizeEstimate",
     "grant_tokens",
-    "outage_reserve",
     "plan_slots",
     "slot_of",
 ]
--- a/packages/swifttide_core/src/swifttide_core/budgets/_lending_state.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/_lending_state.py
@@ -10,7 +10,6 @@
 this delay therefore knows that its predecessor had not begun to lend.
 """
 
-from dataclasses import dataclass
 from typing import Annotated
 
 import msgspec
@@ -28,8 +27,7 @@
 exactly."""
 
 
-@dataclass(frozen=True, slots=True)
-class LendingState:
+class LendingState(msgspec.Struct, frozen=True):
     """Lending record of a host in the store; times are of the store's clock.
 
     Parameters
@@ -42,16 +40,16 @@
         Time before which a successor may not lend, in milliseconds.
     closed : bool
         Whether the host stopped as planned and lends nothing after this record.
-    released : tuple of str
-        Keys of programs to which nothing may be lent, because their accounts may grant
-        the whole budget.
+    overdrawn : tuple of str
+        Keys of programs to which nothing may be lent, because loans have exceeded their
+        budgets.
     """
 
     told_ms: StoreMilliseconds
     wait_ms: StoreMilliseconds = 0
     barred_until_ms: StoreMilliseconds = 0
     closed: bool = False
-    released: tuple[str, ...] = ()
+    overdrawn: tuple[str, ...] = msgspec.field(default=(), name="released")
 
     def successor_barred_until(self, now_ms: int) -> int:
         """Return the time before which a successor that starts now may not lend."""
--- a/packages/swifttide_core/src/swifttide_core/budgets/_turn_size_estimate.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/_turn_size_estimate.py
@@ -34,3 +34,9 @@
         if self._mean is None:
             return max_tokens
         return max(1, min(max_tokens, int(self._mean * RESERVATION_FACTOR)))
+
+    def usual_size(self, max_tokens: int) -> int:
+        """Return the tokens that a turn usually generates, `max_tokens` if unknown."""
+        if self._mean is None:
+            return max_tokens
+        return max(1, min(max_tokens, int(self._mean)))
--- a/packages/swifttide_core/src/swifttide_core/budgets/tests/test_lending.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/tests/test_lending.py
@@ -95,3 +95,10 @@
             sizes.update(60)
         assert sizes.reservation_size(286) == 150
         assert sizes.reservation_size(100) == 100
+
+    def test_usual_size_follows_generated_tokens(self):
+        sizes = TurnSizeEstimate()
+        assert sizes.usual_size(286) == 286
+        sizes.update(65)
+        assert sizes.usual_size(286) == 65
+        assert sizes.usual_size(40) == 40
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -136,7 +136,6 @@
             lambda: self._turns,
             lambda: self._origins,
             lambda: self._turn_events,
-            lambda slot: self._shares.owner_of(slot),
             lambda table: self._feeds.watch_of(table),
             log,
         )
@@ -200,18 +199,15 @@
             cfg.ip,
             self._peer_service.collect_tokens,
             self._peer_service.ask_lender,
-            self._peer_service.ask_release,
             self._reaper,
             log,
         )
         self._lender = TokenLender(
             lambda: self._shares.slots,
             self._record.seconds_until_lending,
-            self._record.may_have_unknown_loans,
             lambda: not self._store.is_reachable,
             self._peer_service.collect_tokens,
             self._budgets.charge,
-            self._record.write,
             log,
         )
         self._turns = turns = TurnKeeper(
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_account_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_account_rows.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from swifttide_core.budgets import ProgramAccount, outage_reserve
+from swifttide_core.budgets import ProgramAccount
 from swifttide_core.checks import JsonDecoder
 from swifttide_daemon.gateway.store._shared_store import RowKey
 
@@ -30,10 +30,9 @@
     granted: Tokens
     holders: list[str]
     mark: str = ""
-    released: bool = False
-    held: Tokens | None = None
-    """Size of the reserve for outages, in tokens. None in rows written by an earlier
-    release, which reserved a quarter of the budget."""
+    released: bool = True
+    """Tells hosts of an earlier release, which reserved a part of a budget for loans,
+    that they may grant the whole budget."""
 
 
 _rows = JsonDecoder(_AccountRow)
@@ -48,14 +47,7 @@
     mark : str
         Id of the transaction that writes the row.
     """
-    row = _AccountRow(
-        account.budget,
-        account.granted,
-        list(account.holders),
-        mark,
-        account.released,
-        account.held,
-    )
+    row = _AccountRow(account.budget, account.granted, list(account.holders), mark)
     return msgspec.json.encode(row)
 
 
@@ -68,9 +60,7 @@
         The value is no account.
     """
     row = _rows.decode(value)
-    held = outage_reserve(row.budget, 0) if row.held is None else row.held
-    holders = tuple(row.holders)
-    account = ProgramAccount(row.budget, row.granted, holders, row.released, held)
+    account = ProgramAccount(row.budget, row.granted, tuple(row.holders))
     return account, row.mark
 
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
@@ -10,13 +10,11 @@
 import asyncio
 import uuid
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 
 from swifttide_core.budgets import (
     Exhausted,
     Granted,
     ProgramAccount,
-    ReleaseVerdict,
     TurnSizeEstimate,
     grant_tokens,
 )
@@ -70,8 +68,8 @@
 before the store is back."""
 
 BUSY_RETRY_AFTER_SECONDS = 0.3
-"""Delay before a retry while other turns of the program hold its tokens, or while its
-reserve is not released yet. A turn takes some 300 ms."""
+"""Delay before a retry while other turns of the program hold its tokens. A turn takes
+some 300 ms."""
 
 
 CollectTokens = Callable[[str, tuple[str, ...] | None, str], Awaitable[int]]
@@ -99,9 +97,6 @@
     ask_lender : callable
         Requests tokens from the host that lends to the program while the store is
         unavailable. Returns the number of tokens.
-    ask_release : callable
-        Takes the key and the budget of a program, and asks the owner of the program's
-        slot to lend nothing to it any more. Returns a `ReleaseVerdict`.
     reaper : RowReaper
         Removes the rows of accounts after their retention time.
     log : EventLog
@@ -113,7 +108,6 @@
         host: str,
         collect: CollectTokens,
         ask_lender: Callable[[AskTokens], Awaitable[int]],
-        ask_release: Callable[[str, int], Awaitable[ReleaseVerdict]],
         reaper: RowReaper,
         log: EventLog,
     ):
@@ -121,7 +115,6 @@
         self._host = host
         self._collect = collect
         self._ask_lender = ask_lender
-        self._ask_release = ask_release
         self._reaper = reaper
         self._log = log
         self._programs: dict[str, LocalProgramBudget] = {}
@@ -180,13 +173,16 @@
     ) -> Reservation:
         """Reserve tokens while the store is unavailable, with a loan if necessary.
 
-        Only the usual size of a turn is reserved instead of its maximum, so that the
-        available tokens suffice for more turns.
+        Less than the maximum of a turn is reserved, so that the available tokens
+        suffice for more turns: what few turns exceed, or else what is left, if turns
+        usually need no more.
         """
         need = self._turn_size_estimate.reservation_size(max_turn_tokens)
         if known.pool.free < need:
             ask = AskTokens(key, budget, need, max_turn_tokens, self._host)
             known.pool.add(await self._ask_lender(ask))
+            usual = self._turn_size_estimate.usual_size(max_turn_tokens)
+            need = min(need, max(usual, known.pool.free))
         if not known.pool.reserve(need):
             self._log.info(
                 "no_tokens_in_outage",
@@ -265,7 +261,7 @@
             try:
                 if not await self._read_account(key, known):
                     return None
-                account = known.account or ProgramAccount(loan.budget, held=loan.held)
+                account = known.account or ProgramAccount(loan.budget)
                 account = account.with_loans_charged(loan.lent, tuple(loan.holders))
                 if await self._write_account(key, known, account):
                     return account
@@ -277,7 +273,7 @@
         """Acquire tokens for a turn from other hosts, or else from the account."""
         asked: tuple[str, ...] = ()
         for _ in range(MAX_GRANT_ATTEMPTS):
-            account = known.account or ProgramAccount.open(budget, max_turn_tokens)
+            account = known.account or ProgramAccount(budget)
             holders = {*account.holders, known.moved_to} - {self._host, ""}
             others = tuple(sorted(holders))
             if others != asked:
@@ -303,8 +299,13 @@
                         raise StoreUnavailable(
                             503, "store_unavailable", OUTAGE_RETRY_AFTER_SECONDS
                         )
-                    if known.version == before:
-                        await self._release_reserve(request_id, key, known, account)
+                    if known.version != before:
+                        continue
+                    # Hosts that passed tokens on and are lost can't tell to whom.
+                    known.pool.add(await self._collect(key, None, self._host))
+                    if known.pool.free >= max_turn_tokens:
+                        return
+                    self._refuse_spent(request_id, known, account)
         raise Refusal(503, "budget_contended", OUTAGE_RETRY_AFTER_SECONDS)
 
     def _log_grant(self, request_id, known, tokens):
@@ -317,42 +318,15 @@
             version=known.version,
         )
 
-    async def _release_reserve(self, request_id, key, known, account):
-        """Make the reserve of a program's budget available for grants.
-
-        If it is unknown whether the reserve was lent, it is charged as if it had been
-        lent, so that the account never shows fewer granted tokens than were used.
-
-        Raises
-        ------
-        Refusal
-            With status 402 if there is no reserve left, and with status 503 if the
-            owner of the program's slot has not released it yet.
-        """
-        if not account.has_reserve:
-            self._log.info(
-                "budget_spent",
-                request_id=request_id,
-                granted=account.granted,
-                budget=account.budget,
-                version=known.version,
-            )
-            raise Refusal(402, "budget_spent")
-        match await self._ask_release(key, account.budget):
-            case ReleaseVerdict.RELEASED:
-                known.account = replace(account, released=True)
-            case ReleaseVerdict.DOUBTFUL:
-                self._log.warning(
-                    "held_back_charged",
-                    request_id=request_id,
-                    program=key,
-                    tokens=account.held,
-                    granted=account.granted,
-                )
-                await self._write_account(key, known, account.with_reserve_charged())
-            case ReleaseVerdict.LATER:
-                self._log.info("budget_held_back", request_id=request_id, program=key)
-                raise Refusal(503, "budget_held_back", BUSY_RETRY_AFTER_SECONDS)
+    def _refuse_spent(self, request_id, known, account):
+        self._log.info(
+            "budget_spent",
+            request_id=request_id,
+            granted=account.granted,
+            budget=account.budget,
+            version=known.version,
+        )
+        raise Refusal(402, "budget_spent")
 
     async def _write_account(self, key, known, account) -> bool:
         """Write an account on condition that its row has the known version.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_lending_record.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_lending_record.py
@@ -46,7 +46,7 @@
 process restarts within a shorter time."""
 
 MAX_RECORDED_PROGRAMS = 500
-"""Largest number of released programs listed in a record, 35 bytes each. If there are
+"""Largest number of overdrawn programs listed in a record, 35 bytes each. If there are
 more, the next process at the address is barred from lending."""
 
 READ_RETRY_SECONDS = 0.2
@@ -143,7 +143,7 @@
         """
         lender = self._lender()
         return self.has_no_unknown_loans() and not (
-            lender.has_uncharged_loans() or lender.released_programs()
+            lender.has_uncharged_loans() or lender.overdrawn_programs()
         )
 
     def has_no_unknown_loans(self) -> bool:
@@ -152,13 +152,6 @@
             self._has_read_predecessor and self._store_now_ms >= self._barred_until_ms
         )
 
-    def may_have_unknown_loans(self) -> bool:
-        """Whether a predecessor may have made a loan that is not charged.
-
-        False while the record of the predecessor has not been read.
-        """
-        return self._has_read_predecessor and self._store_now_ms < self._barred_until_ms
-
     async def run(self) -> None:
         """Read the record of the predecessor, then renew the record until cancelled."""
         if not self._has_read_predecessor:
@@ -194,7 +187,7 @@
                 before = self._decode(row)
                 barred = before.successor_barred_until(found.now_ms)
                 self._barred_until_ms = max(self._barred_until_ms, barred)
-                self._lender().restore_released_programs(before.released)
+                self._lender().restore_overdrawn_programs(before.overdrawn)
         self._has_read_predecessor = True
         if self._barred_until_ms > self._store_now_ms:
             self._log.warning("lending_barred", until_ms=self._barred_until_ms)
@@ -245,9 +238,9 @@
 
     def _state(self, now_ms) -> LendingState:
         lender = self._lender()
-        released = lender.released_programs()
+        overdrawn = lender.overdrawn_programs()
         barred = self._barred_until_ms
-        if lender.has_uncharged_loans() or len(released) > MAX_RECORDED_PROGRAMS:
+        if lender.has_uncharged_loans() or len(overdrawn) > MAX_RECORDED_PROGRAMS:
             barred = LendingState(0).successor_barred_until(now_ms)
         closed = self._closed or not (
             self._owns_slots() or lender.has_uncharged_loans()
@@ -257,7 +250,7 @@
             self._lending_delay_ms,
             barred,
             closed,
-            released[:MAX_RECORDED_PROGRAMS],
+            overdrawn[:MAX_RECORDED_PROGRAMS],
         )
 
     def _set_clock(self, now_ms):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_token_lender.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_token_lender.py
@@ -9,11 +9,12 @@
 could tell whether another host lets the same program spend its budget.
 
 A program may generate the tokens of its budget and, in addition, those of one turn of
-maximum size. Accounts in the store grant the budget except for the reserve of large
-budgets. The owner of the program's slot lends this reserve and the tokens of one turn
-without a row in the store. Turns generate a quarter of their maximum on average, so
-that these tokens suffice for most programs. When the store is back, the loan is charged
-to the account. A program exceeds its budget only if its lender failed before that.
+maximum size. Accounts in the store grant the budget. The owner of the program's slot
+lends the tokens of one turn without a row in the store. Turns generate a quarter of
+their maximum on average, so that these tokens suffice for some turns. When the store is
+back, the loan is charged to the account. If the lender fails before that, the account
+grants the whole budget all the same, and nobody lends again until it is certain that
+the loan is no longer in use.
 
 Tokens that were granted earlier move to the host that needs them. They are removed from
 one host before the other receives them, so that they are never counted twice.
@@ -23,13 +24,7 @@
 import copy
 from collections.abc import Awaitable, Callable
 
-from swifttide_core.budgets import (
-    N_SLOTS,
-    ProgramAccount,
-    ReleaseVerdict,
-    outage_reserve,
-    slot_of,
-)
+from swifttide_core.budgets import N_SLOTS, ProgramAccount, slot_of
 from swifttide_daemon.gateway.budgets._budget_keeper import CollectTokens
 from swifttide_daemon.gateway.peers._peer_messages import AskTokens, HandSlots, Loan
 from swifttide_daemon.telemetry import EventLog
@@ -60,17 +55,11 @@
     seconds_until_lending : callable
         Returns the seconds until this host may lend from its own slots; None if this
         cannot be foreseen.
-    may_have_unknown_loans : callable
-        Returns whether a predecessor of this host may have made loans that are not
-        charged.
     is_store_unavailable : callable
     collect : callable
         See `CollectTokens`.
     charge : callable
         See `ChargeLoan`.
-    write_record : callable
-        Writes the lending record of this host, which lists the released programs.
-        Returns whether the store confirmed it.
     log : EventLog
     """
 
@@ -78,20 +67,16 @@
         self,
         own_slots: Callable[[], frozenset[int]],
         seconds_until_lending: Callable[[], float | None],
-        may_have_unknown_loans: Callable[[], bool],
         is_store_unavailable: Callable[[], bool],
         collect: CollectTokens,
         charge: ChargeLoan,
-        write_record: Callable[[], Awaitable[bool]],
         log: EventLog,
     ):
         self._own_slots = own_slots
         self._seconds_until_lending = seconds_until_lending
-        self._may_have_unknown_loans = may_have_unknown_loans
         self._is_store_unavailable = is_store_unavailable
         self._collect = collect
         self._charge = charge
-        self._write_record = write_record
         self._log = log
         self._loans: dict[str, Loan] = {}
         self._locks = tuple(asyncio.Lock() for _ in range(N_SLOTS))
@@ -113,51 +98,21 @@
         """Whether there are loans that are not charged to their accounts yet."""
         return any(loan.lent for loan in self._loans.values())
 
-    def released_programs(self) -> tuple[str, ...]:
-        """Return the keys of programs to which nothing may be lent."""
+    def overdrawn_programs(self) -> tuple[str, ...]:
+        """Return the keys of programs to which nothing more may be lent."""
         return tuple(k for k, loan in self._loans.items() if loan.released)
 
-    def restore_released_programs(self, released: tuple[str, ...]) -> None:
-        """Restore the released programs from the lending record of a predecessor.
+    def restore_overdrawn_programs(self, overdrawn: tuple[str, ...]) -> None:
+        """Restore the overdrawn programs from the lending record of a predecessor.
 
         Parameters
         ----------
-        released : tuple of str
+        overdrawn : tuple of str
             Keys of programs to which nothing may be lent.
         """
-        for key in released:
+        for key in overdrawn:
             self._loans.setdefault(key, Loan(0, released=True))
 
-    async def release(self, key: str, budget: int) -> ReleaseVerdict:
-        """Stop lending to a program, so that its account may grant the whole budget.
-
-        Returns
-        -------
-        ReleaseVerdict
-            Whether it is certain that the reserve of the program was not and will not
-            be lent.
-        """
-        async with self._lock(key):
-            if self._stopped or slot_of(key) not in self._own_slots():
-                # Checked under the lock: if the slot was given up in the meantime, its
-                # next owner would lend to the program without knowing of the release.
-                return ReleaseVerdict.LATER
-            if self._may_have_unknown_loans():
-                return ReleaseVerdict.DOUBTFUL
-            if self._seconds_until_lending() is None:
-                return ReleaseVerdict.LATER
-            loan = self._loans.get(key)
-            if loan is not None and loan.lent:
-                # The account does not include the loan until it is charged.
-                return ReleaseVerdict.LATER
-            if loan is None:
-                loan = self._loans[key] = Loan(budget)
-            # Set before the record is written, so that nothing is lent whether or not
-            # the write succeeds.
-            loan.released, loan.left = True, 0
-            is_recorded = await self._write_record()
-        return ReleaseVerdict.RELEASED if is_recorded else ReleaseVerdict.LATER
-
     def _lock(self, key) -> asyncio.Lock:
         return self._locks[slot_of(key)]
 
@@ -191,8 +146,7 @@
         if len(self._loans) >= MAX_LOANS:
             self._log.warning("too_many_loans", program=key)
             return None
-        held = outage_reserve(ask.budget, ask.most)
-        loan = self._loans[key] = Loan(ask.budget, held, held + ask.most)
+        loan = self._loans[key] = Loan(ask.budget, ask.most)
         return loan
 
     def _lend_more(self, key, loan, ask, found_tokens) -> int:
@@ -233,10 +187,10 @@
         self._log.info(
             "loan_charged", program=key, tokens=tokens, granted=account.granted
         )
-        if account.released:
+        if account.is_overdrawn:
             loan.released, loan.left = True, 0
         elif not loan.lent:
-            # The loan is charged, so that the whole reserve may be lent again.
+            # The budget holds what was lent, so that one turn may be lent again.
             del self._loans[key]
 
     def hand_over(self) -> HandSlots | None:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
@@ -70,7 +70,6 @@
         self._log = log
         self._peers: dict[str, Peer] = {}
         self._heard_at: dict[str, float] = {}
-        self._first_missed_at: dict[str, float] = {}
         self._heard_until: dict[str, float] = {}
         self._zone_heard_at: dict[str, float] = {}
         self._store_up: dict[str, bool] = {}
@@ -204,18 +203,6 @@
         """Return the number of known hosts, this host included."""
         return 1 + len(self._peers)
 
-    def seconds_since_heard(self, ip: str) -> float:
-        """Return the time since the last beacon of a host.
-
-        For a host that has never sent one, the time counts from the first call of this
-        method for it.
-        """
-        now = asyncio.get_running_loop().time()
-        heard_at = self._heard_at.get(ip)
-        if heard_at is None:
-            heard_at = self._first_missed_at.setdefault(ip, now)
-        return now - heard_at
-
     def is_partitioned(
         self, zone_timeout_seconds: float = ZONE_TIMEOUT_SECONDS
     ) -> bool:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_messages.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_messages.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from swifttide_core.budgets import ReleaseVerdict
 from swifttide_core.checks import JsonDecoder
 from swifttide_core.resumption import StreamOrigin, TurnEvent, VersionsSeen
 from swifttide_daemon.gateway.store._shared_store import (
@@ -75,7 +74,7 @@
 
 
 class AskRelease(msgspec.Struct, tag="ask_release"):
-    """Stop lending to a program, so that its account can grant the whole budget.
+    """Lend nothing of what an account grants; asked by hosts of an earlier release.
 
     Parameters
     ----------
@@ -96,8 +95,6 @@
     ----------
     budget : int
         Token budget of the program, as stated by the first turn that asked.
-    held : int
-        Tokens of the budget that an account of the program reserves for lending.
     left : int
         Tokens that may still be lent.
     lent : int
@@ -105,11 +102,10 @@
     holders : list of str
         IP addresses of hosts that may have some of the program's tokens.
     released : bool
-        Whether lending has ended because the account can grant the whole budget.
+        Whether lending has ended because loans have exceeded the budget.
     """
 
     budget: int
-    held: int = 0
     left: int = 0
     lent: int = 0
     holders: list[str] = []
@@ -244,9 +240,9 @@
 
 
 class Released(msgspec.Struct, tag="released"):
-    """Answer of a slot's owner to the request to stop lending to a program."""
+    """Answer to `AskRelease`: no loan is of what an account grants."""
 
-    verdict: ReleaseVerdict
+    verdict: str = "released"
 
 
 class RelayCommit(msgspec.Struct, tag="commit"):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_peer_service.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
-from swifttide_core.budgets import ReleaseVerdict, slot_of
+from swifttide_core.budgets import slot_of
 from swifttide_daemon.gateway.budgets._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway.budgets._token_lender import TokenLender
 from swifttide_daemon.gateway.peers._fleet import Fleet
@@ -60,14 +60,6 @@
 ASK_TOKENS_TIMEOUT_SECONDS = 0.3
 """Timeout for the lender of a program's slot, which itself asks other hosts first."""
 
-RELEASE_TIMEOUT_SECONDS = 0.5
-"""Timeout for the owner of a slot, which writes a row to the store before it answers.
-The write takes 13 ms while the store works normally."""
-
-OWNER_LOST_SECONDS = 2.0
-"""Time without a beacon, ten beacon intervals, after which the owner of a slot may not
-come back."""
-
 HAND_SLOTS_TIMEOUT_SECONDS = 0.5
 """Timeout for another host to take slots over."""
 
@@ -92,8 +84,6 @@
         Returns the `StreamOrigins`.
     turn_events : callable
         Returns the `TurnEvents`.
-    owner_of : callable
-        Takes a hash slot; returns the IP address of the host that owns it, or None.
     watch_of : callable
         Takes the name of a table; returns the `TableWatch` that follows it, or None.
     log : EventLog
@@ -109,7 +99,6 @@
         turns: Callable[[], TurnKeeper],
         origins: Callable[[], StreamOrigins],
         turn_events: Callable[[], TurnEvents],
-        owner_of: Callable[[int], str | None],
         watch_of: Callable[[str], TableWatch | None],
         log: EventLog,
     ):
@@ -121,7 +110,6 @@
         self._turns = turns
         self._origins = origins
         self._turn_events = turn_events
-        self._owner_of = owner_of
         self._watch_of = watch_of
         self._log = log
 
@@ -133,8 +121,8 @@
                 return self._budgets().withdraw(program, asker)
             case AskTokens():
                 return HandedTokens(await self._lender().lend(request))
-            case AskRelease(program, budget):
-                return Released(await self._lender().release(program, budget))
+            case AskRelease():
+                return Released()
             case HandSlots():
                 return Done(self._lender().take_over(request))
             case KeepCopy():
@@ -201,29 +189,6 @@
                 return max(0, tokens)
         return 0
 
-    async def ask_release(self, program: str, budget: int) -> ReleaseVerdict:
-        """Ask the owner of a program's slot to stop lending to the program.
-
-        Without an answer the result is ``DOUBTFUL`` if the owner has sent no beacon for
-        `OWNER_LOST_SECONDS`, otherwise ``LATER``.
-        """
-        ip = self._owner_of(slot_of(program))
-        if ip is None:
-            # The slot has no owner, as in a fleet that has just started. Some host
-            # will acquire it soon.
-            return ReleaseVerdict.LATER
-        if ip == self._fleet.own.ip:
-            return await self._lender().release(program, budget)
-        peer = self._fleet.by_ip(ip)
-        if peer is not None:
-            ask = AskRelease(program, budget)
-            match await self._peers.call(peer, ask, RELEASE_TIMEOUT_SECONDS):
-                case Released(verdict):
-                    return verdict
-        if self._fleet.seconds_since_heard(ip) >= OWNER_LOST_SECONDS:
-            return ReleaseVerdict.DOUBTFUL
-        return ReleaseVerdict.LATER
-
     async def collect_tokens(
         self, program: str, ips: tuple[str, ...] | None, asker: str
     ) -> int:
