FIX Requests are the same if targets get the same, and completed runs count

Seen by callers: two targets crashed while they ran turns whose new input was "Yes, go on.".

Cause: the fingerprint by which crashes count was taken of what the caller sent, which of a kept turn is the new input alone, and of the path without its query; so different requests shared strikes. And nothing that completes counts for a request with two strikes: a frequent request is at any target that crashes, so two targets that crash together refused it.

Change: the fingerprint is of what the target gets: the body with its history, host, path and query. It is checked before rate and budget where it is known by then, and after the history was read otherwise. A request is refused only while it has more strikes than completed runs in ten minutes; hosts tell each other of completed runs of requests with recent strikes.

Still refused though harmless: a request that no target has completed yet and that was beside the same two crashes.

--- a/packages/swifttide_core/src/swifttide_core/strikes/_strike_tracker.py
+++ b/packages/swifttide_core/src/swifttide_core/strikes/_strike_tracker.py
@@ -14,6 +14,7 @@
 """
 
 import heapq
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from swifttide_core.strikes._strike import Strike
@@ -32,7 +33,11 @@
 """Maximum number of stored fingerprints, of about 400 bytes each."""
 
 MAX_STRIKES_PER_FINGERPRINT = 4
-"""Maximum number of strikes stored per fingerprint; more than two have no effect."""
+"""Maximum number of strikes stored per fingerprint, and of completed runs counted."""
+
+MAX_COMPLETED_FINGERPRINTS = 4096
+"""Maximum number of fingerprints whose completed runs are counted, of about 200 bytes
+each. Only frequent requests need to be remembered."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +68,7 @@
     def __init__(self, max_fingerprints=MAX_FINGERPRINTS):
         self.max_fingerprints = max_fingerprints
         self._crash_times = {}
+        self._completions: OrderedDict[str, tuple[int, float]] = OrderedDict()
 
     def record_strike(self, now: float, strike: Strike) -> Clear | Suspect | Refused:
         """Record a crash and return the new status; repeated reports are ignored."""
@@ -70,14 +76,40 @@
         return self.status_of(now, strike.fingerprint)
 
     def record_success(self, now: float, fingerprint: str) -> None:
-        """Record that a target completed the request, which clears its strikes.
+        """Record that a target completed the request.
 
-        A refused request stays refused, since a target may survive by chance or because
-        it runs another version.
+        That clears a single strike. One run doesn't clear a refused request, since a
+        target may survive by chance or because it runs another version.
         """
-        if not isinstance(self.status_of(now, fingerprint), Refused):
+        self.record_completions(
+            now, fingerprint, self.n_completions(now, fingerprint) + 1
+        )
+        times = self._crash_times.get(fingerprint, ())
+        if len(times) < STRIKES_TO_REFUSE:
             self._crash_times.pop(fingerprint, None)
 
+    def record_completions(self, now: float, fingerprint: str, number: int) -> None:
+        """Record that targets completed the request at least so many times.
+
+        Parameters
+        ----------
+        now : float
+        fingerprint : str
+        number : int
+            Completed runs in the last `STRIKE_RETENTION_SECONDS`, at one host.
+        """
+        known = self.n_completions(now, fingerprint)
+        number = min(max(known, number), MAX_STRIKES_PER_FINGERPRINT)
+        self._completions[fingerprint] = (number, now)
+        self._completions.move_to_end(fingerprint)
+        if len(self._completions) > MAX_COMPLETED_FINGERPRINTS:
+            self._completions.popitem(last=False)
+
+    def n_completions(self, now: float, fingerprint: str) -> int:
+        """Return how often targets completed the request, as far as that counts."""
+        number, at = self._completions.get(fingerprint, (0, now))
+        return number if now - at < STRIKE_RETENTION_SECONDS else 0
+
     def status_of(self, now: float, fingerprint: str) -> Clear | Suspect | Refused:
         """Return the status of a request."""
         times = self._crash_times.get(fingerprint)
@@ -85,6 +117,8 @@
             return Clear()
         last = max(times.values())
         if len(times) >= STRIKES_TO_REFUSE and now < last + REFUSAL_SECONDS:
+            if len(times) <= self.n_completions(now, fingerprint):
+                return Clear()
             return Refused(last + REFUSAL_SECONDS - now)
         if now < last + STRIKE_RETENTION_SECONDS and len(times) < STRIKES_TO_REFUSE:
             return Suspect()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
@@ -161,7 +161,11 @@
         if resumed is not None:
             self._check_origin_serves(resumed.origin, service, homes)
         resumed_events = await self._find_resumed_events(req, route, customer, homes)
-        fingerprint = self._check_strikes(req, customer)
+        fingerprint = ""
+        if not _has_history(req, route):
+            # What a target gets is known before any rate or budget is used.
+            fingerprint = _fingerprint(req, customer, req.body)
+            self._check_strikes(fingerprint)
         may_be_new = resumed is None and self._may_be_new(req, customer)
         if req.turn.budget_tokens and route.kind is RequestKind.STREAMING:
             self._entry.observe_load(service)
@@ -174,15 +178,18 @@
                 req, terms, expires_at, may_be_new, _program_kind(route)
             )
             progress.rate_seconds = request_age_seconds(req)
-        try:
-            async with asyncio.timeout_at(expires_at):
-                body, reservation = await self._prepare(req, route, customer, homes)
-        except TimeoutError:
-            self._refund(terms)
-            raise Refusal(503, "store_too_slow", STORE_RETRY_SECONDS) from None
-        except Refusal:
-            self._refund(terms)
-            raise
+        body, reservation = await self._prepare_within(
+            req, route, terms, customer, homes, expires_at
+        )
+        if not fingerprint:
+            fingerprint = _fingerprint(req, customer, body)
+            try:
+                self._check_strikes(fingerprint)
+            except Refusal:
+                self._refund(terms)
+                if reservation is not None:
+                    self._budgets.settle(reservation, 0)
+                raise
         return Job(
             req,
             route,
@@ -331,14 +338,11 @@
         program = program_key(terms.name, turn.program)[:PROGRAM_KEY_PREFIX_CHARS]
         await self._rates.take(req.id, terms, wait, program, may_be_new, kind)
 
-    def _check_strikes(self, req, customer):
-        """Return the request's fingerprint; raises `Refusal` if it crashes targets."""
-        kind = f"{customer} {req.method} {req.path}"
-        fingerprint = fingerprint_of(req.body, kind)
+    def _check_strikes(self, fingerprint):
+        """Refuse a request that crashes targets."""
         match self._strikes.status_of(fingerprint):
             case Refused(seconds):
                 raise Refusal(503, "crashes_targets", seconds)
-        return fingerprint
 
     def _pick_service(self, route):
         if len(route.services) == 1:
@@ -347,6 +351,20 @@
         picked = random.choices(route.services, weights)[0]
         return picked.service
 
+    async def _prepare_within(
+        self, req, route, terms, customer, homes, expires_at
+    ) -> tuple[bytes, Reservation | None]:
+        """Prepare a request until its deadline; refund its rate token if that fails."""
+        try:
+            async with asyncio.timeout_at(expires_at):
+                return await self._prepare(req, route, customer, homes)
+        except TimeoutError:
+            self._refund(terms)
+            raise Refusal(503, "store_too_slow", STORE_RETRY_SECONDS) from None
+        except Refusal:
+            self._refund(terms)
+            raise
+
     async def _prepare(
         self, req, route, customer, homes
     ) -> tuple[bytes, Reservation | None]:
@@ -378,7 +396,7 @@
 
     async def _input_with_history(self, req, route, customer, homes):
         """Return the body for the target: the stored transcript, then the new input."""
-        if not (route.keeps_turns and req.turn.previous):
+        if not _has_history(req, route):
             return req.body
         history = await self._turns.read_transcript(
             req.id, customer, req.turn.previous, route.keep_seconds, homes
@@ -396,6 +414,25 @@
         )
 
 
+def _has_history(req, route) -> bool:
+    """Return whether a target gets a stored history before the caller's body."""
+    return bool(route.keeps_turns and req.turn.previous)
+
+
+def _fingerprint(req, customer, body: bytes) -> str:
+    """Return the fingerprint of what a target gets for a request.
+
+    Parameters
+    ----------
+    req : CallerRequest
+    customer : str
+    body : bytes
+        Body for the target, with the history of a turn.
+    """
+    target = req.target.decode("latin-1")
+    return fingerprint_of(body, f"{customer} {req.method} {req.host} {target}")
+
+
 def _program_kind(route) -> str:
     """Return the route's name as the kind of a program.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon.py
@@ -45,6 +45,8 @@
     strikes : list of (str, str, str)
         Request fingerprint, target and target incarnation of the crashes that the
         sender has recently observed.
+    completions : dict of str to int
+        Number of completed runs of requests with recent strikes, by fingerprint.
     lending : list of int
         Hash slots of programs for which the sender lends tokens. Empty while the store
         is available.
@@ -69,3 +71,4 @@
     lending: list[Count] = []
     pause_seconds: Seconds = BEACON_INTERVAL_SECONDS
     cores: Cores = 1.0
+    completions: dict[str, Count] = {}
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_exchange.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_exchange.py
@@ -1,5 +1,7 @@
 """Composes this host's beacons and distributes the contents of received beacons."""
 
+import itertools
+
 from swifttide_daemon.gateway.budgets._token_lender import TokenLender
 from swifttide_daemon.gateway.peers._beacon import Beacon
 from swifttide_daemon.gateway.peers._peer import Peer
@@ -14,6 +16,9 @@
 """Upper limit of crash reports in one beacon. Each takes about 100 bytes, and the
 datagram has to fit into one packet."""
 
+MAX_COMPLETIONS_PER_BEACON = 8
+"""Upper limit of requests whose completed runs are in one beacon, at 40 bytes each."""
+
 
 class BeaconExchange:
     """Collects the contents of beacons from this host's components, and vice versa.
@@ -82,6 +87,7 @@
             lending=sorted(self._lender.lending_slots()),
             pause_seconds=pause_seconds,
             cores=own.cores,
+            completions=self._completions(),
         )
 
     def handle_beacon(self, beacon: Beacon) -> None:
@@ -94,5 +100,10 @@
         )
         self._scheduler.reconcile_counts(beacon.ip, beacon.outstanding)
         self._strikes.add_remote_strikes(beacon.strikes)
+        self._strikes.add_remote_completions(beacon.completions)
         self._config_watch.on_peer_change(beacon.config_change)
         self._targets_watch.on_peer_change(beacon.target_change)
+
+    def _completions(self) -> dict[str, int]:
+        found = self._strikes.completions_to_broadcast()
+        return dict(itertools.islice(found.items(), MAX_COMPLETIONS_PER_BEACON))
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_strike_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_strike_keeper.py
@@ -2,8 +2,9 @@
 
 A strike is held against a request that was running at a target when the target's
 process ended. From broken connections, refused connections and the targets' entries
-this module concludes which targets have crashed, and from the strikes of all hosts
-whether a request has to be refused.
+this module concludes which targets have crashed, and from the strikes and the completed
+runs of all hosts whether a request has to be refused. Completed runs are told to other
+hosts only once there is a strike against the request.
 """
 
 import asyncio
@@ -44,6 +45,7 @@
         self._classifiers: dict[str, CrashClassifier] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
         self._recent_strikes: deque[tuple[float, Strike]] = deque()
+        self._struck_at: dict[str, float] = {}
 
     def record_broken_request(self, fingerprint: str, target: TargetEntry) -> None:
         """Record a request whose connection broke while it was at the target."""
@@ -85,10 +87,28 @@
 
     def add_remote_strikes(self, strikes: list[tuple[str, str, str]]) -> None:
         """Add the strikes that another host has sent."""
+        now = self._now()
         for fingerprint, target, incarnation in strikes:
-            self._tracker.record_strike(
-                self._now(), Strike(fingerprint, target, incarnation)
-            )
+            self._tracker.record_strike(now, Strike(fingerprint, target, incarnation))
+            self._struck_at[fingerprint] = now
+
+    def add_remote_completions(self, completions: dict[str, int]) -> None:
+        """Add how often targets completed requests that have strikes."""
+        for fingerprint, number in completions.items():
+            self._tracker.record_completions(self._now(), fingerprint, number)
+
+    def completions_to_broadcast(self) -> dict[str, int]:
+        """Return how often requests were completed that got a strike recently."""
+        now = self._now()
+        self._struck_at = {
+            fingerprint: at
+            for fingerprint, at in self._struck_at.items()
+            if now - at <= STRIKE_BROADCAST_SECONDS
+        }
+        numbers = {f: self._tracker.n_completions(now, f) for f in self._struck_at}
+        return {
+            fingerprint: number for fingerprint, number in numbers.items() if number
+        }
 
     def strikes_to_broadcast(self) -> list[tuple[str, str, str]]:
         """Return the recent strikes of this host to send to other hosts."""
@@ -113,6 +133,7 @@
         now = self._now()
         self._tracker.record_strike(now, strike)
         self._recent_strikes.append((now, strike))
+        self._struck_at[strike.fingerprint] = now
         self._log.warning(
             "strike", fingerprint=strike.fingerprint, target=strike.target
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_strike_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_strike_keeper.py
@@ -69,3 +69,36 @@
         found, sent_strikes = self.status(log, scenario)
         assert isinstance(found, Refused)
         assert sent_strikes == []
+
+
+class TestCompletedRuns:
+    def crash_two(self, keeper, fingerprint):
+        for port in (1, 2):
+            keeper.record_broken_request(fingerprint, target(f"t{port}", port=port))
+            keeper.record_refused_connection(f"t{port}")
+
+    def test_hosts_tell_each_other_what_completes(self, log):
+        """Guards against refusing a frequent request at hosts that rarely get it."""
+
+        async def main():
+            near, far = StrikeKeeper(log), StrikeKeeper(log)
+            for _ in range(3):
+                near.record_success("f1")
+            assert near.completions_to_broadcast() == {}
+            self.crash_two(far, "f1")
+            assert isinstance(far.status_of("f1"), Refused)
+            near.add_remote_strikes(far.strikes_to_broadcast())
+            assert near.status_of("f1") == Clear()
+            far.add_remote_completions(near.completions_to_broadcast())
+            return far.status_of("f1")
+
+        assert run_paused(main()) == Clear()
+
+    def test_nothing_is_told_of_requests_without_completed_runs(self, log):
+        async def main():
+            keeper = StrikeKeeper(log)
+            self.crash_two(keeper, "f1")
+            keeper.record_success("other")
+            return keeper.completions_to_broadcast()
+
+        assert run_paused(main()) == {}
