FIX A customer that comes back has used what it has used

Seen by callers of other customers, at the targets: configurations came in quick succession, every other one without a customer.

Cause: applying a configuration discarded the state of a customer that it lacks, with the tokens used, and the next one that had the customer made a new state, whose pool and guard know of nothing. The same holds for a limit that is taken away and comes back.

Change: the state of a customer that left is kept until its burst would be full again, and goes on meanwhile, as other hosts may still have the older version.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_customer_pools.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_customer_pools.py
@@ -61,6 +61,19 @@
     programs: ActivePrograms
     returned: float = 0.0
     grant_timer: asyncio.TimerHandle | None = None
+    left_at: float | None = None
+    """Time at which the customer left the configuration; None while it is there."""
+
+    def is_forgettable(self, now: float) -> bool:
+        """Whether a new state would give the customer no more than this one.
+
+        A customer that comes back soon has used what it has used. After the time in
+        which its burst is refilled, that makes no difference any more.
+        """
+        rate = self.terms.rate_per_second
+        return self.left_at is not None and now - self.left_at >= (
+            max(1.0, self.terms.burst) / rate
+        )
 
     @property
     def has_tokens(self) -> bool:
@@ -118,12 +131,25 @@
             self._transfer_tokens()
 
     def update_customers(self, customers: tuple[CustomerTerms, ...]) -> None:
-        """Apply the limits of all customers; discard customers without a limit."""
+        """Apply the limits of all customers.
+
+        Customers that have left, or have no limit any more, are forgotten once their
+        burst would be full.
+        """
+        now = elapsed_seconds()
         limited = {t.name: t for t in customers if t.rate_per_second > 0}
         for name in set(self._customers) - set(limited):
-            del self._customers[name]
+            state = self._customers[name]
+            if state.left_at is None:
+                state.left_at = now
+        self._forget_left(now)
         for terms in limited.values():
-            self.get_customer(terms)
+            self.get_customer(terms).left_at = None
+
+    def _forget_left(self, now):
+        for name, state in list(self._customers.items()):
+            if state.is_forgettable(now):
+                del self._customers[name]
 
     def suspect(self, host: str) -> None:
         """Skip an owner host that did not answer."""
@@ -257,6 +283,7 @@
 
     def _transfer_tokens(self):
         now = elapsed_seconds()
+        self._forget_left(now)
         self._transfer_number += 1
         transfers: dict[str, dict[str, tuple[float, ...]]] = {}
         for name, state in self._customers.items():
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_limiter.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_limiter.py
@@ -249,3 +249,51 @@
             return len(hosts.admitted["c"])
 
         assert run_paused(main()) == 0
+
+
+class TestCustomersThatLeave:
+    TERMS = CustomerTerms("c", (), None, 20.0, 100.0)
+
+    async def press(self, hosts, n_rounds, without):
+        """Send far more than a customer's rate while versions come in succession.
+
+        Every other version has ``without`` in place of the customer, and is in force
+        for a third of a second, at each host a little later.
+        """
+        await asyncio.sleep(8.0)
+        for number in range(2 * n_rounds):
+            is_there = number % 2 == 0
+            for limiter in hosts.limiters.values():
+                limiter.update_customers((self.TERMS,) if is_there else without)
+            for n in range(33):
+                for offset in range(3 * is_there):
+                    await hosts.request(n + offset, self.TERMS)
+                await asyncio.sleep(0.01)
+        return hosts.max_admitted_in_window(self.TERMS)
+
+    @pytest.mark.parametrize("extra", [0.0, EXTRA_REQUESTS])
+    @pytest.mark.parametrize("without", [(), (CustomerTerms("c", (), None, 0.0, 0.0),)])
+    def test_rate_of_a_customer_that_comes_back(self, log, extra, without):
+        """Guards against a burst that is filled again as a customer comes back."""
+
+        async def main():
+            hosts = Hosts(log, 3, (self.TERMS,), extra=extra)
+            return await self.press(hosts, 12, without)
+
+        assert 120 < run_paused(main()) <= max_allowed_in_window(self.TERMS)
+
+    def test_customer_that_stays_away_is_forgotten(self, log):
+        """Guards against memory that grows with each customer that leaves."""
+
+        async def main():
+            hosts = Hosts(log, 3, (self.TERMS,))
+            pools = [limiter._pools for limiter in hosts.limiters.values()]
+            known = []
+            for limiter in hosts.limiters.values():
+                limiter.update_customers(())
+            for seconds in (4.0, 2.0):
+                await asyncio.sleep(seconds)
+                known.append([len(p._customers) for p in pools])
+            return known
+
+        assert run_paused(main()) == [[1, 1, 1], [0, 0, 0]]
