FIX A turn too long to be stored is refused before it runs

Seen by callers: a turn whose history and input exceed what one transaction stores ran, and was cut at its first event with 502 turn_too_long, each time.

Cause: the limit of a transcript was checked as events came, never before. What can't be stored whatever the turn generates is known before it is sent.

Change: such a turn is refused with 413 turn_too_long, and reaches no target. One that becomes too long as it generates is still cut, so nothing is stored that its caller doesn't have.

Result: the new test fails without the check (the turn reaches a target).

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
@@ -43,7 +43,10 @@
 from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
 from swifttide_daemon.gateway.streams._turn_events import TurnEvents
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
-from swifttide_daemon.gateway.turns._turn_keeper import TurnKeeper
+from swifttide_daemon.gateway.turns._turn_keeper import (
+    MAX_TRANSCRIPT_BYTES,
+    TurnKeeper,
+)
 
 MAX_RATE_WAIT_SECONDS = 1.5
 """Longest time that a request waits for its customer's rate limiter. Callers retry a
@@ -400,10 +403,12 @@
     async def _input_with_history(self, req, route, customer, homes):
         """Return the body for the target: the stored transcript, then the new input."""
         if not _has_history(req, route):
+            _check_transcript_size(route, req.body)
             return req.body
         history = await self._turns.read_transcript(
             req.id, customer, req.turn.previous, route.keep_seconds, homes
         )
+        _check_transcript_size(route, history + req.body)
         return history + req.body
 
     async def _reserve_tokens(self, req, route, customer):
@@ -422,6 +427,12 @@
     return bool(route.keeps_turns and req.turn.previous)
 
 
+def _check_transcript_size(route, body):
+    """Refuse a turn whose transcript can't be stored, whatever it generates."""
+    if route.keeps_turns and len(body) > MAX_TRANSCRIPT_BYTES:
+        raise Refusal(413, "turn_too_long")
+
+
 def _fingerprint(req, customer, body: bytes) -> str:
     """Return the fingerprint of what a target gets for a request.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_programs_path.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_programs_path.py
@@ -96,6 +96,24 @@
 
         assert play(scenario, n_gateways=2) == b"x" * 90_000 + b"d1\nd2\nd3\nin"
 
+    def test_turn_too_long_to_be_stored_runs_nowhere(self, play):
+        """Guards against a turn that is cut at its first event for its length."""
+
+        async def scenario(site):
+            runner = await site.add_runner("i-1", "engines")
+            await until(lambda: site.gateways[0].beliefs.targets)
+            answer = await site.turn("t1", body=b"x" * 900_001)
+            return answer, runner.ran
+
+        limits = {
+            "max_header_bytes": 8192,
+            "max_body_bytes": 4_000_000,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 5000,
+        }
+        answer, ran = play(scenario, limits=limits)
+        assert (answer.status, answer.body, ran) == (413, b"turn_too_long", [])
+
     def test_unknown_turn_is_404(self, play):
         async def scenario(site):
             await site.add_runner("i-1", "engines")
