FIX A host that has just started knows which requests crash targets

Cause: strikes are kept in the memory of processes, and told for two seconds after they were recorded. A process that starts later never hears of them.

Change: for two seconds after a host hears of a new process, its beacons carry strikes in force with their ages, those of refused requests first. A request is refused no longer there than at the host that told.

After a loss of all hosts at once the count still begins anew.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon.py
@@ -45,6 +45,9 @@
     strikes : list of (str, str, str)
         Request fingerprint, target and target incarnation of the crashes that the
         sender has recently observed.
+    standing_strikes : list of (str, str, str, float)
+        Request fingerprint, target and target incarnation of crashes, and their ages in
+        seconds. Sent for some time after a process has started at any host.
     completions : dict of str to int
         Number of completed runs of requests with recent strikes, by fingerprint.
     lending : list of int
@@ -71,4 +74,5 @@
     lending: list[Count] = []
     pause_seconds: Seconds = BEACON_INTERVAL_SECONDS
     cores: Cores = 1.0
+    standing_strikes: list[tuple[str, str, str, Seconds]] = []
     completions: dict[str, Count] = {}
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_exchange.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_exchange.py
@@ -59,6 +59,7 @@
         self._memory = memory
         self._lender = lender
         self._scheduler = scheduler
+        self._boots: dict[str, str] = {}
 
     def compose_beacon(self, number: int, pause_seconds: float) -> Beacon:
         """Return this host's beacon.
@@ -87,6 +88,7 @@
             lending=sorted(self._lender.lending_slots()),
             pause_seconds=pause_seconds,
             cores=own.cores,
+            standing_strikes=self._strikes.standing_strikes(MAX_STRIKES_PER_BEACON),
             completions=self._completions(),
         )
 
@@ -99,7 +101,11 @@
             beacon.ip, beacon.outstanding, beacon.pause_seconds
         )
         self._scheduler.reconcile_counts(beacon.ip, beacon.outstanding)
+        if self._boots.get(beacon.ip) != beacon.boot:
+            self._boots[beacon.ip] = beacon.boot
+            self._strikes.welcome()
         self._strikes.add_remote_strikes(beacon.strikes)
+        self._strikes.add_standing_strikes(beacon.standing_strikes)
         self._strikes.add_remote_completions(beacon.completions)
         self._config_watch.on_peer_change(beacon.config_change)
         self._targets_watch.on_peer_change(beacon.target_change)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_strike_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_strike_keeper.py
@@ -4,10 +4,12 @@
 process ended. From broken connections, refused connections and the targets' entries
 this module concludes which targets have crashed, and from the strikes and the completed
 runs of all hosts whether a request has to be refused. Completed runs are told to other
-hosts only once there is a strike against the request.
+hosts only once there is a strike against the request. A process that has just started
+is told the strikes that are in force: it would let requests crash targets again.
 """
 
 import asyncio
+import random
 from collections import deque
 
 from swifttide_core.forwarding import TargetEntry
@@ -16,6 +18,7 @@
     CrashClassifier,
     Refused,
     Strike,
+    StrikeRecord,
     StrikeTracker,
     Suspect,
 )
@@ -46,6 +49,7 @@
         self._addresses: dict[str, tuple[str, int]] = {}
         self._recent_strikes: deque[tuple[float, Strike]] = deque()
         self._struck_at: dict[str, float] = {}
+        self._newcomers_until = float("-inf")
 
     def record_broken_request(self, fingerprint: str, target: TargetEntry) -> None:
         """Record a request whose connection broke while it was at the target."""
@@ -92,6 +96,39 @@
             self._tracker.record_strike(now, Strike(fingerprint, target, incarnation))
             self._struck_at[fingerprint] = now
 
+    def welcome(self) -> None:
+        """Tell all strikes in force for some time, as a process has just started."""
+        self._newcomers_until = self._now() + STRIKE_BROADCAST_SECONDS
+
+    def standing_strikes(self, most: int) -> list[tuple[str, str, str, float]]:
+        """Return strikes in force, with their ages, while there are newcomers.
+
+        Strikes of requests that are refused come first, in random order: over several
+        beacons, all of them are told.
+        """
+        now = self._now()
+        if now >= self._newcomers_until:
+            return []
+        records = [
+            record
+            for record in self._tracker.export(now)
+            if self.status_of(record.strike.fingerprint) != Clear()
+        ]
+        random.shuffle(records)
+        records.sort(key=lambda r: not self._is_refused(r.strike.fingerprint))
+        return [
+            (r.strike.fingerprint, r.strike.target, r.strike.incarnation, r.age_seconds)
+            for r in records[:most]
+        ]
+
+    def add_standing_strikes(self, strikes: list[tuple[str, str, str, float]]) -> None:
+        """Add strikes in force that another host has told newcomers."""
+        records = tuple(StrikeRecord(Strike(*rest), age) for *rest, age in strikes)
+        self._tracker.merge(self._now(), records)
+
+    def _is_refused(self, fingerprint):
+        return isinstance(self.status_of(fingerprint), Refused)
+
     def add_remote_completions(self, completions: dict[str, int]) -> None:
         """Add how often targets completed requests that have strikes."""
         for fingerprint, number in completions.items():
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_strike_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_strike_keeper.py
@@ -102,3 +102,45 @@
             return keeper.completions_to_broadcast()
 
         assert run_paused(main()) == {}
+
+
+class TestNewcomers:
+    def crash(self, keeper, fingerprint, n_targets=2):
+        for port in range(n_targets):
+            id = f"{fingerprint}-t{port}"
+            keeper.record_broken_request(fingerprint, target(id, port=port))
+            keeper.record_refused_connection(id)
+
+    def test_strikes_in_force_are_told(self, log):
+        """Guards against crashes that begin anew at each host that is restarted."""
+
+        async def main():
+            old, new = StrikeKeeper(log), StrikeKeeper(log)
+            self.crash(old, "f1")
+            await asyncio.sleep(60.0)
+            assert old.standing_strikes(8) == []
+            old.welcome()
+            new.add_standing_strikes(old.standing_strikes(8))
+            await asyncio.sleep(3.0)
+            return old.status_of("f1"), new.status_of("f1"), old.standing_strikes(8)
+
+        old, new, later = run_paused(main())
+        # No longer refused there than at the host that told.
+        assert new == old
+        assert isinstance(old, Refused)
+        assert later == []
+
+    def test_refused_requests_come_first(self, log):
+        """Guards against beacons full of strikes that refuse nothing."""
+
+        async def main():
+            keeper = StrikeKeeper(log)
+            for n in range(50):
+                self.crash(keeper, f"single{n}", n_targets=1)
+            self.crash(keeper, "refused")
+            keeper.welcome()
+            return [strike[0] for strike in keeper.standing_strikes(4)]
+
+        found = run_paused(main())
+        assert found[:2] == ["refused"] * 2
+        assert len(found) == 4
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_crashing_requests.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_crashing_requests.py
@@ -31,9 +31,9 @@
     return runner
 
 
-def n_strikes(site):
-    """Return the number of strikes that the first host knows."""
-    return len(site.gateways[0]._strikes._tracker.export(0.0))
+def n_strikes(site, gateway=0):
+    """Return the number of strikes that a host knows."""
+    return len(site.gateways[gateway]._strikes._tracker.export(0.0))
 
 
 async def crash(site, runner, sending):
@@ -150,3 +150,25 @@
             return await site.send(path, method="GET")
 
         assert play(scenario, routes=ROUTES).status == status
+
+
+class TestHostsThatStart:
+    def test_request_is_refused_at_a_host_that_has_just_started(self, play):
+        """Guards against crashes that begin anew at each host that is restarted."""
+
+        async def scenario(site):
+            for id in ("first", "second"):
+                runner = await add_runner(site, id, "app")
+                runner.crashes_with = b""
+                await crash(site, runner, site.send("/lookup/1", method="GET"))
+            # Strikes are told to all hosts for two seconds after a crash.
+            await asyncio.sleep(2.5)
+            third = await add_runner(site, "third", "app")
+            await site.add_gateway()
+            await until(lambda: "third" in site.gateways[2].beliefs.targets)
+            await until(lambda: n_strikes(site, 2) == 2)
+            answer = await site.send("/lookup/1", method="GET", gateway=2)
+            return answer, third.ran
+
+        answer, ran = play(scenario, routes=ROUTES, n_gateways=2)
+        assert (answer.status, answer.body, ran) == (503, b"crashes_targets", [])
