FIX What crashes targets from some time on is refused soon

Change: two completed runs speak for a request only if they are less than ten seconds older than its last strike. A request that comes all the time keeps completing; one that crashes its targets doesn't, and is refused ten seconds later at most. Hosts tell since when two runs were completed, not how many.

--- a/packages/swifttide_core/src/swifttide_core/strikes/_strike_tracker.py
+++ b/packages/swifttide_core/src/swifttide_core/strikes/_strike_tracker.py
@@ -8,9 +8,11 @@
 
 A request is refused after two strikes. One strike is not sufficient, since a crash
 affects all requests in the batch of the target and may be a coincidence; a harmless
-request is cleared by the first target that completes it. A refusal lasts ten minutes,
-which is long compared with the retries of a caller, and short enough to notice that a
-new version of the engine handles the request.
+request is cleared by the first target that completes it. Equal requests may come all
+the time, and some of them are at any target that crashes: a request isn't refused while
+completed runs surround its strikes. A refusal lasts ten minutes, which is long compared
+with the retries of a caller, and short enough to notice that a new version of the
+engine handles the request.
 """
 
 import heapq
@@ -33,10 +35,15 @@
 """Maximum number of stored fingerprints, of about 400 bytes each."""
 
 MAX_STRIKES_PER_FINGERPRINT = 4
-"""Maximum number of strikes stored per fingerprint, and of completed runs counted."""
+"""Maximum number of strikes stored per fingerprint; more than two have no effect."""
+
+COMPLETION_WINDOW_SECONDS = 10.0
+"""Time before the last strike in which completed runs speak for a request. A crash is
+noticed seconds after it, and a request that crashes targets from now on completes no
+more."""
 
 MAX_COMPLETED_FINGERPRINTS = 4096
-"""Maximum number of fingerprints whose completed runs are counted, of about 200 bytes
+"""Maximum number of fingerprints whose completed runs are stored, of about 200 bytes
 each. Only frequent requests need to be remembered."""
 
 
@@ -68,7 +75,8 @@
     def __init__(self, max_fingerprints=MAX_FINGERPRINTS):
         self.max_fingerprints = max_fingerprints
         self._crash_times = {}
-        self._completions: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        # Times of the last two completed runs, the earlier one first.
+        self._completions: OrderedDict[str, tuple[float, float]] = OrderedDict()
 
     def record_strike(self, now: float, strike: Strike) -> Clear | Suspect | Refused:
         """Record a crash and return the new status; repeated reports are ignored."""
@@ -79,37 +87,30 @@
         """Record that a target completed the request.
 
         That clears a single strike. One run doesn't clear a refused request, since a
-        target may survive by chance or because it runs another version.
+        target may survive by chance or because it runs another version; two do.
         """
-        self.record_completions(
-            now, fingerprint, self.n_completions(now, fingerprint) + 1
-        )
+        _, last = self._completions.get(fingerprint, (0.0, float("-inf")))
+        self._store_completions(fingerprint, last, now)
         times = self._crash_times.get(fingerprint, ())
         if len(times) < STRIKES_TO_REFUSE:
             self._crash_times.pop(fingerprint, None)
 
-    def record_completions(self, now: float, fingerprint: str, number: int) -> None:
-        """Record that targets completed the request at least so many times.
+    def record_completions(self, at: float, fingerprint: str) -> None:
+        """Record that targets completed the request twice since a time."""
+        first, last = self._completions.get(fingerprint, (at, at))
+        self._store_completions(fingerprint, max(first, at), max(last, at))
 
-        Parameters
-        ----------
-        now : float
-        fingerprint : str
-        number : int
-            Completed runs in the last `STRIKE_RETENTION_SECONDS`, at one host.
-        """
-        known = self.n_completions(now, fingerprint)
-        number = min(max(known, number), MAX_STRIKES_PER_FINGERPRINT)
-        self._completions[fingerprint] = (number, now)
+    def completed_twice_since(self, fingerprint: str) -> float | None:
+        """Return the time since which two runs were completed; None without two."""
+        first, _ = self._completions.get(fingerprint, (float("-inf"), 0.0))
+        return first if first > float("-inf") else None
+
+    def _store_completions(self, fingerprint, first, last):
+        self._completions[fingerprint] = (first, last)
         self._completions.move_to_end(fingerprint)
         if len(self._completions) > MAX_COMPLETED_FINGERPRINTS:
             self._completions.popitem(last=False)
 
-    def n_completions(self, now: float, fingerprint: str) -> int:
-        """Return how often targets completed the request, as far as that counts."""
-        number, at = self._completions.get(fingerprint, (0, now))
-        return number if now - at < STRIKE_RETENTION_SECONDS else 0
-
     def status_of(self, now: float, fingerprint: str) -> Clear | Suspect | Refused:
         """Return the status of a request."""
         times = self._crash_times.get(fingerprint)
@@ -117,7 +118,9 @@
             return Clear()
         last = max(times.values())
         if len(times) >= STRIKES_TO_REFUSE and now < last + REFUSAL_SECONDS:
-            if len(times) <= self.n_completions(now, fingerprint):
+            completed_at = self.completed_twice_since(fingerprint)
+            until = last - COMPLETION_WINDOW_SECONDS
+            if completed_at is not None and completed_at >= until:
                 return Clear()
             return Refused(last + REFUSAL_SECONDS - now)
         if now < last + STRIKE_RETENTION_SECONDS and len(times) < STRIKES_TO_REFUSE:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon.py
@@ -48,8 +48,9 @@
     standing_strikes : list of (str, str, str, float)
         Request fingerprint, target and target incarnation of crashes, and their ages in
         seconds. Sent for some time after a process has started at any host.
-    completions : dict of str to int
-        Number of completed runs of requests with recent strikes, by fingerprint.
+    completions : dict of str to float
+        Seconds since which targets completed a request with recent strikes twice, by
+        fingerprint.
     lending : list of int
         Hash slots of programs for which the sender lends tokens. Empty while the store
         is available.
@@ -75,4 +76,4 @@
     pause_seconds: Seconds = BEACON_INTERVAL_SECONDS
     cores: Cores = 1.0
     standing_strikes: list[tuple[str, str, str, Seconds]] = []
-    completions: dict[str, Count] = {}
+    completions: dict[str, Seconds] = {}
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_exchange.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_beacon_exchange.py
@@ -110,6 +110,6 @@
         self._config_watch.on_peer_change(beacon.config_change)
         self._targets_watch.on_peer_change(beacon.target_change)
 
-    def _completions(self) -> dict[str, int]:
+    def _completions(self) -> dict[str, float]:
         found = self._strikes.completions_to_broadcast()
         return dict(itertools.islice(found.items(), MAX_COMPLETIONS_PER_BEACON))
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_strike_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_strike_keeper.py
@@ -129,23 +129,27 @@
     def _is_refused(self, fingerprint):
         return isinstance(self.status_of(fingerprint), Refused)
 
-    def add_remote_completions(self, completions: dict[str, int]) -> None:
-        """Add how often targets completed requests that have strikes."""
-        for fingerprint, number in completions.items():
-            self._tracker.record_completions(self._now(), fingerprint, number)
+    def add_remote_completions(self, ages: dict[str, float]) -> None:
+        """Add since when targets completed requests with strikes twice.
 
-    def completions_to_broadcast(self) -> dict[str, int]:
-        """Return how often requests were completed that got a strike recently."""
+        Parameters
+        ----------
+        ages : dict of str to float
+            Seconds since then, by fingerprint.
+        """
+        for fingerprint, age in ages.items():
+            self._tracker.record_completions(self._now() - age, fingerprint)
+
+    def completions_to_broadcast(self) -> dict[str, float]:
+        """Return since how many seconds requests with recent strikes ran twice."""
         now = self._now()
         self._struck_at = {
             fingerprint: at
             for fingerprint, at in self._struck_at.items()
             if now - at <= STRIKE_BROADCAST_SECONDS
         }
-        numbers = {f: self._tracker.n_completions(now, f) for f in self._struck_at}
-        return {
-            fingerprint: number for fingerprint, number in numbers.items() if number
-        }
+        times = {f: self._tracker.completed_twice_since(f) for f in self._struck_at}
+        return {f: max(0.0, now - at) for f, at in times.items() if at is not None}
 
     def strikes_to_broadcast(self) -> list[tuple[str, str, str]]:
         """Return the recent strikes of this host to send to other hosts."""
