FIX A host is ready only once it has read the configuration

Cause: /readyz asked for the state of the gate and for a known holder of a slot. The rows of the zone and the configuration are read by two threads, each at its own interval; where the rows come first the host called itself ready while it refused every customer's key. The refusal's detail names the stale configuration.

Change: a host whose configuration is stale isn't ready.

--- a/packages/swifttide_daemon/src/swifttide_daemon/_health.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/_health.py
@@ -51,8 +51,15 @@
         return Response.from_json({"state": self.gate.state})
 
     def ready(self, req: Request) -> Response:
-        """Answer ``/readyz`` with 200 if the host accepts new requests, else 503."""
-        ready = self.gate.state is GateState.OPEN and self.membership.has_holders()
+        """Answer ``/readyz`` with 200 if the host accepts new requests, else 503.
+
+        A host with a stale configuration would refuse every key of a customer.
+        """
+        ready = (
+            self.gate.state is GateState.OPEN
+            and self.membership.has_holders()
+            and not self.config.is_stale()
+        )
         state = {
             "ready": ready,
             "state": self.gate.state,
