FIX Tokens of idle programs go back to their budget before hosts are lost

Cause: what a lost host holds of a budget counts as spent, and hosts hold much. A grant was half of what remained, and turns that run at once reserve their most each, of which they use a quarter; the rest stayed at their hosts for good.

Change: a grant is the most of two turns, whatever is left. A host that has had no turn of a program for a second gives its tokens back to the account, and a host that stops gives back all. What is lost with hosts is then what programs hold that are busy.

A host that stops in an outage loses what it holds, and the ledger counts it so.

--- a/packages/swifttide_core/src/swifttide_core/budgets/_program_account.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/_program_account.py
@@ -6,10 +6,10 @@
 stopped. Without it, each host would let a program in an endless loop spend the budget
 anew, and engines would do useless work.
 
-A grant is half of the remaining tokens. A program that stays at one host therefore
-causes only one or two writes in its lifetime, and a program that moves still finds
-tokens at other hosts. A grant covers at least two turns of maximum size if possible,
-because a turn rarely comes alone.
+A grant covers two turns of maximum size if possible. As a turn generates a quarter of
+its maximum on average, a grant lasts for some five turns. Larger grants would save
+writes, but all that a host holds is lost with it. So hosts also return what they hold
+of a program that is idle.
 
 The account grants the whole budget and nothing beyond it. Without the account, while
 the store is unavailable, the owner of the program's slot may lend the tokens of one
@@ -20,11 +20,8 @@
 
 from dataclasses import dataclass, replace
 
-GRANT_FRACTION = 0.5
-"""Fraction of the remaining tokens in one grant."""
-
-MIN_GRANT_TURNS = 2
-"""Smallest grant in turns of maximum size, if as many tokens remain."""
+GRANT_TURNS = 2
+"""Tokens of one grant in turns of maximum size, if as many remain."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +61,24 @@
             holders=self.holders + new_holders,
         )
 
+    def with_tokens_returned(
+        self, tokens: int, host: str, moved_to: str
+    ) -> "ProgramAccount":
+        """Return the account with unused tokens that a host has given back.
+
+        Parameters
+        ----------
+        tokens : int
+        host : str
+            Host that returns them and has none left.
+        moved_to : str
+            Host to which it passed tokens before; empty if there is none.
+        """
+        holders = [h for h in self.holders if h != host]
+        if moved_to and moved_to not in (host, *holders):
+            holders.append(moved_to)
+        return replace(self, granted=self.granted - tokens, holders=tuple(holders))
+
 
 @dataclass(frozen=True, slots=True)
 class Granted:
@@ -98,9 +113,9 @@
     remaining = account.budget - account.granted
     if remaining < missing:
         return Exhausted(account)
-    wanted = max(MIN_GRANT_TURNS * max_turn_tokens, int(remaining * GRANT_FRACTION))
     # Tokens for one turn are left, because the tokens of a host that fails are lost.
-    tokens = max(missing, min(wanted, remaining - max_turn_tokens))
+    spare = remaining - max_turn_tokens
+    tokens = max(missing, min(GRANT_TURNS * max_turn_tokens, spare))
     holders = account.holders
     if host not in holders:
         holders = (*holders, host)
--- a/packages/swifttide_core/src/swifttide_core/budgets/_token_pool.py
+++ b/packages/swifttide_core/src/swifttide_core/budgets/_token_pool.py
@@ -41,8 +41,14 @@
         self.reserved -= max_tokens
         self.free += max_tokens - generated
 
-    def withdraw(self) -> int:
-        """Remove all free tokens and return their number, for use at another host."""
-        tokens = max(0, self.free)
+    def withdraw(self, most: int | None = None) -> int:
+        """Remove free tokens and return their number, for use elsewhere.
+
+        Parameters
+        ----------
+        most : int or None
+            Largest number of tokens; None for all.
+        """
+        tokens = max(0, self.free if most is None else min(self.free, most))
         self.free -= tokens
         return tokens
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -202,6 +202,7 @@
             self._peer_service.ask_lender,
             self._reaper,
             log,
+            lambda: self._store.is_reachable and not self._store.is_throttled,
         )
         self._lender = TokenLender(
             lambda: self._shares.slots,
@@ -302,6 +303,7 @@
             self._fleet,
             self._store,
             self._peer_service,
+            self._budgets,
             self._lender,
             self._turns.memory,
             self._record,
@@ -349,6 +351,7 @@
         background.start("rates", self._rates.run)
         background.start("lending_record", self._record.run)
         background.start("lender", self._lender.run)
+        background.start("budgets", self._budgets.run)
         background.start("version_rows", self._version_rows.run)
         background.start("turn_memory", self._turns.memory.run)
         background.start("reaper", self._reaper.run)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_graceful_shutdown.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_graceful_shutdown.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from swifttide_daemon.gateway.budgets._budget_keeper import BudgetKeeper
 from swifttide_daemon.gateway.budgets._lending_record import LendingRecord
 from swifttide_daemon.gateway.budgets._token_lender import TokenLender
 from swifttide_daemon.gateway.callers._frontend import Frontend
@@ -17,7 +18,11 @@
 second and removes a host after two failed probes. New connections arrive until then."""
 
 STOP_MARGIN_SECONDS = 1.0
-"""The shutdown ends this long before the process would be killed."""
+"""The waiting for requests ends this long before the process would be killed."""
+
+RETURN_TOKENS_SECONDS = 0.4
+"""Time to return unused tokens. It is part of `STOP_MARGIN_SECONDS`, which the
+handing over of slots needs as well."""
 
 
 class GracefulShutdown:
@@ -29,6 +34,7 @@
     fleet : Fleet
     store : SharedStore
     peer_service : PeerService
+    budgets : BudgetKeeper
     lender : TokenLender
     memory : TurnMemory
     record : LendingRecord
@@ -43,6 +49,7 @@
         fleet: Fleet,
         store: SharedStore,
         peer_service: PeerService,
+        budgets: BudgetKeeper,
         lender: TokenLender,
         memory: TurnMemory,
         record: LendingRecord,
@@ -53,6 +60,7 @@
         self._fleet = fleet
         self._store = store
         self._peer_service = peer_service
+        self._budgets = budgets
         self._lender = lender
         self._memory = memory
         self._record = record
@@ -80,9 +88,18 @@
         while self._front.n_busy and loop.time() < ends:
             await asyncio.sleep(0.05)
         self._log.info("left", busy=self._front.n_busy)
+        await self._return_tokens()
         await self._hand_over_lending()
         await self._fleet.leave(self._store)
 
+    async def _return_tokens(self):
+        """Return unused tokens of programs, which would be lost with this process."""
+        try:
+            async with asyncio.timeout(RETURN_TOKENS_SECONDS):
+                await self._budgets.return_all_tokens()
+        except TimeoutError:
+            self._log.warning("tokens_not_returned_in_time")
+
     async def _hand_over_lending(self):
         """Hand lending of tokens over to another host, or close the lending record.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
@@ -3,27 +3,27 @@
 Decides whether a turn of a program may start, from the tokens that this host holds for
 the program, the tokens of other hosts, and the account of the program in the shared
 store. Hosts acquire tokens from the account in advance, so that most turns need no
-access to the store. While the store is unavailable, missing tokens are borrowed from
-the host that owns the program's slot.
+access to the store, and return them to it when a program has been idle for a while. A
+host that is lost then takes few tokens with it. While the store is unavailable, missing
+tokens are borrowed from the host that owns the program's slot.
 """
 
 import asyncio
-import uuid
 from collections.abc import Awaitable, Callable
 
 from swifttide_core.budgets import (
     Exhausted,
     Granted,
+    IdlePrograms,
     ProgramAccount,
     TurnSizeEstimate,
     grant_tokens,
 )
-from swifttide_daemon.gateway.budgets._account_rows import (
-    TABLE,
-    account_row_key,
-    decode_account,
-    encode_account,
-    program_key,
+from swifttide_daemon.gateway.budgets._account_rows import program_key
+from swifttide_daemon.gateway.budgets._program_accounts import (
+    OUTAGE_RETRY_AFTER_SECONDS,
+    ProgramAccounts,
+    StoreUnavailable,
 )
 from swifttide_daemon.gateway.budgets._reservation import (
     LocalProgramBudget,
@@ -32,18 +32,7 @@
 from swifttide_daemon.gateway.callers._refusal import Refusal
 from swifttide_daemon.gateway.peers._peer_messages import AskTokens, HandedTokens, Loan
 from swifttide_daemon.gateway.store._row_reaper import RowReaper
-from swifttide_daemon.gateway.store._shared_store import (
-    Applied,
-    Condition,
-    Conflict,
-    Put,
-    Rows,
-    SharedStore,
-    StoredRow,
-    Transaction,
-    Unavailable,
-)
-from swifttide_daemon.gateway.store._unusable_rows import log_unusable_row
+from swifttide_daemon.gateway.store._shared_store import SharedStore
 from swifttide_daemon.telemetry import EventLog
 
 MAX_GRANT_ATTEMPTS = 6
@@ -57,15 +46,11 @@
 """Timeout of the read that checks whether a program has an account. Requests have to be
 refused within 0.1 s."""
 
-ACCOUNT_RETENTION_SECONDS = 7_200.0
-"""Time for which an account is kept after its last write. The program may be active
-without further writes, because tokens move between hosts without one, and a stopped
-program may continue later."""
+RETURN_INTERVAL_SECONDS = 0.25
+"""Interval at which the tokens of idle programs are returned."""
 
-OUTAGE_RETRY_AFTER_SECONDS = 1.2
-"""Delay before a retry while the store is unavailable or hosts contend for an account.
-An outage lasts seconds, and a caller that retries sooner would use up its attempts
-before the store is back."""
+MAX_PARALLEL_RETURNS = 8
+"""Number of accounts to which a host that stops returns tokens at the same time."""
 
 BUSY_RETRY_AFTER_SECONDS = 0.3
 """Delay before a retry while other turns of the program hold its tokens. A turn takes
@@ -80,10 +65,6 @@
 """
 
 
-class StoreUnavailable(Refusal):
-    """The store gave no answer, so that an account could not be read or written."""
-
-
 class BudgetKeeper:
     """Reserves tokens for turns, and takes back the unused ones.
 
@@ -100,6 +81,9 @@
     reaper : RowReaper
         Removes the rows of accounts after their retention time.
     log : EventLog
+    is_store_available : callable
+        Tokens are returned to accounts only then. In an outage programs go on with
+        those that they have.
     """
 
     def __init__(
@@ -110,14 +94,16 @@
         ask_lender: Callable[[AskTokens], Awaitable[int]],
         reaper: RowReaper,
         log: EventLog,
+        is_store_available: Callable[[], bool] = lambda: True,
     ):
-        self._store = store
+        self._accounts = ProgramAccounts(store, reaper, log)
         self._host = host
         self._collect = collect
         self._ask_lender = ask_lender
-        self._reaper = reaper
+        self._is_store_available = is_store_available
         self._log = log
         self._programs: dict[str, LocalProgramBudget] = {}
+        self._idle = IdlePrograms()
         self._turn_size_estimate = TurnSizeEstimate()
 
     async def reserve(
@@ -154,6 +140,7 @@
         key = program_key(customer, program)
         known = self._get_or_add_program(key)
         async with known.lock:
+            self._idle.touch(key, asyncio.get_running_loop().time())
             if known.pool.reserve(max_turn_tokens):
                 return Reservation(known, max_turn_tokens)
             try:
@@ -203,7 +190,7 @@
     def _get_or_add_program(self, key) -> LocalProgramBudget:
         known = self._programs.get(key)
         if known is None:
-            known = self._programs[key] = LocalProgramBudget()
+            known = self._programs[key] = LocalProgramBudget(key)
             self._evict_oldest()
         return known
 
@@ -219,10 +206,10 @@
         does not answer within `ACCOUNT_READ_TIMEOUT_SECONDS`.
         """
         key = program_key(customer, program)
-        found = LocalProgramBudget()
+        found = LocalProgramBudget(key)
         try:
             async with asyncio.timeout(ACCOUNT_READ_TIMEOUT_SECONDS):
-                await self._read_account(key, found)
+                await self._accounts.read(found)
         except (TimeoutError, Refusal):
             return False
         if found.account is None:
@@ -235,6 +222,75 @@
         if generated:
             self._turn_size_estimate.update(generated)
         reservation.program.pool.settle(reservation.tokens, generated)
+        self._idle.touch(reservation.program.key, asyncio.get_running_loop().time())
+
+    async def run(self) -> None:
+        """Return the tokens of idle programs to their accounts, until cancelled."""
+        while True:
+            await asyncio.sleep(RETURN_INTERVAL_SECONDS)
+            if self._is_store_available():
+                now = asyncio.get_running_loop().time()
+                for key in self._idle.pop_idle(now):
+                    await self._return_tokens(key)
+
+    async def return_all_tokens(self) -> None:
+        """Return all free tokens of this host to the accounts of their programs."""
+        keys = iter([k for k, known in self._programs.items() if known.pool.free > 0])
+
+        async def return_tokens():
+            for key in keys:
+                await self._return_tokens(key)
+
+        await asyncio.gather(*(return_tokens() for _ in range(MAX_PARALLEL_RETURNS)))
+
+    async def _return_tokens(self, key):
+        """Return the free tokens of a program to its account."""
+        known = self._programs.get(key)
+        if known is None or known.pool.free <= 0:
+            return
+        async with known.lock:
+            try:
+                if known.account is None:
+                    await self._accounts.read(known)
+                for _ in range(MAX_GRANT_ATTEMPTS):
+                    if known.pool.reserved or await self._try_to_return(known):
+                        return
+            except Refusal as exc:
+                self._log.info("tokens_kept", program=key, reason=exc.reason)
+
+    async def _try_to_return(self, known) -> bool:
+        """Return free tokens of a program; False if its account has changed.
+
+        Raises
+        ------
+        Refusal
+            If the account can't be written. Tokens count as spent where it may have
+            been written, because they may be granted again.
+        """
+        account, pool = known.account, known.pool
+        # Lent tokens that aren't charged yet are in no account.
+        tokens = 0 if account is None else pool.withdraw(account.granted)
+        if not tokens:
+            return True
+        rest = account.with_tokens_returned(tokens, self._host, known.moved_to)
+        try:
+            written = await self._accounts.write(known, rest)
+        except Refusal as exc:
+            if not (isinstance(exc, StoreUnavailable) and exc.may_have_applied):
+                pool.add(tokens)
+            raise
+        if not written:
+            pool.add(tokens)
+            return False
+        self._log.debug(
+            "tokens_returned",
+            program=known.key,
+            tokens=tokens,
+            granted=rest.granted,
+            budget=rest.budget,
+            version=known.version,
+        )
+        return True
 
     def withdraw(self, key: str, asker: str) -> HandedTokens:
         """Remove the free tokens of a program from this host, for the host `asker`."""
@@ -256,14 +312,14 @@
         """
         # The cached state of the program is not used, because it would have to be
         # locked, and the holder of its lock may be waiting for the caller (a deadlock).
-        known = LocalProgramBudget()
+        known = LocalProgramBudget(key)
         for _ in range(MAX_GRANT_ATTEMPTS):
             try:
-                if not await self._read_account(key, known):
+                if not await self._accounts.read(known):
                     return None
                 account = known.account or ProgramAccount(loan.budget)
                 account = account.with_loans_charged(loan.lent, tuple(loan.holders))
-                if await self._write_account(key, known, account):
+                if await self._accounts.write(known, account):
                     return account
             except Refusal:
                 return None
@@ -287,7 +343,7 @@
             missing = max_turn_tokens - known.pool.free
             match grant_tokens(account, self._host, missing, max_turn_tokens):
                 case Granted(tokens, taken):
-                    if await self._write_account(key, known, taken):
+                    if await self._accounts.write(known, taken):
                         known.pool.add(tokens)
                         self._log_grant(request_id, known, tokens)
                         if known.pool.free >= max_turn_tokens:
@@ -295,7 +351,7 @@
                         # Another host has withdrawn free tokens in the meantime.
                 case Exhausted():
                     before = known.version
-                    if not await self._read_account(key, known):
+                    if not await self._accounts.read(known):
                         raise StoreUnavailable(
                             503, "store_unavailable", OUTAGE_RETRY_AFTER_SECONDS
                         )
@@ -328,74 +384,6 @@
         )
         raise Refusal(402, "budget_spent")
 
-    async def _write_account(self, key, known, account) -> bool:
-        """Write an account on condition that its row has the known version.
-
-        Returns whether the write took effect. After a conflict, `known` holds the
-        account that is stored.
-
-        Raises
-        ------
-        StoreUnavailable
-            If the store gives no answer.
-        """
-        mark = uuid.uuid4().hex[:16]
-        place = account_row_key(key)
-        tx = Transaction(
-            conditions=(Condition(place, known.version),),
-            puts=(Put(place, encode_account(account, mark)),),
-        )
-        match await self._store.commit(tx):
-            case Applied(version, _):
-                known.account, known.version = account, version
-                self._reaper.remove_after(place, version, ACCOUNT_RETENTION_SECONDS)
-                return True
-            case Conflict(rows):
-                return self._apply_stored_account(known, rows, mark)
-            case Unavailable():
-                # The transaction may still take effect later. The version of the row
-                # then differs from the known one, so that the next transaction of this
-                # host conflicts and reads the account.
-                raise StoreUnavailable(
-                    503, "store_unavailable", OUTAGE_RETRY_AFTER_SECONDS
-                )
-
-    async def _read_account(self, key, known) -> bool:
-        place = account_row_key(key)
-        match await self._store.read(TABLE, place.part, key, key + "\0"):
-            case Rows(rows):
-                self._apply_stored_account(known, rows, "")
-                return True
-            case Unavailable():
-                return False
-
-    def _apply_stored_account(
-        self, known, rows: tuple[StoredRow, ...], mark: str
-    ) -> bool:
-        """Update `known` from the stored rows.
-
-        Returns whether the transaction with the id `mark` wrote the account.
-
-        Raises
-        ------
-        Refusal
-            With status 503 if the row can't be read.
-        """
-        found = next((r for r in rows if r.value is not None), None)
-        if found is None:
-            known.account, known.version = None, 0
-            return False
-        try:
-            known.account, found_mark = decode_account(found.value)
-        except ValueError as exc:
-            # What was granted isn't known: more tokens might exceed the budget.
-            log_unusable_row(self._log, found, str(exc))
-            raise Refusal(
-                503, "account_unreadable", OUTAGE_RETRY_AFTER_SECONDS
-            ) from exc
-        known.version = found.version
-        return bool(mark) and found_mark == mark
-
     def _evict_oldest(self):
         """Remove the oldest programs to bound the memory.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_reservation.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_reservation.py
@@ -8,12 +8,13 @@
 
 @dataclass(slots=True)
 class LocalProgramBudget:
-    """Tokens and last known account of one program at this host.
+    """Tokens and last known account of one program at this host, by the program's key.
 
     The lock is held while tokens are acquired. ``account`` and ``version`` are those of
     the row as last read or written; they are None and 0 if there was none.
     """
 
+    key: str
     pool: TokenPool = field(default_factory=TokenPool)
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     account: ProgramAccount | None = None
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_lending_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_lending_fleet.py
@@ -86,6 +86,7 @@
             self.peers.ask_lender,
             RowReaper(self.store, log),
             log,
+            lambda: self.store.reachable,
         )
         self.lender = TokenLender(
             lambda: self.shares.slots,
@@ -101,6 +102,7 @@
                 self.record.run(),
                 self.shares.run(),
                 self.lender.run(),
+                self.budgets.run(),
                 self.follow(),
             )
         ]
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_ledger.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_ledger.py
@@ -78,6 +78,17 @@
         self.lose(ip)
         del self.fleet.hosts[ip]
 
+    async def stop(self, ip, new_ip):
+        """Stop a host as planned, and replace it by one at another address.
+
+        Only while the store is away something is lost with it.
+        """
+        is_away = self.fleet.store.down
+        lost_before = self.lost
+        await self.fleet.hosts[ip].budgets.return_all_tokens()
+        self.replace(ip, new_ip)
+        assert is_away or self.lost == lost_before
+
     def check(self):
         """Check that the program got its budget, and at most one turn more."""
         assert self.used <= self.budget + self.largest_turn
@@ -118,6 +129,44 @@
 
         assert play(scenario) == ([200] * 6, [200, 200, 402])
 
+    def test_program_that_was_idle_as_all_hosts_were_lost(self, play):
+        """Guards against a budget that counts as spent because turns ran at once, each
+        of which generated a quarter of its most.
+        """
+
+        async def scenario(fleet):
+            ledger = Ledger(fleet, 8 * 30)
+            hosts = list(fleet.hosts.values())
+            turns = [ledger.turn(hosts[i % 4], 30, 7) for i in range(8)]
+            before = await asyncio.gather(*turns)
+            await asyncio.sleep(2.5)
+            await ledger.lose_all(1.3)
+            assert ledger.lost == 0
+            while await ledger.turn(fleet.any(), 30) == 200:
+                pass
+            ledger.check()
+            return before, ledger.used
+
+        before, used = play(scenario)
+        assert before == [200] * 8
+        assert used > 7 * 30
+
+    def test_program_whose_hosts_are_replaced_as_planned(self, play):
+        """Guards against tokens that a host takes with it as it stops."""
+
+        async def scenario(fleet):
+            ledger = Ledger(fleet, 8 * 30)
+            for n, ip in enumerate(list(fleet.hosts)):
+                await ledger.turn(fleet.hosts[ip], 30, 7)
+                await ledger.stop(ip, f"n{n}")
+                await asyncio.sleep(0.3)
+            while await ledger.turn(fleet.any(), 30) == 200:
+                pass
+            ledger.check()
+            return ledger.used
+
+        assert play(scenario) > 7 * 30
+
 
 class TestNeverMore:
     def test_spent_program_returns_in_an_outage_with_smaller_turns(self, play, store):
@@ -196,3 +245,5 @@
         elif draw < 0.3:
             ledger.lose(ip)
             ledger.fleet.start(ip)
+        elif draw < 0.35:
+            await ledger.stop(ip, f"n{step}")
