FIX Granted tokens aren't lost as a caller leaves or an answer is late

Seen by callers: while the store was slow, programs that had begun a few seconds before were told 402 budget_spent: 99 and 231 tokens used of 858, all of it granted.

Cause: a write of an account that nobody waits for any more. The turn's task was cancelled as its caller left, in the middle of the write or while tokens came from other hosts, so nobody added them; and a write without an answer was told from others' only if it was the row's last. Each such try took the most of two turns off the budget.

Change: a reservation ends also if its turn is given up, and is released then. A host remembers a write without an answer; rows name the last eight transactions that wrote them, so it finds its own there and takes its tokens. A return that can't have taken effect any more is undone.

Result: each of the four new tests fails with its line taken out. A host of an earlier release writes rows without these names: tokens of a write without an answer are lost then, as before."

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_account_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_account_rows.py
@@ -15,14 +15,19 @@
 
 TABLE = "budgets"
 
+MAX_EARLIER_MARKS = 7
+"""Ids of earlier transactions in a row, 19 bytes each. A host asks again within a
+second or two, in which few others write the same account."""
+
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
 class _AccountRow(msgspec.Struct):
     """Account of a program as stored in its row.
 
-    ``mark`` is a random id of the transaction that wrote the row. A host that lost the
-    answer to its transaction compares the id to learn whether the transaction took
+    ``mark`` is a random id of the transaction that wrote the row, and ``earlier_marks``
+    are those of the transactions before it, the newest first. A host that lost the
+    answer to its transaction looks for its id, to learn whether the transaction took
     effect.
     """
 
@@ -30,6 +35,7 @@
     granted: Tokens
     holders: list[str]
     mark: str = ""
+    earlier_marks: list[str] = []
     released: bool = True
     """Tells hosts of an earlier release, which reserved a part of a budget for loans,
     that they may grant the whole budget."""
@@ -38,7 +44,9 @@
 _rows = JsonDecoder(_AccountRow)
 
 
-def encode_account(account: ProgramAccount, mark: str) -> bytes:
+def encode_account(
+    account: ProgramAccount, mark: str, earlier_marks: tuple[str, ...] = ()
+) -> bytes:
     """Return the row value of an account.
 
     Parameters
@@ -46,13 +54,23 @@
     account : ProgramAccount
     mark : str
         Id of the transaction that writes the row.
+    earlier_marks : tuple of str
+        Ids of the transactions before it, the newest first.
     """
-    row = _AccountRow(account.budget, account.granted, list(account.holders), mark)
+    row = _AccountRow(
+        account.budget,
+        account.granted,
+        list(account.holders),
+        mark,
+        list(earlier_marks[:MAX_EARLIER_MARKS]),
+    )
     return msgspec.json.encode(row)
 
 
-def decode_account(value: bytes) -> tuple[ProgramAccount, str]:
-    """Return the account in a row value and the id of the transaction that wrote it.
+def decode_account(value: bytes) -> tuple[ProgramAccount, tuple[str, ...]]:
+    """Return the account in a row value and the ids of the transactions that wrote it.
+
+    The newest id comes first.
 
     Raises
     ------
@@ -61,7 +79,7 @@
     """
     row = _rows.decode(value)
     account = ProgramAccount(row.budget, row.granted, tuple(row.holders))
-    return account, row.mark
+    return account, (row.mark, *row.earlier_marks)
 
 
 def account_row_key(key: str) -> RowKey:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
@@ -104,6 +104,7 @@
         self._log = log
         self._programs: dict[str, LocalProgramBudget] = {}
         self._idle = IdlePrograms()
+        self._reserving: set[asyncio.Task] = set()
         self._turn_size_estimate = TurnSizeEstimate()
 
     async def reserve(
@@ -139,8 +140,31 @@
         """
         key = program_key(customer, program)
         known = self._get_or_add_program(key)
+        self._idle.touch(key, asyncio.get_running_loop().time())
+        if not known.lock.locked() and known.pool.reserve(max_turn_tokens):
+            return Reservation(known, max_turn_tokens)
+        # Completed even if the caller leaves, because tokens that were granted or
+        # collected meanwhile would be lost otherwise.
+        task = asyncio.create_task(
+            self._reserve_locked(request_id, key, known, budget, max_turn_tokens)
+        )
+        self._reserving.add(task)
+        task.add_done_callback(self._reserving.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(self._release_unused)
+            raise
+
+    def _release_unused(self, task):
+        """Release what a turn has reserved whose caller has left in the meantime."""
+        if not task.cancelled() and task.exception() is None:
+            self.settle(task.result(), 0)
+
+    async def _reserve_locked(
+        self, request_id, key, known, budget, max_turn_tokens
+    ) -> Reservation:
         async with known.lock:
-            self._idle.touch(key, asyncio.get_running_loop().time())
             if known.pool.reserve(max_turn_tokens):
                 return Reservation(known, max_turn_tokens)
             try:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_program_accounts.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_program_accounts.py
@@ -5,12 +5,16 @@
 
 from swifttide_core.budgets import ProgramAccount
 from swifttide_daemon.gateway.budgets._account_rows import (
+    MAX_EARLIER_MARKS,
     TABLE,
     account_row_key,
     decode_account,
     encode_account,
 )
-from swifttide_daemon.gateway.budgets._reservation import LocalProgramBudget
+from swifttide_daemon.gateway.budgets._reservation import (
+    LocalProgramBudget,
+    UnansweredWrite,
+)
 from swifttide_daemon.gateway.callers._refusal import Refusal
 from swifttide_daemon.gateway.store._row_reaper import RowReaper
 from swifttide_daemon.gateway.store._shared_store import (
@@ -71,7 +75,8 @@
         """Write an account on condition that its row has the known version.
 
         Returns whether the write took effect. After a conflict, `known` holds the
-        account that is stored.
+        account that is stored. Tokens that an earlier write without an answer granted
+        are added to the pool of `known` as soon as its effect is known.
 
         Raises
         ------
@@ -84,11 +89,17 @@
         place = account_row_key(known.key)
         tx = Transaction(
             conditions=(Condition(place, known.version),),
-            puts=(Put(place, encode_account(account, mark)),),
+            puts=(Put(place, encode_account(account, mark, known.marks)),),
         )
+        before = known.account.granted if known.account else 0
         match await self._store.commit(tx):
             case Applied(version, _):
+                if known.unanswered is not None:
+                    # It had the same condition, so it can't take effect any more.
+                    known.pool.add(max(0, -known.unanswered.tokens))
+                    known.unanswered = None
                 known.account, known.version = account, version
+                known.marks = (mark, *known.marks)[:MAX_EARLIER_MARKS]
                 self._reaper.remove_after(place, version, ACCOUNT_RETENTION_SECONDS)
                 return True
             case Conflict(rows):
@@ -97,6 +108,9 @@
                 # The transaction may still take effect later. The version of the row
                 # then differs from the known one, so that the next transaction of this
                 # host conflicts and reads the account.
+                if may_have_applied and known.unanswered is None:
+                    tokens = account.granted - before
+                    known.unanswered = UnansweredWrite(mark, tokens)
                 raise StoreUnavailable(
                     503,
                     "store_unavailable",
@@ -116,29 +130,34 @@
         place = account_row_key(key)
         match await self._store.read(TABLE, place.part, key, key + "\0"):
             case Rows(rows):
-                self._apply_stored_account(known, rows, "")
+                self._apply_stored_account(known, rows)
                 return True
             case Unavailable():
                 return False
 
     def _apply_stored_account(
-        self, known, rows: tuple[StoredRow, ...], mark: str
+        self, known, rows: tuple[StoredRow, ...], mark: str | None = None
     ) -> bool:
         """Update `known` from the stored rows.
 
-        Returns whether the transaction with the id `mark` wrote the account.
+        Returns whether the transaction with the id `mark` took effect.
         """
         found = next((r for r in rows if r.value is not None), None)
         if found is None:
-            known.account, known.version = None, 0
+            known.account, known.version, known.marks = None, 0, ()
             return False
         try:
-            known.account, found_mark = decode_account(found.value)
+            known.account, known.marks = decode_account(found.value)
         except ValueError as exc:
             # What was granted isn't known: more tokens might exceed the budget.
             log_unusable_row(self._log, found, str(exc))
             raise Refusal(
                 503, "account_unreadable", OUTAGE_RETRY_AFTER_SECONDS
             ) from exc
+        unanswered = known.unanswered
+        if unanswered is not None and found.version != known.version:
+            known.unanswered = None
+            if unanswered.mark in known.marks:
+                known.pool.add(max(0, unanswered.tokens))
         known.version = found.version
-        return bool(mark) and found_mark == mark
+        return mark in known.marks
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
@@ -254,6 +254,66 @@
         assert kept == 0
 
 
+class TestGrantsWithoutAnAnswer:
+    """Tokens that were granted while nobody waited for them, or without an answer."""
+
+    def test_caller_leaves_while_tokens_are_granted(self, store, log, monkeypatch):
+        """Guards against tokens that are granted to a turn that was given up."""
+        commit = store.commit
+
+        async def answer_late(tx):
+            outcome = await commit(tx)
+            await asyncio.sleep(0.2)
+            return outcome
+
+        async def main():
+            keeper = Hosts(store, log, 1).any(0)
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await keeper.reserve("r", "c", "p", 90, MAX_TURN_TOKENS)
+            return [await run_turn(keeper, 90, 30) for _ in range(4)]
+
+        monkeypatch.setattr(store, "commit", answer_late)
+        assert run_paused(main()) == [200, 200, 200, 402]
+
+    def test_answer_to_a_grant_is_lost(self, store, log):
+        """Guards against tokens that a host was granted without learning of it."""
+
+        async def main():
+            keeper = Hosts(store, log, 1).any(0)
+            store.n_lost_answers = 1
+            return [await run_turn(keeper, 90, 30) for _ in range(5)]
+
+        assert run_paused(main()) == [503, 200, 200, 200, 402]
+
+    def test_another_host_writes_after_a_grant_whose_answer_is_lost(self, store, log):
+        """Guards against tokens that a host doesn't find as its own any more."""
+
+        async def main():
+            hosts = Hosts(store, log, 2)
+            store.n_lost_answers = 1
+            first = await run_turn(hosts.any(0), 150, 30)
+            second = await run_turn(hosts.any(1), 150, 30)
+            return [first, second] + [
+                await run_turn(hosts.any(i % 2), 150, 30) for i in range(5)
+            ]
+
+        assert run_paused(main()) == [503, 200, 200, 200, 200, 200, 402]
+
+    def test_return_that_had_no_effect(self, store, log):
+        """Guards against tokens that are neither returned nor held by a host."""
+
+        async def main():
+            keeper = Hosts(store, log, 1).any(0)
+            statuses = [await run_turn(keeper, 90, 10)]
+            store.delay = True
+            await keeper.return_all_tokens()
+            store.delay = False
+            return statuses + [await run_turn(keeper, 90, 20) for _ in range(4)]
+
+        assert run_paused(main()) == [200, 200, 200, 200, 402]
+
+
 class TestForeignRow:
     @pytest.mark.parametrize("value", [b"[" * 2000, b"{}", b'{"budget": -1}'])
     def test_unusable_account_refuses_the_turn(self, store, log, value):
