FIX Tokens that couldn't be returned are returned later

Change: the return is tried again after another second without a turn.

Result: the new test fails without it (60 tokens granted in place of 10).

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/budgets/_budget_keeper.py
@@ -281,6 +281,9 @@
                         return
             except Refusal as exc:
                 self._log.info("tokens_kept", program=key, reason=exc.reason)
+            if known.pool.free > 0:
+                # Tried again after another while without a turn.
+                self._idle.touch(key, asyncio.get_running_loop().time())
 
     async def _try_to_return(self, known) -> bool:
         """Return free tokens of a program; False if its account has changed.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_budget_keeper.py
@@ -246,6 +246,23 @@
         kept, account = self.play(store, log, lambda: setattr(store, "down", True))
         assert kept == account.granted - 20
 
+    def test_return_is_tried_again(self, store, log):
+        """Guards against tokens that stay at a host whose first try has failed."""
+
+        async def main():
+            keeper = Hosts(store, log, 1).any(0)
+            returning = asyncio.create_task(keeper.run())
+            await run_turn(keeper, 300, 10)
+            store.unavailable_tables = {"budgets"}
+            await asyncio.sleep(3.0)
+            before = self.account_in(store).granted
+            store.unavailable_tables = set()
+            await asyncio.sleep(3.0)
+            returning.cancel()
+            return before, self.account_in(store).granted
+
+        assert run_paused(main()) == (60, 10)
+
     def test_tokens_whose_return_got_no_answer_are_spent(self, store, log):
         """Guards against tokens that are returned and used as well."""
         lose = functools.partial(setattr, store, "n_lost_answers", 1)
