FIX A large burst isn't filled again after a loss of all hosts

Cause: each process that starts fills a quarter of its share of the burst. Together these quarters come on top of the burst that was just used.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_customer_pools.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_customer_pools.py
@@ -36,8 +36,14 @@
 )
 
 INITIAL_FILL_FRACTION = 0.25
-"""Initial fill of a host's share of the burst. The previous process at this host may
-just have spent the burst; a quarter stays within the excess that the limit allows."""
+"""Initial fill of a host's share of the burst, but for the limit of
+`INITIAL_FILL_SECONDS`. The previous process at this host may just have spent the
+burst."""
+
+INITIAL_FILL_SECONDS = 0.5
+"""Upper limit of the initial fill, in time to refill it. After a loss of all hosts it
+comes on top of what was used before, and this much stays within the excess that a limit
+allows: a tenth of what comes in 5 s, and of the burst."""
 
 EXTRA_STORED_FRACTION = 0.6
 """Fraction of the allowed excess of a customer that is added to its burst, because a
@@ -257,7 +263,10 @@
         rate = terms.rate_per_second
         burst = max(1.0, terms.burst) + self._extra
         # The initial fill excludes the allowed excess, which may just have been spent.
-        level = INITIAL_FILL_FRACTION * (1.0 - self._extra / burst)
+        level = min(
+            INITIAL_FILL_FRACTION * (1.0 - self._extra / burst),
+            INITIAL_FILL_SECONDS * rate / burst,
+        )
         state = self._customers.get(terms.name)
         if state is None:
             local = LocalShare(rate, burst, self.share, level, now)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_limiter.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_limiter.py
@@ -251,6 +251,34 @@
         assert run_paused(main()) == 0
 
 
+class TestLossOfAllHosts:
+    @pytest.mark.parametrize("extra", [0.0, EXTRA_REQUESTS])
+    @pytest.mark.parametrize(
+        ("rate", "burst"), [(10.0, 20.0), (10.0, 400.0), (100.0, 200.0)]
+    )
+    def test_burst_is_not_filled_again(self, log, rate, burst, extra):
+        """Guards against a part of a large burst that is used a second time."""
+        terms = CustomerTerms("c", (), None, rate, burst)
+
+        async def press(hosts, seconds):
+            for _round in range(int(seconds / 0.01)):
+                for n in range(3):
+                    for _ in range(3):
+                        await hosts.request(n, terms)
+                await asyncio.sleep(0.01)
+
+        async def main():
+            hosts = Hosts(log, 3, (terms,), extra=extra)
+            await asyncio.sleep(60.0)
+            await press(hosts, 1.0)
+            for n in range(3):
+                hosts.restart(n)
+            await press(hosts, 4.0)
+            return hosts.max_admitted_in_window(terms)
+
+        assert burst < run_paused(main()) <= max_allowed_in_window(terms)
+
+
 class TestCustomersThatLeave:
     TERMS = CustomerTerms("c", (), None, 20.0, 100.0)
 
