TST The store's client in a test of emptied zones fails as the real one does

The real client ends each poll at its time-out, and the host then polls through others. A poll without a wait can't be given up, so with the fake the host stood still; where the test passed, a poll from before the fake brought the row.

Change: two fakes in place of one, as the client behaves: polls that end at their time-out without an answer, and calls that are refused. The zone is emptied only after the poll that was under way has ended, so that no earlier poll brings the row.

--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_emptied_zones.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_emptied_zones.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+import pytest
+
+from swifttide_daemon.gateway import Unavailable
 from swifttide_daemon.platform import emptied_zone
+from swifttide_daemon.platform._store_client import READ_SECONDS
 from swifttide_daemon.platform.tests._waiting import until
 
 A_ZONE = "evacuate/zone-a"
@@ -25,6 +29,38 @@
     site.store.rows.put("op", key, value)
 
 
+def leave_polls_unanswered(client):
+    """Let a store's client poll in vain: the store takes a poll and says nothing."""
+
+    async def poll_in_vain(table, after, wait_seconds):
+        await asyncio.sleep(wait_seconds + READ_SECONDS)
+        return Unavailable("no answer: TimeoutError")
+
+    client.changes = poll_in_vain
+
+
+def refuse_calls(client):
+    """Let a store's client get 503 for each call."""
+
+    async def refuse(*args):
+        return Unavailable("status 503")
+
+    client.changes = client.read = client.commit = refuse
+
+
+async def poll_begins(store, table):
+    """Wait until a host begins a poll of a table; the one under way has ended then."""
+    polled = set()
+    changes = store.changes
+
+    async def record(table, *args):
+        polled.add(table)
+        return await changes(table, *args)
+
+    store.changes = record
+    await until(lambda: table in polled)
+
+
 async def emptied(site, *zones, gateway=0):
     beliefs = site.gateways[gateway].beliefs
     await until(lambda: beliefs.emptied_zones == set(zones))
@@ -140,14 +176,14 @@
 
         assert play(scenario) == ({"zone-a"}, 200, 0)
 
-    def test_host_without_the_store_learns_it_from_others(self, play):
+    @pytest.mark.parametrize("fail", [leave_polls_unanswered, refuse_calls])
+    def test_host_without_the_store_learns_it_from_others(self, play, fail):
         """Guards against an emptied zone that a host uses which the store refuses."""
 
         async def scenario(site):
-            gateway = site.gateways[1]
-            down = asyncio.Future()
-            gateway._store._direct.changes = lambda *_: down
-            gateway._store._direct.reconnect = lambda: None
+            store = site.gateways[1]._store
+            fail(store._direct)
+            await poll_begins(store, "op")
             empty(site)
             await emptied(site, "zone-a", gateway=1)
 
