FIX Crashes are noticed where targets come back at other addresses

Cause: a crash counts once the target's address refuses a connection, or another process registers at its address or under its id. A host met the address only with its next request; where the entry had gone by then and the target came back at another address, no evidence ever came.

Change: a host connects once to a target 0.1 s after a connection to it broke, for all requests that the break took along. A sound target takes the connection, which goes to the pool; a target out of reach gives no answer, which counts as nothing.

Result: the new test of the path failed before (no strike within 10 s) and passes now; that of a sound target that breaks off passed before and passes now.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -227,6 +227,7 @@
         match outcome:
             case MayHaveRun(broken=True):
                 self._strikes.record_broken_request(job.fingerprint, target)
+                self._client.check_end(target)
             case NotRun(refused=True):
                 self._strikes.record_refused_connection(target.id)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_client.py
@@ -195,6 +195,10 @@
             raise TargetFailure(outcome) from exc
         return conn
 
+    def check_end(self, target: TargetEntry) -> None:
+        """Find out whether a target has ended, as a connection to it broke."""
+        self._prober.check_end(target)
+
     def release(self, target: TargetEntry, conn: ClientConnection) -> None:
         """Return an unused connection to the pool."""
         self._pool.give_back(target.ip, target.port, conn, None)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_prober.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/targets/_target_prober.py
@@ -18,6 +18,10 @@
 RETRY_INTERVAL_SECONDS = 0.5
 """Time between attempts to connect to an unreachable target."""
 
+END_CHECK_DELAY_SECONDS = 0.1
+"""Time from a broken connection to the check whether its target has ended. A process
+that ends may close its connections a moment before its listening socket."""
+
 
 class TargetProber:
     """Probes targets that no longer send data on their connections.
@@ -50,6 +54,7 @@
         self._probes: dict[str, asyncio.Task[bool]] = {}
         self._results: dict[str, tuple[float, bool]] = {}
         self._reconnect_tasks: dict[str, asyncio.Task] = {}
+        self._end_checks: dict[str, asyncio.Task] = {}
 
     async def reachable(self, target: TargetEntry) -> bool:
         """Return whether a target accepts a connection.
@@ -77,6 +82,23 @@
             task = asyncio.create_task(self._watch(target))
             self._reconnect_tasks[target.id] = task
 
+    def check_end(self, target: TargetEntry) -> None:
+        """Find out whether a target has ended, as a connection to it broke.
+
+        Whoever connects to the address of a target that has ended is refused. A target
+        that comes back at another address gives no later occasion to notice.
+        """
+        if target.id not in self._end_checks:
+            task = asyncio.create_task(self._check_end(target))
+            self._end_checks[target.id] = task
+
+    async def _check_end(self, target):
+        try:
+            await asyncio.sleep(END_CHECK_DELAY_SECONDS)
+            await self._connects(target)
+        finally:
+            del self._end_checks[target.id]
+
     def forget(self, target_id: str) -> None:
         """Remove the state of a target that has left."""
         self._results.pop(target_id, None)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload_engines.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload_engines.py
@@ -85,6 +85,9 @@
     def __init__(self, engines: dict[str, Engine]):
         self._engines = engines
 
+    def check_end(self, target: TargetEntry) -> None:
+        pass
+
     def is_connected(self, target: TargetEntry) -> bool:
         return True
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_target_prober.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_target_prober.py
@@ -56,3 +56,18 @@
     def test_refused_connection_shows_a_crash(self, log, monkeypatch):
         _, refused = self.probe(log, [ConnectionRefusedError()], monkeypatch)
         assert set(refused) == {"t1"}
+
+    def test_broken_connections_share_one_check(self, log, monkeypatch):
+        """Guards against a connection for each request that a crash takes along."""
+        refused = []
+        network = FakeNetwork(monkeypatch, [ConnectionRefusedError()])
+
+        async def main():
+            prober = TargetProber(ConnectionPool(), refused.append, log)
+            for _ in range(9):
+                prober.check_end(TARGET)
+            await asyncio.sleep(1.0)
+            return prober.is_down("t1")
+
+        assert run_paused(main()) is False
+        assert (refused, network.n_tries) == (["t1"], 1)
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_crashing_requests.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_crashing_requests.py
@@ -4,10 +4,15 @@
 
 import pytest
 
+from swifttide_daemon.gateway.targets._target_prober import END_CHECK_DELAY_SECONDS
 from swifttide_daemon.platform.tests._waiting import until
 from swifttide_daemon.platform.tests.conftest import TURN, route
 
-ROUTES = [route("draft", "engines", **TURN), route("lookup", "app")]
+ROUTES = [
+    route("draft", "engines", **TURN),
+    route("lookup", "app"),
+    route("charge", "app", type="non_idempotent", max_attempts=1),
+]
 CONSENT = b"Yes, go on."
 
 
@@ -36,14 +41,19 @@
     return len(site.gateways[gateway]._strikes._tracker.export(0.0))
 
 
-async def crash(site, runner, sending):
-    """End a runner's process once it has a request; wait until its host knows."""
+async def end_with_a_request(runner, sending):
+    """End a runner's process once it has a request."""
     n_ran = len(runner.ran)
     task = asyncio.create_task(sending)
     await until(lambda: len(runner.ran) > n_ran)
-    n_before = n_strikes(site)
     await runner.server.stop()
     await task
+
+
+async def crash(site, runner, sending):
+    """End a runner's process once it has a request; wait until its host knows."""
+    n_before = n_strikes(site)
+    await end_with_a_request(runner, sending)
     # It starts again, with the same id, and leaves.
     site.store.rows.put("servers", runner.id, runner.entry(born=2))
     await until(lambda: n_strikes(site) > n_before)
@@ -152,6 +162,37 @@
         assert play(scenario, routes=ROUTES).status == status
 
 
+class TestRunnersThatComeBackElsewhere:
+    def test_request_that_comes_alone_is_refused(self, play):
+        """Guards against crashes that go unnoticed where nobody meets the address."""
+
+        async def scenario(site):
+            for n, id in enumerate(("first", "second"), start=1):
+                runner = await add_runner(site, id, "app")
+                runner.crashes_with = b""
+                await end_with_a_request(runner, site.send("/charge/1"))
+                # Its next process has another id and another port.
+                site.store.rows.remove("servers", id)
+                await until(lambda n=n: n_strikes(site) == n)
+            third = await add_runner(site, "third", "app")
+            return await site.send("/charge/1"), third.ran
+
+        answer, ran = play(scenario, routes=ROUTES)
+        assert (answer.status, answer.body, ran) == (503, b"crashes_targets", [])
+
+    def test_runner_that_breaks_off_is_no_crash(self, play):
+        """Guards against strikes for a connection that broke at a sound runner."""
+
+        async def scenario(site):
+            runner = await add_runner(site, "first", "app")
+            runner.script = lambda request: None
+            answer = await site.send("/charge/1")
+            await asyncio.sleep(2 * END_CHECK_DELAY_SECONDS)
+            return answer.status, len(runner.ran), n_strikes(site)
+
+        assert play(scenario, routes=ROUTES) == (502, 1, 0)
+
+
 class TestHostsThatStart:
     def test_request_is_refused_at_a_host_that_has_just_started(self, play):
         """Guards against crashes that begin anew at each host that is restarted."""
