FIX Callers that read slowly aren't reset after two seconds

Cause: the kernel's limit of 2 s on unacknowledged data also counts while a window is smaller than what is to be sent next. The kernel then sends what fits, and the limit counts on although each piece is acknowledged, until the window is large enough once. It goes on after the process has closed the connection.

Change: once a second a host asks the kernel what callers haven't acknowledged. While bytes are outstanding the limit is off, and a caller that takes nothing for 4 s is given up. A connection is closed once all has arrived.

--- a/packages/swifttide_core/src/swifttide_core/buffering/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/buffering/__init__.py
@@ -1,5 +1,6 @@
 """Bounds on what a host buffers and reads for other processes, without I/O."""
 
+from swifttide_core.buffering._delivery_progress import DeliveryProgress
 from swifttide_core.buffering._memory_budget import (
     GiveUp,
     MemoryBudget,
@@ -10,6 +11,7 @@
 from swifttide_core.buffering._transfer_deadline import TransferDeadline
 
 __all__ = [
+    "DeliveryProgress",
     "GiveUp",
     "MemoryBudget",
     "Pause",
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -377,6 +377,7 @@
             self.beliefs.drop_lapsed()
             self._isolation.update()
             self._buffers.refresh()
+            self._front.check_progress()
 
     def _forget_target(self, target_id: str) -> None:
         """Discard the state of a target that has been removed."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_buffers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_answer_buffers.py
@@ -6,9 +6,14 @@
 
 import asyncio
 
-from swifttide_core.buffering import GiveUp, MemoryBudget, ReadOn
+from swifttide_core.buffering import DeliveryProgress, GiveUp, MemoryBudget, ReadOn
 from swifttide_daemon.gateway._metrics import GatewayMetrics
-from swifttide_daemon.gateway.http._sockets import limit_kernel_unsent_bytes
+from swifttide_daemon.gateway.http._sockets import (
+    USER_TIMEOUT_MILLISECONDS,
+    limit_kernel_unsent_bytes,
+    set_user_timeout,
+    unacknowledged_bytes,
+)
 from swifttide_daemon.gateway.targets._target_uploads import TargetUploads
 from swifttide_daemon.telemetry import EventLog
 
@@ -19,6 +24,11 @@
 """Interval in which a paused connection asks again. 64 KB take 35 ms on a link of
 15 Mbit/s."""
 
+STALLED_READER_SECONDS = 4.0
+"""Time without any progress after which a reader is given up in any case. A reader of
+10 kB/s on loopback makes progress every 3.2 s, as its window opens by 32 KB at a time.
+"""
+
 REFRESH_SECONDS = 0.01
 """Shortest time between two observations of all connections. One takes 0.5 ms with 500
 connections."""
@@ -93,7 +103,8 @@
     def forget(self, buffer: "AnswerBuffer") -> None:
         """Stop to observe a connection that holds nothing more."""
         self._buffers.discard(buffer)
-        self.budget.forget(buffer)
+        if self.budget is not None:
+            self.budget.forget(buffer)
 
     async def wait_for_room(self, buffer: "AnswerBuffer") -> None:
         """Wait while a connection must not read more from its target.
@@ -108,7 +119,7 @@
                 case ReadOn():
                     return
                 case GiveUp() as decision:
-                    self._give_up(decision)
+                    self.give_up(decision)
                 case _:
                     await asyncio.sleep(PAUSE_POLL_SECONDS)
         raise ConnectionAbortedError("the caller's connection is closed")
@@ -122,7 +133,8 @@
         self.refresh()
         return self.budget.decide(buffer, now)
 
-    def _give_up(self, decision):
+    def give_up(self, decision: GiveUp) -> None:
+        """Abort the connection of a reader."""
         buffer = decision.reader
         self._log.warning(
             "reader_given_up",
@@ -158,6 +170,10 @@
     def __init__(self, buffers: AnswerBuffers, writer: asyncio.StreamWriter):
         self._buffers = buffers
         self._writer = writer
+        self._socket = writer.get_extra_info("socket")
+        self._progress = DeliveryProgress()
+        self._delivered_bytes = 0
+        self._user_timeout = USER_TIMEOUT_MILLISECONDS
         self.request_id = ""
         self.written_bytes = 0
         self.collected_bytes = 0
@@ -168,6 +184,35 @@
         """Bytes written that the kernel hasn't taken yet."""
         return self._writer.transport.get_write_buffer_size()
 
+    @property
+    def outstanding_bytes(self) -> int:
+        """Bytes written that the caller's side hasn't acknowledged."""
+        if self.written_bytes == self._delivered_bytes:
+            return 0
+        found = self.unsent_bytes + unacknowledged_bytes(self._socket)
+        if not found:
+            self._delivered_bytes = self.written_bytes
+        return found
+
+    def check_progress(self, now: float) -> None:
+        """Give up a reader that takes nothing; be patient with one that is slow.
+
+        The kernel's limit on unacknowledged data also counts while a reader's window is
+        smaller than what is to be sent next, however steadily the window moves. So
+        while bytes are outstanding, this check takes the place of that limit.
+        """
+        n_bytes = self.outstanding_bytes
+        seconds = self._progress.update(now, self.written_bytes, n_bytes)
+        if self.is_closing and not n_bytes:
+            return
+        if seconds >= STALLED_READER_SECONDS:
+            self._buffers.give_up(GiveUp(self, n_bytes, seconds))
+            return
+        limit = 0 if n_bytes else USER_TIMEOUT_MILLISECONDS
+        if limit != self._user_timeout:
+            set_user_timeout(self._socket, limit)
+            self._user_timeout = limit
+
     @property
     def is_closing(self) -> bool:
         """Whether the connection is closed or being closed."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_caller_connection.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_caller_connection.py
@@ -26,6 +26,9 @@
 LINGER_SECONDS = 1.0
 """Time for a caller to read the response to a request that wasn't read to its end."""
 
+DELIVERY_POLL_SECONDS = 0.02
+"""Time between two looks at what a caller has got."""
+
 Handler = Callable[[CallerRequest, CallerChannel], Awaitable[None]]
 
 
@@ -58,6 +61,25 @@
         if self._reading is not None:
             self._reading.reschedule(min(self._reading.when(), until))
 
+    @property
+    def has_outstanding_bytes(self) -> bool:
+        """Whether the caller hasn't got all that was written."""
+        return self._buffer.outstanding_bytes > 0
+
+    async def finish(self) -> None:
+        """Wait until all that was written has arrived, before the connection closes.
+
+        The process may end right after the connection, and the bytes with it.
+        """
+        if not self._writer.is_closing() and self.has_outstanding_bytes:
+            self._writer.write_eof()
+        while not self._writer.is_closing() and self.has_outstanding_bytes:
+            await asyncio.sleep(DELIVERY_POLL_SECONDS)
+
+    def check_progress(self, now: float) -> None:
+        """Give up a caller that takes nothing of its answer."""
+        self._buffer.check_progress(now)
+
     def close(self) -> None:
         """Close the connection, which has no request in progress."""
         self._writer.close()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_frontend.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_frontend.py
@@ -24,6 +24,10 @@
 """Total size of request bodies in memory. The smallest hosts have 170 MB of memory in
 all. A memory budget may allow less."""
 
+PROGRESS_CHECK_SECONDS = 1.0
+"""Time between two checks of what callers have taken, half of the kernel's limit on
+unacknowledged data."""
+
 READ_STOP_MARGIN_SECONDS = 0.5
 """Time before the end of a stop at which the reading of requests ends. A request that
 is still incomplete then is refused, and its caller has this time to read the refusal.
@@ -111,6 +115,7 @@
         self.requests_end_at: float | None = None
         self.read_until = float("inf")
         self._stop_ends_at = float("inf")
+        self._progress_checked_at = float("-inf")
 
     async def listen(self, ip: str, port: int) -> int:
         """Start to accept connections; return the port that is bound."""
@@ -183,6 +188,15 @@
         if self._buffers.budget is not None:
             self._buffers.budget.set_request_bytes(self._body_bytes)
 
+    def check_progress(self) -> None:
+        """Give up callers that take nothing of their answers; call it often."""
+        now = asyncio.get_running_loop().time()
+        if now - self._progress_checked_at < PROGRESS_CHECK_SECONDS:
+            return
+        self._progress_checked_at = now
+        for conn in list(self._connections.values()):
+            conn.check_progress(now)
+
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         try:
@@ -190,6 +204,7 @@
             conn = CallerConnection(self, reader, writer, self._buffers.open(writer))
             self._connections[task] = conn
             await conn.run()
+            await conn.finish()
         except (OSError, EOFError, h11.LocalProtocolError) as exc:
             self.log.debug("caller_lost", detail=type(exc).__name__)
         except Exception as exc:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_sockets.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_sockets.py
@@ -1,6 +1,9 @@
 """Timeouts, socket options and buffer sizes of TCP connections."""
 
+import fcntl
 import socket
+import struct
+import termios
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 """Timeout for opening a connection: a hundred times the latency within a region."""
@@ -30,7 +33,20 @@
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+    set_user_timeout(sock, USER_TIMEOUT_MILLISECONDS)
+
+
+def set_user_timeout(sock: socket.socket, milliseconds: int) -> None:
+    """Set how long sent data may stay unacknowledged; 0 for no limit of its own."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return the bytes that the kernel has taken and the peer hasn't acknowledged."""
+    if sock.fileno() < 0:
+        return 0
+    (n_bytes,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
+    return n_bytes
 
 
 def limit_kernel_unsent_bytes(sock: socket.socket) -> None:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_buffers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_buffers.py
@@ -71,9 +71,9 @@
         self.buffers.refresh()
         self.most_held_bytes = max(self.most_held_bytes, self.buffers.held_bytes)
 
-    async def connect(self, path, request=REQUEST):
+    async def connect(self, path, request=REQUEST, buffer_bytes=8_192):
         sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
         sock.setblocking(False)
         loop = asyncio.get_running_loop()
         await loop.sock_connect(sock, ("127.0.0.1", self.port))
@@ -82,19 +82,23 @@
 
     async def read(self, path, pause_seconds=0.0):
         """Ask for a ready answer, read it and return the size of its body."""
-        loop = asyncio.get_running_loop()
         with await self.connect(path) as sock:
-            answer = b""
-            while data := await loop.sock_recv(sock, 16_384):
-                answer += data
-                await asyncio.sleep(pause_seconds)
-            return len(answer.partition(b"\r\n\r\n")[2])
+            return await read_body(sock, 16_384, pause_seconds)
+
+
+async def read_body(sock, n_bytes, pause_seconds):
+    """Read an answer piece by piece and return the size of its body."""
+    loop = asyncio.get_running_loop()
+    answer = b""
+    while data := await loop.sock_recv(sock, n_bytes):
+        answer += data
+        await asyncio.sleep(pause_seconds)
+    return len(answer.partition(b"\r\n\r\n")[2])
 
 
 @pytest.fixture
-def run(monkeypatch, log):
-    """Run a scenario at a host without the kernel's time-out of stalled callers."""
-    monkeypatch.setattr(_frontend, "set_socket_options", lambda sock: None)
+def run_as_usual(log):
+    """Run a scenario at a host."""
 
     def run(scenario, memory_bytes=MEMORY_BYTES):
         async def main():
@@ -111,6 +115,20 @@
     return run
 
 
+@pytest.fixture
+def run(monkeypatch, run_as_usual):
+    """Run a scenario at a host without the kernel's time-out of stalled callers."""
+    monkeypatch.setattr(_frontend, "set_socket_options", lambda sock: None)
+    return run_as_usual
+
+
+async def check_progress(host):
+    """Check what callers have taken, as a host does all the time."""
+    while True:
+        await asyncio.sleep(0.15)
+        host.front.check_progress()
+
+
 async def until(condition):
     while not condition():
         await asyncio.sleep(0.01)
@@ -168,6 +186,38 @@
         run(scenario, 0)
 
 
+class TestReadersOfLittle:
+    """A window smaller than a segment: the kernel's time-out counts all the while."""
+
+    @pytest.mark.parametrize("memory_bytes", [0, MEMORY_BYTES])
+    def test_reader_that_is_slow_gets_its_whole_answer(
+        self, run_as_usual, memory_bytes
+    ):
+        """Guards against a reset after two seconds of steady but slow reading."""
+
+        async def scenario(host):
+            checks = asyncio.create_task(check_progress(host))
+            # A window that is large at first lets the host form large segments.
+            with await host.connect(b"ready", buffer_bytes=20_000) as sock:
+                assert await read_body(sock, 600, 0.01) == len(READY_BODY)
+            checks.cancel()
+
+        run_as_usual(scenario, memory_bytes)
+
+    def test_reader_that_takes_nothing_is_given_up(self, run_as_usual, caplog):
+        """Guards against connections of callers that are kept for good."""
+
+        async def scenario(host):
+            checks = asyncio.create_task(check_progress(host))
+            with await host.connect(b"stalled"):
+                await until(lambda: host.front._connections)
+                await until(lambda: not host.front._connections)
+            checks.cancel()
+
+        run_as_usual(scenario, 0)
+        assert "reader_given_up" in [r.message for r in caplog.records]
+
+
 class TestBodies:
     def test_bodies_that_arrive_slowly_are_counted(self, run, monkeypatch):
         # Only whole bodies were counted, so that many slow callers together exceeded
