FIX A stop waits until answers have arrived at callers that read slowly

Cause: an answer counted as delivered while up to 64 KB of it were in the process, and the stop waited for connections with a request only. A connection that waits for its next request, or that is being closed, has none, and its bytes ended with the process. What the kernel held wasn't looked at.

Change: a connection counts as busy until its caller's side has acknowledged all bytes; the stop closes connections only then, within its time to stop.

Result: TestStop failed for the kept connection without the count and for the closed one without the wait before closing.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_graceful_shutdown.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_graceful_shutdown.py
@@ -87,6 +87,7 @@
         self._front.end_reuse()
         while self._front.n_busy and loop.time() < ends:
             await asyncio.sleep(0.05)
+            self._front.close_idle()
         self._log.info("left", busy=self._front.n_busy)
         await self._return_tokens()
         await self._hand_over_lending()
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_frontend.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_frontend.py
@@ -130,8 +130,11 @@
 
     @property
     def n_busy(self) -> int:
-        """Number of connections with a request that is read or not yet answered."""
-        return len(self._busy)
+        """Number of connections with a request, or an answer on its way."""
+        return sum(self._is_busy(*item) for item in self._connections.items())
+
+    def _is_busy(self, task, conn):
+        return task in self._busy or conn.has_outstanding_bytes
 
     def begin_stop(self, ends_at: float) -> None:
         """Begin to shut down; the port and open connections stay open for now.
@@ -160,8 +163,12 @@
         self.ends_reuse = True
         if self.stopping:
             self.requests_end_at = self._stop_ends_at
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close connections without a request and without an answer on its way."""
         for task, conn in list(self._connections.items()):
-            if task not in self._busy:
+            if not self._is_busy(task, conn):
                 conn.close()
 
     @property
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_buffers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_answer_buffers.py
@@ -16,6 +16,7 @@
 MEMORY_BYTES = 16_000_000
 PIECE = bytes(65_536)
 READY_BODY = bytes(300_000)
+SHORT_BODY = bytes(60_000)
 N_PIECES = 200
 REQUEST = b"GET /PATH HTTP/1.1\r\nHost: h\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nHost: h\r\n"
@@ -41,11 +42,12 @@
         self.front = Frontend(
             FakeDialect(),
             RequestLimits,
-            lambda: False,
+            lambda: self.may_keep_alive,
             self.handle,
             log,
             self.buffers,
         )
+        self.may_keep_alive = False
         self.most_held_bytes = 0
         self.n_pieces = {}
         self.n_ended = 0
@@ -57,6 +59,8 @@
                 self.observe()
             await channel.hold_collected(0)
             await channel.answer(200, [], READY_BODY)
+        elif req.id == "/short":
+            await channel.answer(200, [], SHORT_BODY)
         else:
             await channel.start(200, [], None)
             for n in range(N_PIECES):
@@ -218,6 +222,29 @@
         assert "reader_given_up" in [r.message for r in caplog.records]
 
 
+class TestStop:
+    @pytest.mark.parametrize("may_keep_alive", [False, True])
+    def test_waits_until_an_answer_has_arrived(self, run, may_keep_alive):
+        """Guards against the end of an answer that is lost with its host's process."""
+
+        async def scenario(host):
+            host.may_keep_alive = may_keep_alive
+            with await host.connect(b"short") as sock:
+                await until(lambda: host.n_ended)
+                host.front.begin_stop(asyncio.get_running_loop().time() + 20.0)
+                host.front.stop_accepting()
+                host.front.end_reuse()
+                await asyncio.sleep(0.2)
+                assert host.front.n_busy == 1
+                host.front.close_idle()
+                reading = asyncio.create_task(read_body(sock, 16_384, 0.0))
+                await until(lambda: not host.front.n_busy)
+                host.front.close_idle()
+                assert await reading == len(SHORT_BODY)
+
+        run(scenario)
+
+
 class TestBodies:
     def test_bodies_that_arrive_slowly_are_counted(self, run, monkeypatch):
         # Only whole bodies were counted, so that many slow callers together exceeded
--- a/tests/e2e/_gateway_fleet.py
+++ b/tests/e2e/_gateway_fleet.py
@@ -18,7 +18,9 @@
 frontend = "{ip}:{ports[0]}"
 ready = "{ip}:{ports[1]}"
 [bounds]
-grace_s = 4
+grace_s = {grace_seconds}
+[limits]
+memory_mb = {memory_mb}
 [platform]
 address = "127.0.0.1:{store_port}"
 """
@@ -35,12 +37,19 @@
     zones : tuple of str
     document : dict
         The operator's document.
+    grace_seconds : int
+        Time from SIGTERM until a process would be killed.
+    memory_mb : int
+        Memory of a host; 0 for no limit.
     """
 
-    def __init__(self, directory, n_hosts, zones, document):
+    def __init__(
+        self, directory, n_hosts, zones, document, grace_seconds=4, memory_mb=0
+    ):
         self.store = RowServer()
         self.document = document
         self._directory = directory
+        self._limits = {"grace_seconds": grace_seconds, "memory_mb": memory_mb}
         self._ports = free_ports(3)
         # Another run beside this one has other addresses.
         subnet = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}"
@@ -73,6 +82,7 @@
                 ip=ip,
                 ports=self._ports,
                 store_port=self.store.server.port,
+                **self._limits,
             )
         )
         with (self._directory / f"{ip}.log").open("ab") as log:
@@ -106,9 +116,13 @@
         except (OSError, TimeoutError):
             return False
 
+    def caller_address(self, ip):
+        """Where a host takes requests of callers."""
+        return ip, self._ports[0]
+
     async def connect(self, ip):
         """Open a connection as a caller."""
-        return await asyncio.open_connection(ip, self._ports[0])
+        return await asyncio.open_connection(*self.caller_address(ip))
 
     async def stop(self):
         for process in self._processes.values():
