FIX Heads of answers are bounded at the project's own interface

Cause: the time-out of a connection counts from one received byte to the next, and the standard library skips informational heads as long as they come. urllib3 has no limit of its own for either.

Change: the head of an answer, with the informational ones before it, has to arrive within the read time-out and 64 KB, for all calls of the daemon. Bodies are read as before.

--- a/packages/swifttide_daemon/src/swifttide_daemon/transport/_pool.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/transport/_pool.py
@@ -4,6 +4,8 @@
 
 import urllib3
 
+from swifttide_daemon.transport._bounded_head import BoundedHTTPPool, BoundedHTTPSPool
+
 KEEPALIVE_IDLE_SECONDS = 5
 KEEPALIVE_INTERVAL_SECONDS = 2
 KEEPALIVE_PROBES = 3
@@ -28,11 +30,14 @@
 ) -> urllib3.PoolManager:
     """Return a connection pool that neither retries nor follows redirects.
 
-    urllib3 must not retry, because it can't know which calls may run twice.
+    urllib3 must not retry, because it can't know which calls may run twice. The head of
+    an answer has to be complete within the read time-out.
     """
-    return urllib3.PoolManager(
+    pools = urllib3.PoolManager(
         num_pools=n_pools,
         maxsize=connections_per_peer,
         retries=False,
         socket_options=list(TCP_SOCKET_OPTIONS),
     )
+    pools.pool_classes_by_scheme = {"http": BoundedHTTPPool, "https": BoundedHTTPSPool}
+    return pools
--- a/packages/swifttide_daemon/src/swifttide_daemon/transport/tests/test_bounded_body.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/transport/tests/test_bounded_body.py
@@ -1,47 +1,18 @@
 """Tests of reading answers of services and engines within bounds."""
 
-import contextlib
-import socket
-import threading
 import time
 
 import pytest
 
-from swifttide_core.documents import Target, TargetKind
 from swifttide_core.verdicts import Verdict
 from swifttide_daemon.targets import EngineClient, ServiceClient, TargetFailure
 from swifttide_daemon.targets import _service_client as service_client
 from swifttide_daemon.transport import make_connection_pool
+from swifttide_daemon.transport.tests._endless_server import serve
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-@contextlib.contextmanager
-def serve(head, endless, gap_seconds=0.0):
-    """Run a server that sends bytes until its connection is closed."""
-    server = socket.create_server(("127.0.0.1", 0))
-
-    def run():
-        with contextlib.suppress(OSError):
-            conn, _ = server.accept()
-            with conn:
-                conn.recv(65_536)
-                conn.sendall(head)
-                while True:
-                    conn.sendall(endless)
-                    time.sleep(gap_seconds)
-
-    thread = threading.Thread(target=run, daemon=True)
-    thread.start()
-    try:
-        url = f"http://127.0.0.1:{server.getsockname()[1]}"
-        yield Target("t1", TargetKind.SERVICE, "zone-a", url, "s")
-    finally:
-        server.close()
-    thread.join(5.0)
-    assert not thread.is_alive()
-
-
 class TestServices:
     @pytest.mark.parametrize(
         ("endless", "gap_seconds"),
