FIX Answers of the platform, hosts and control calls are bounded

Cause: these clients let urllib3 read the whole body, with a time-out from one received byte to the next and no bound on its size.

Change: they read as the client of services does, within bounds on size, pieces and time. A large answer may take longer while it keeps up 64 KB a second, since objects with histories may be large.

--- a/packages/swifttide_daemon/src/swifttide_daemon/peers/_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peers/_client.py
@@ -1,5 +1,6 @@
 """HTTP client for the peer ports of other hosts."""
 
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -10,7 +11,13 @@
 from swifttide_core.verdicts import Reason, Refusal
 from swifttide_daemon.peers._proof import PeerProof
 from swifttide_daemon.settings import Settings
-from swifttide_daemon.transport import make_connection_pool, verdict_for_error
+from swifttide_daemon.transport import (
+    MAX_ANSWER_BYTES,
+    MIN_BYTES_PER_SECOND,
+    make_connection_pool,
+    read_body,
+    verdict_for_error,
+)
 
 RETRY_AFTER_SECONDS = 1.0
 """Retry delay given in the refusal if a peer doesn't answer."""
@@ -62,12 +69,15 @@
         headers: dict[str, str] | None = None,
     ) -> Result[Any, Refusal]:
         """Send a message and return the decoded response, or the peer's refusal."""
-        answer = self._send(url, method, path, message, read_seconds, headers, True)
+        answer = self._send(url, method, path, message, read_seconds, headers)
         if answer.is_error():
             return answer
+        body = self._read_body(answer.ok, read_seconds)
+        if body.is_error():
+            return body
         if answer.ok.status == 200:
-            return Ok(msgspec.json.decode(answer.ok.data))
-        return Error(_decode_refusal(answer.ok.data))
+            return Ok(msgspec.json.decode(body.ok))
+        return Error(_decode_refusal(body.ok))
 
     def stream(
         self, url: str, path: str, message: Any, read_seconds: float, traceparent: str
@@ -79,12 +89,13 @@
         connection.
         """
         headers = {"traceparent": traceparent} if traceparent else {}
-        answer = self._send(url, "POST", path, message, read_seconds, headers, False)
+        answer = self._send(url, "POST", path, message, read_seconds, headers)
         if answer.is_error():
             return answer
         if answer.ok.status == 200:
             return Ok(_complete_lines(answer.ok))
-        return Error(_decode_refusal(answer.ok.read(cache_content=True)))
+        body = self._read_body(answer.ok, read_seconds)
+        return body if body.is_error() else Error(_decode_refusal(body.ok))
 
     def _send(
         self,
@@ -94,7 +105,6 @@
         message: Any,
         read_seconds: float | None,
         headers: dict[str, str] | None,
-        preload: bool,
     ) -> Result[urllib3.BaseHTTPResponse, Refusal]:
         body = b"" if message is None else msgspec.json.encode(message)
         signed = self.proof.headers(method, path, body)
@@ -108,19 +118,31 @@
                     connect=self.connect_seconds,
                     read=read_seconds or self.read_seconds,
                 ),
-                preload_content=preload,
+                preload_content=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as exc:
-            return Error(
-                Refusal(
-                    Reason.TIMEOUT,
-                    f"the peer did not answer ({type(exc).__name__})",
-                    verdict=verdict_for_error(exc),
-                    retry_after_seconds=RETRY_AFTER_SECONDS,
-                )
-            )
+            return Error(_refusal_without_answer(exc))
         return Ok(answer)
 
+    def _read_body(
+        self, answer: urllib3.BaseHTTPResponse, read_seconds: float | None
+    ) -> Result[bytes, Refusal]:
+        deadline = time.monotonic() + (read_seconds or self.read_seconds)
+        try:
+            body = read_body(answer, deadline, MAX_ANSWER_BYTES, MIN_BYTES_PER_SECOND)
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return Error(_refusal_without_answer(exc))
+        return Ok(body)
+
+
+def _refusal_without_answer(exc: Exception) -> Refusal:
+    return Refusal(
+        Reason.TIMEOUT,
+        f"the peer did not answer ({type(exc).__name__})",
+        verdict=verdict_for_error(exc),
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
+
 
 def _complete_lines(answer: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Yield the complete lines of a response; a truncated last line is dropped."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/store/_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/store/_client.py
@@ -24,7 +24,13 @@
     Transaction,
 )
 from swifttide_daemon.telemetry import Telemetry
-from swifttide_daemon.transport import make_connection_pool, verdict_for_error
+from swifttide_daemon.transport import (
+    MAX_ANSWER_BYTES,
+    MIN_BYTES_PER_SECOND,
+    make_connection_pool,
+    read_body,
+    verdict_for_error,
+)
 
 MAX_COMMIT_ATTEMPTS = 3
 """Attempts to send a transaction.
@@ -259,6 +265,13 @@
                 body=body,
                 headers=headers,
                 timeout=self.timeout,
+                preload_content=False,
+            )
+            data = read_body(
+                answer,
+                time.monotonic() + self.timeout.read_timeout,
+                MAX_ANSWER_BYTES,
+                MIN_BYTES_PER_SECOND,
             )
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             self._failing = True
@@ -270,7 +283,7 @@
         self._failing = answer.status >= 500
         if not self._failing:
             self._answered_at = time.monotonic()
-        return Ok((answer.status, answer.data))
+        return Ok((answer.status, data))
 
 
 def _operation(method: str, path: str) -> str:
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
@@ -24,10 +24,14 @@
 from swifttide_daemon.transport import (
     MIN_PIECE_BYTES,
     make_connection_pool,
+    read_body,
     verdict_for_error,
 )
 
 TRANSPORT_ERRORS = (urllib3.exceptions.HTTPError, OSError)
+MAX_CONTROL_BYTES = 1_048_576
+"""Size of the longest accepted answer of a control call."""
+
 MAX_EVENT_BYTES = 262_144
 """A longer event is an error, since an event is held in memory until its end."""
 
@@ -254,12 +258,10 @@
 
     def _get_json(self, target: Target, path: str) -> dict[str, Any] | None:
         try:
-            answer = self.pool.request(
-                "GET", target.url + path, timeout=self._control_timeout()
-            )
-            if answer.status != 200:
+            status, body = self._control("GET", target.url + path)
+            if status != 200:
                 return None
-            return msgspec.json.decode(answer.data, type=dict[str, Any])
+            return msgspec.json.decode(body, type=dict[str, Any])
         except (*TRANSPORT_ERRORS, msgspec.MsgspecError):
             return None
 
@@ -272,21 +274,26 @@
         body: bytes | None = None,
     ) -> int:
         try:
-            answer = self.pool.request(
+            status, _ = self._control(
                 method,
                 target.url + path,
                 body=body,
                 headers=headers,
-                timeout=self._control_timeout(),
             )
-            return answer.status
+            return status
         except TRANSPORT_ERRORS:
             return 0
 
-    def _control_timeout(self) -> urllib3.Timeout:
-        return urllib3.Timeout(
+    def _control(self, method: str, url: str, **options) -> tuple[int, bytes]:
+        """Make a short call; return its status and body."""
+        deadline = time.monotonic() + CONTROL_TIMEOUT_SECONDS
+        timeout = urllib3.Timeout(
             connect=self.connect_seconds, read=CONTROL_TIMEOUT_SECONDS
         )
+        answer = self.pool.request(
+            method, url, timeout=timeout, preload_content=False, **options
+        )
+        return answer.status, read_body(answer, deadline, MAX_CONTROL_BYTES)
 
 
 def _decode_events(
--- a/packages/swifttide_daemon/src/swifttide_daemon/transport/_bounded_body.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/transport/_bounded_body.py
@@ -1,5 +1,6 @@
 """Reads the body of an answer within bounds on its size, its pieces and its time."""
 
+import math
 import time
 
 import urllib3
@@ -8,6 +9,13 @@
 
 READ_BYTES = 65_536
 
+MAX_ANSWER_BYTES = 67_108_864
+"""Size of the longest accepted answer of the platform or of another host. The largest
+are objects with histories and listings of rows, of some MB."""
+
+MIN_BYTES_PER_SECOND = 65_536.0
+"""Rate below which a large answer of the platform or of another host is given up."""
+
 MIN_PIECE_BYTES = 8
 """Smallest mean size of the pieces of an answer, beyond the first thousand."""
 
@@ -17,7 +25,10 @@
 
 
 def read_body(
-    answer: urllib3.BaseHTTPResponse, deadline: float, max_bytes: int
+    answer: urllib3.BaseHTTPResponse,
+    deadline: float,
+    max_bytes: int,
+    bytes_per_second: float = math.inf,
 ) -> bytes:
     """Return the whole body of an answer that was requested without its content.
 
@@ -32,6 +43,8 @@
         Monotonic time in seconds.
     max_bytes : int
         Size of the longest accepted body.
+    bytes_per_second : float
+        A body that arrives at this rate may take longer than until the deadline.
 
     Raises
     ------
@@ -49,7 +62,7 @@
                 raise UnboundedAnswer(f"a body of over {max_bytes} bytes")
             if not pieces.take(len(piece)):
                 raise UnboundedAnswer("a body in too small pieces")
-            if time.monotonic() > deadline:
+            if time.monotonic() > deadline + len(body) / bytes_per_second:
                 raise UnboundedAnswer("a body that wasn't complete in time")
     except BaseException:
         answer.close()
