FIX A late owner's successor doesn't refuse new programs for it

Cause: a customer's tokens are pooled at one host. If that host doesn't answer within 30 ms, its successor is asked, which has few tokens, and its denial was final for the first request of a program. Evidence, from the logs of a run that failed: the keepers that refusals name differ, is_answered is true, and seconds are 0.000 to 0.005, as of an empty pool; 20 to 40 ms before, the same hosts log no_order for the owner.

Change: where a successor denies and the owner is only suspected, the owner is asked again, and its answer counts within the time that a refusal may take.

Result: the new test failed before (no program admitted) and passes now. A new program whose owner doesn't answer at all is refused after 0.13 s at most (simulated).

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_keeper_choice.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_keeper_choice.py
@@ -42,12 +42,20 @@
 
         Hosts that are only suspected count as candidates here.
         """
-        heard = [
+        return self._primary_keeper(name) == self._own_ip
+
+    def skipped_keeper(self, name: str) -> str | None:
+        """Return the first keeper of a name if it is only suspected, otherwise None."""
+        primary = self._primary_keeper(name)
+        return primary if primary not in self.keepers(name) else None
+
+    def _primary_keeper(self, name):
+        heard = tuple(
             host
             for host in self._holders()
             if host == self._own_ip or self._fleet.is_heard(host)
-        ]
-        return (rank_owners(name, tuple(heard)) or [self._own_ip])[0] == self._own_ip
+        )
+        return (rank_owners(name, heard) or [self._own_ip])[0]
 
     def n_candidates(self) -> int:
         """Return the number of hosts from which keepers are chosen."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_customer_pools.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_customer_pools.py
@@ -165,6 +165,10 @@
         """Return the owner of the customer's pool, followed by its successors."""
         return self._owner_choice.keepers(customer)
 
+    def skipped_owner(self, customer: str) -> str | None:
+        """Return the owner of the customer's pool if it is only suspected."""
+        return self._owner_choice.skipped_keeper(customer)
+
     def take_local_token(self, terms: CustomerTerms) -> bool:
         """Take a token that this host retained of its own share."""
         return self.get_customer(terms).local.take(elapsed_seconds())
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_rate_limiter.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_rate_limiter.py
@@ -247,12 +247,19 @@
                     if isinstance(await pending.wait_for_decision(pause), Granted):
                         break
                 case Denied(seconds):
-                    if pending.may_be_new or not wait_seconds:
-                        break
-                    if isinstance(
-                        await pending.wait_for_decision(ANSWER_TIMEOUT_SECONDS), Granted
-                    ):
+                    is_final = pending.may_be_new or not wait_seconds
+                    skipped = self._pools.skipped_owner(terms.name)
+                    if skipped is not None:
+                        # The tokens are still there; its successor has few.
+                        self._ask(skipped, terms, number, pending, query_wait_seconds)
+                    elif is_final:
                         break
+                    pause = min(ANSWER_TIMEOUT_SECONDS, until - loop.time())
+                    match await pending.wait_for_decision(pause):
+                        case Granted():
+                            break
+                        case Denied(seconds) if is_final:
+                            break
         return seconds
 
     async def _query_owner(
@@ -273,6 +280,14 @@
                 )
             )
             return await pending.wait_for_decision(0.0)
+        self._ask(owner, terms, number, pending, query_wait_seconds)
+        decision = await pending.wait_for_decision(ANSWER_TIMEOUT_SECONDS)
+        if decision is None:
+            self._pools.suspect(owner)
+        return decision
+
+    def _ask(self, owner, terms, number, pending, query_wait_seconds):
+        """Send a query for a token to a host."""
         ask = AskRate(
             terms.name,
             self._own.boot,
@@ -283,10 +298,6 @@
             kind=pending.kind,
         )
         self._send(owner, ask)
-        decision = await pending.wait_for_decision(ANSWER_TIMEOUT_SECONDS)
-        if decision is None:
-            self._pools.suspect(owner)
-        return decision
 
     def _refuse(self, request_id, pending, terms, seconds):
         self._log.info(
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_rate_hosts.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_rate_hosts.py
@@ -54,6 +54,8 @@
         self.peers = [Peer(f"h{i}", 1, f"z{i % 3}", f"b{i}") for i in range(n_hosts)]
         self.unreachable = set()
         """Addresses of hosts that are partitioned, suspended or dead."""
+        self.delays = {}
+        """Seconds by which messages to a host are late, by its address."""
         self.limiters = {}
         self.tasks = {}
         for own in self.peers:
@@ -93,7 +95,7 @@
                 return
             loop = asyncio.get_running_loop()
             for _ in range(1 + (self.rng.random() < self.duplication)):
-                delay = self.rng.uniform(0.0002, 0.003)
+                delay = self.rng.uniform(0.0002, 0.003) + self.delays.get(ip, 0.0)
                 loop.call_later(delay, self.deliver, own.ip, ip, message)
 
         return send
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_limiter.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_rate_limiter.py
@@ -5,6 +5,7 @@
 import pytest
 
 from swifttide_core.forwarding import CustomerTerms
+from swifttide_daemon.gateway.callers._refusal import Refusal
 from swifttide_daemon.gateway.rates._rate_messages import HandRate, RateAnswer
 from swifttide_daemon.gateway.tests._rate_hosts import (
     EXTRA_REQUESTS,
@@ -251,6 +252,45 @@
         assert run_paused(main()) == 0
 
 
+class TestOwnerThatAnswersLate:
+    def play(self, log, seconds):
+        """Begin a program at each host while the owner is late.
+
+        Returns what was admitted and when.
+        """
+        terms = CustomerTerms("c", (), None, 100.0, 100.0)
+
+        async def main():
+            hosts = Hosts(log, 10, (terms,))
+            await asyncio.sleep(4.0)
+            owner = hosts.limiters["h0"]._pools.owners("c")[0]
+            hosts.delays[owner] = seconds
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+
+            async def begin(number):
+                limiter = hosts.limiters[hosts.peers[number].ip]
+                try:
+                    await limiter.take("r", terms, 0.0, f"p{number}", True)
+                except Refusal:
+                    return False, loop.time() - began_at
+                return True, loop.time() - began_at
+
+            return await asyncio.gather(*(begin(n) for n in range(10)))
+
+        return run_paused(main())
+
+    def test_new_programs_are_admitted(self, log):
+        """Guards against 429 from a successor that has none of the tokens yet."""
+        found = self.play(log, seconds=0.05)
+        assert [is_admitted for is_admitted, _ in found] == [True] * len(found)
+
+    def test_new_programs_are_refused_in_time(self, log):
+        """Guards against waiting for an owner that doesn't answer at all."""
+        found = self.play(log, seconds=60.0)
+        assert max(seconds for _, seconds in found) <= 0.13
+
+
 class TestLossOfAllHosts:
     @pytest.mark.parametrize("extra", [0.0, EXTRA_REQUESTS])
     @pytest.mark.parametrize(
