--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_programs_path.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_programs_path.py
@@ -32,6 +32,39 @@
             f"id: {n}\ndata: d{n}\n\n".encode() for n in range(1, 7)
         )
 
+    def test_stream_goes_on_as_its_runner_dies(self, play):
+        """Guards against a stream that ends with the process of its runner."""
+
+        async def scenario(site):
+            runners = [await site.add_runner(id, "engines") for id in ("i-1", "i-2")]
+            began = []
+
+            def hold_first(runner):
+                whole, held = runner.events(6), runner.events(6, hold_after=2)
+
+                def script(request):
+                    began.append(runner)
+                    return held(request) if len(began) == 1 else whole(request)
+
+                return script
+
+            for runner in runners:
+                runner.script = hold_first(runner)
+            await until(lambda: len(site.gateways[0].beliefs.targets) == 2)
+            sending = asyncio.create_task(site.send("/check/1"))
+            await until(lambda: began)
+            await asyncio.sleep(0.1)
+            await began[0].server.stop()
+            return await sending, [len(runner.ran) for runner in runners]
+
+        answer, n_ran = play(scenario)
+        assert n_ran == [1, 1]
+        assert answer.status == 200
+        assert answer.whole
+        assert answer.body == b"".join(
+            f"id: {n}\ndata: d{n}\n\n".encode() for n in range(1, 7)
+        )
+
     def test_stream_that_goes_on_beyond_its_place(self, play):
         """A runner breaks off after two events and leaves two out as it goes on.
 
