--- a/benchmarks/bytes_without_end.py
+++ b/benchmarks/bytes_without_end.py
@@ -11,21 +11,23 @@
 import asyncio
 import time
 
-from swifttide_daemon.platform.tests.conftest import HOST, Site
+from swifttide_daemon.platform.tests.conftest import HOST, Site, wire_name
 
 N_BROKEN = 4
 N_CALLERS = 8
 SECONDS = 4.0
-HEAD = (
-    b"HTTP/1.1 200 OK\r\nSwifttide-Attempt-Id: ATTEMPT\r\n"
-    b"Swifttide-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
-)
+CHUNKED_ANSWER = None
+"""Stands for the usual head of a chunked answer."""
+
 KINDS = {
     "none": None,
     "informational heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-    "chunks of one byte": (HEAD, b"1\r\nx\r\n"),
-    "tiny events in large chunks": (HEAD, b"1000\r\n" + b"\n\n" * 2048 + b"\r\n"),
-    "small events": (HEAD, b"9\r\ndata: x\n\n\r\n"),
+    "chunks of one byte": (CHUNKED_ANSWER, b"1\r\nx\r\n"),
+    "tiny events in large chunks": (
+        CHUNKED_ANSWER,
+        b"1000\r\n" + b"\n\n" * 2048 + b"\r\n",
+    ),
+    "small events": (CHUNKED_ANSWER, b"9\r\ndata: x\n\n\r\n"),
     "callers' chunks of one byte": None,
 }
 
@@ -39,7 +41,7 @@
 async def send_tiny_chunks(site: Site) -> None:
     """Send a body in chunks of one byte, and begin again where it is refused."""
     head = (
-        f"POST /lookup/1 HTTP/1.1\r\nHost: {HOST}\r\nSwifttide-Attempt-Id: a1\r\n"
+        f"POST /lookup/1 HTTP/1.1\r\nHost: {HOST}\r\n{wire_name('attempt_id')}: a1\r\n"
         "Transfer-Encoding: chunked\r\n\r\n"
     ).encode()
     while True:
--- a/packages/swifttide_core/src/swifttide_core/resumption/tests/test_turn_event_records.py
+++ b/packages/swifttide_core/src/swifttide_core/resumption/tests/test_turn_event_records.py
@@ -8,7 +8,8 @@
     return tuple(TurnEvent(n, text) for n in ids)
 
 
-def add(records, first, last, attempt="a", now=0.0, text=b"x"):
+def add_events(records, first, last, attempt="a", now=0.0, text=b"x"):
+    """Add the events with these ids, both included, of an attempt's answer."""
     numbers = range(first, last + 1)
     records.add("k", attempt, first - 1, events(*numbers, text=text), 10.0, now)
 
@@ -16,14 +17,14 @@
 class TestFind:
     def test_beginning_up_to_an_event(self):
         records = TurnEventRecords()
-        add(records, 1, 3)
-        add(records, 4, 5)
+        add_events(records, 1, 3)
+        add_events(records, 4, 5)
         assert records.find("k", "", 4, 1.0) == {events(1, 2, 3, 4)}
         assert records.find("k", "a", 5, 1.0) == {events(1, 2, 3, 4, 5)}
 
     def test_unknown(self):
         records = TurnEventRecords()
-        add(records, 1, 3)
+        add_events(records, 1, 3)
         assert not records.find("k", "", 4, 1.0)
         assert not records.find("k", "b", 3, 1.0)
         assert not records.find("other", "", 3, 1.0)
@@ -32,22 +33,22 @@
     def test_lost_message_leaves_a_gap(self):
         """Guards against a beginning without the events of a message that was lost."""
         records = TurnEventRecords()
-        add(records, 1, 3)
-        add(records, 5, 6)
+        add_events(records, 1, 3)
+        add_events(records, 5, 6)
         assert not records.find("k", "", 6, 1.0)
 
     def test_answers_that_differ(self):
         """Guards against the beginning of another answer to the same turn."""
         records = TurnEventRecords()
-        add(records, 1, 3)
-        add(records, 1, 3, "b", text=b"y")
+        add_events(records, 1, 3)
+        add_events(records, 1, 3, "b", text=b"y")
         assert len(records.find("k", "", 2, 1.0)) == 2
         assert records.find("k", "b", 2, 1.0) == {events(1, 2, text=b"y")}
 
     def test_answer_that_begins_anew(self):
         records = TurnEventRecords()
-        add(records, 1, 5)
-        add(records, 1, 2)
+        add_events(records, 1, 5)
+        add_events(records, 1, 2)
         assert records.find("k", "", 2, 1.0) == {events(1, 2)}
         assert not records.find("k", "", 3, 1.0)
 
@@ -69,6 +70,6 @@
 
     def test_expired_are_dropped(self):
         records = TurnEventRecords()
-        add(records, 1, 3)
+        add_events(records, 1, 3)
         records.add("late", "a", 0, events(1), 10.0, 20.0)
         assert records.n_bytes == events(1)[0].n_bytes
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_emptied_zones.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_emptied_zones.py
@@ -48,8 +48,8 @@
     client.changes = client.read = client.commit = refuse
 
 
-async def poll_begins(store, table):
-    """Wait until a host begins a poll of a table; the one under way has ended then."""
+async def wait_for_next_poll(store, table):
+    """Wait until a store's client polls a table again, after any poll under way."""
     polled = set()
     changes = store.changes
 
@@ -183,7 +183,7 @@
         async def scenario(site):
             store = site.gateways[1]._store
             fail(store._direct)
-            await poll_begins(store, "op")
+            await wait_for_next_poll(store, "op")
             empty(site)
             await emptied(site, "zone-a", gateway=1)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/transport/tests/test_bounded_head.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/transport/tests/test_bounded_head.py
@@ -20,7 +20,7 @@
     return pool.request("GET", target.url, timeout=timeout, **more)
 
 
-class TestHeads:
+class TestHeadsOfAnswers:
     @pytest.mark.parametrize(
         ("head", "endless", "gap_seconds"),
         [
@@ -36,14 +36,14 @@
         """Guards against a server that holds a thread of the host for ever."""
         errors = []
 
-        def call():
+        def request_and_record():
             with serve(head, endless, gap_seconds) as target:
                 try:
                     request(target)
                 except urllib3.exceptions.HTTPError as exc:
                     errors.append(exc)
 
-        thread = threading.Thread(target=call, daemon=True)
+        thread = threading.Thread(target=request_and_record, daemon=True)
         thread.start()
         thread.join(20 * READ_SECONDS)
         assert len(errors) == 1
