ENH Logs tell why a stream without a record goes on, and stalls of the process

The lines of the incident couldn't tell its hypotheses apart: stream_resumed had neither the hosts asked nor their answers, and no line had the age of what the host knows. stream_origin_not_recorded has both, with the age of the list of targets and of the event loop's last turn; process_stalled and swifttide_stall_seconds tell of times for which the process stood still. No decision changes.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -8,11 +8,13 @@
 from swifttide_core.forwarding import RoutingConfig
 from swifttide_daemon.gateway._background_tasks import BackgroundTasks
 from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway._freshness import Freshness
 from swifttide_daemon.gateway._graceful_shutdown import GracefulShutdown
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway._settings import GatewaySettings
 from swifttide_daemon.gateway._settings_change import SettingsChange
 from swifttide_daemon.gateway._settings_watch import SettingsWatch
+from swifttide_daemon.gateway._stall_detector import StallDetector
 from swifttide_daemon.gateway._status_pages import StatusPages
 from swifttide_daemon.gateway._status_server import StatusServer
 from swifttide_daemon.gateway.budgets._budget_keeper import BudgetKeeper
@@ -99,6 +101,8 @@
         self._log = log
         self._settings_watch = SettingsWatch(read_settings, self._apply_settings, log)
         self._metrics = GatewayMetrics(cfg.host, cfg.zone)
+        self._stalls = StallDetector(self._metrics, log)
+        self._freshness = Freshness(lambda: self._feeds.targets, self._stalls)
         self._build_buffers()
         self._build_target_side()
         self._build_fleet_side(store)
@@ -224,7 +228,12 @@
             log,
         )
         self._origins = StreamOrigins(
-            self._fleet, self._peers, self.beliefs, self._datagrams.send
+            self._fleet,
+            self._peers,
+            self.beliefs,
+            self._datagrams.send,
+            self._freshness,
+            log,
         )
         self._datagrams.on_stream_began = self._origins.handle_message
         self._version_rows = VersionRows(
@@ -359,6 +368,7 @@
         background.start("beacons", self._datagrams.run)
         background.start("scheduler", self._scheduling.server.run)
         background.start("housekeeping", self._run_housekeeping)
+        background.start("stalls", self._stalls.run)
 
     def _record_period(self) -> float:
         """Return the seconds between writes of the lending record, by fleet size."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_metrics.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_metrics.py
@@ -75,6 +75,14 @@
             self._registry,
         )
 
+        self._stalls = Histogram(
+            "swifttide_stall_seconds",
+            "Times for which the process stood still.",
+            labels,
+            self._registry,
+            buckets=LATENCY_BUCKETS_SECONDS,
+        )
+
     def answered(self, status: int, reason: str) -> None:
         """Count an answer to a caller."""
         self._requests.inc({"status": str(status), "reason": reason})
@@ -109,6 +117,10 @@
         """Count a row of the store that couldn't be used."""
         self._unusable_rows.inc({"table": table})
 
+    def stalled(self, seconds: float) -> None:
+        """Record a time for which the process stood still."""
+        self._stalls.observe({}, seconds)
+
     def background_failure(self, task: str) -> None:
         """Count an unexpected failure of a background task."""
         self._failed_tasks.inc({"task": task})
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_table_watch.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_table_watch.py
@@ -98,6 +98,11 @@
         self._change_event = asyncio.Event()
         self.newest_change = 0
 
+    @property
+    def age_seconds(self) -> float:
+        """Time since the store gave the last answer; infinite before the first one."""
+        return asyncio.get_running_loop().time() - self._current_as_of
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         await self._read_all()
@@ -201,7 +206,7 @@
                     await self._change_event.wait()
             except TimeoutError:
                 break
-        age = loop.time() - self._current_as_of
+        age = self.age_seconds
         if self._rows is None or age > MAX_FORWARDED_AGE_SECONDS:
             return Unavailable("copy of the table is outdated")
         if after < self._complete_from:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
@@ -27,6 +27,7 @@
     VersionsSeen,
 )
 from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway._freshness import Freshness
 from swifttide_daemon.gateway.peers._fleet import Fleet
 from swifttide_daemon.gateway.peers._peer_client import PeerClient
 from swifttide_daemon.gateway.peers._peer_messages import (
@@ -35,6 +36,7 @@
 )
 from swifttide_daemon.gateway.streams._origin_messages import StreamBegan
 from swifttide_daemon.gateway.streams._stream_keepers import StreamKeepers
+from swifttide_daemon.telemetry import EventLog
 
 N_KEEPERS = 8
 """Hosts that are told of a stream. A small fleet may lose most of its hosts at once,
@@ -59,6 +61,9 @@
         Knows the versions of the targets.
     send : callable
         Sends a message to an IP address. The message may be lost.
+    freshness : Freshness
+        Tells how current this host's knowledge is.
+    log : EventLog
     """
 
     def __init__(
@@ -67,11 +72,15 @@
         peers: PeerClient,
         beliefs: Beliefs,
         send: Callable[[str, StreamBegan], None],
+        freshness: Freshness,
+        log: EventLog,
     ):
         self._fleet = fleet
         self._peers = peers
         self._beliefs = beliefs
         self._send = send
+        self._freshness = freshness
+        self._log = log
         self._records = OriginRecords()
         self._of_requests = RequestOrigins()
         self._keepers = StreamKeepers(fleet)
@@ -147,7 +156,19 @@
         own = self.answer(question)
         if own.origin is not None:
             return KnownOrigin(own.origin, OriginSource.OWN_RECORD)
-        found = await self._ask(question, request or key, homes)
+        found, asked = await self._ask(question, request or key, homes)
+        if found.origin is None:
+            self._log.info(
+                "stream_origin_not_recorded",
+                resumed_attempt=attempt,
+                n_of_request=len(own.of_request | found.of_request),
+                own_versions=sorted(own.seen.versions),
+                own_is_complete=own.seen.is_complete,
+                peer_versions=sorted(found.seen.versions),
+                peer_is_complete=found.seen.is_complete,
+                **asked,
+                **self._freshness.log_fields(),
+            )
         if found.origin is not None:
             return KnownOrigin(found.origin, OriginSource.PEER_RECORD)
         match tuple(own.of_request | found.of_request):
@@ -176,8 +197,18 @@
         of_request = self._of_requests.find(question.request, now)
         return FoundStreamOrigin(origin, seen, of_request)
 
-    async def _ask(self, question, place, homes) -> FoundStreamOrigin:
-        """Ask other hosts until one knows the stream; return what they know."""
+    async def _ask(
+        self, question, place, homes
+    ) -> tuple[FoundStreamOrigin, dict[str, int]]:
+        """Ask other hosts until one knows the stream.
+
+        Returns
+        -------
+        found : FoundStreamOrigin
+            What they know.
+        asked : dict of str to int
+            Numbers of hosts that are known, were asked and have answered.
+        """
         asked = [
             peer
             for ip in self._keepers.ranked(place, homes)
@@ -189,18 +220,24 @@
         ]
         seen = VersionsSeen()
         of_request: frozenset[StreamOrigin] = frozenset()
+        counts = {
+            "n_known": self._fleet.n_hosts() - 1,
+            "n_asked": len(calls),
+            "n_answered": 0,
+        }
         try:
             for call in asyncio.as_completed(calls):
                 match await call:
                     case FoundStreamOrigin(origin=StreamOrigin()) as found:
-                        return found
+                        return found, counts
                     case FoundStreamOrigin(seen=versions, of_request=origins):
+                        counts["n_answered"] += 1
                         seen |= versions
                         of_request |= origins
         finally:
             for call in calls:
                 call.cancel()
-        return FoundStreamOrigin(None, seen, of_request)
+        return FoundStreamOrigin(None, seen, of_request), counts
 
 
 def stream_key(customer: str, attempt: str) -> str:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
@@ -32,6 +32,13 @@
         return None if self._is_lost() else answer
 
 
+class FeedsInStep:
+    """Freshness of a host that sees each change of the store at once."""
+
+    def log_fields(self):
+        return {}
+
+
 def make_peer_service(ip, calls, reached, budgets, lender, log):
     """Return a host's peer service and its fleet.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_stream_origins.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_stream_origins.py
@@ -16,7 +16,7 @@
 from swifttide_daemon.gateway.peers._fleet import Fleet
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.streams._stream_origins import N_KEEPERS, StreamOrigins
-from swifttide_daemon.gateway.tests._hosts import InProcessPeerClient
+from swifttide_daemon.gateway.tests._hosts import FeedsInStep, InProcessPeerClient
 from swifttide_standins.paused_clock import run_paused
 
 V1, V2 = StreamOrigin("chat", "v1"), StreamOrigin("chat", "v2")
@@ -46,6 +46,8 @@
             InProcessPeerClient(lambda: self.hosts),
             self.beliefs,
             self.send,
+            FeedsInStep(),
+            log,
         )
         self.n_sent = 0
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_version_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_version_rows.py
@@ -17,7 +17,7 @@
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.streams._stream_origins import StreamOrigins
 from swifttide_daemon.gateway.streams._version_rows import TABLE, VersionRows
-from swifttide_daemon.gateway.tests._hosts import InProcessPeerClient
+from swifttide_daemon.gateway.tests._hosts import FeedsInStep, InProcessPeerClient
 from swifttide_standins.paused_clock import run_paused
 
 IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
@@ -44,7 +44,14 @@
             if other != ip:
                 fleet.record_beacon(Peer(other, 1, "a", ""), True, pause_seconds=1e6)
         peers = InProcessPeerClient(lambda: site.hosts)
-        self.origins = StreamOrigins(fleet, peers, self.beliefs, lambda ip, m: None)
+        self.origins = StreamOrigins(
+            fleet,
+            peers,
+            self.beliefs,
+            lambda ip, m: None,
+            FeedsInStep(),
+            site.log,
+        )
         self.rows = VersionRows(
             site.store, fleet, self.beliefs, lambda: not site.store.down, site.log
         )
