FIX A stream goes on only at a target whose version the store confirms

What callers saw: a stream of v1 went on with events of v2, in one answer or taken up, at a target that had restarted under its id and address with v2, as long as the host hadn't heard of it: up to a second in calm, longer at a host out of step.

That no change of a target's entry had arrived was taken for the target being the same.

Change: once the connection to the target is open, the list of targets is brought up to date, then the version is checked, then the request is sent. What is at the other end of the connection registered before it was opened. While the store doesn't answer, streams go on as before.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -284,6 +284,7 @@
             ),
             retry_elsewhere_seconds,
             self._strikes,
+            self._freshness,
             self._metrics,
             log,
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -12,6 +12,7 @@
 
 from swifttide_core.resumption import StreamOrigin
 from swifttide_daemon.gateway._beliefs import Beliefs
+from swifttide_daemon.gateway._freshness import Freshness
 from swifttide_daemon.gateway._metrics import GatewayMetrics
 from swifttide_daemon.gateway.callers._admission import Admission
 from swifttide_daemon.gateway.callers._answer_relay import AnswerRelay
@@ -71,6 +72,8 @@
         seconds until callers are routed to another host; otherwise returns None.
     strikes : StrikeKeeper
         Fingerprints of requests that crashed targets.
+    freshness : Freshness
+        Brings the list of targets up to date.
     metrics : GatewayMetrics
     log : EventLog
     """
@@ -88,6 +91,7 @@
         relay: AnswerRelay,
         failover_delay_seconds: Callable[[], float | None],
         strikes: StrikeKeeper,
+        freshness: Freshness,
         metrics: GatewayMetrics,
         log: EventLog,
     ):
@@ -111,6 +115,7 @@
         self._relay = relay
         self._failover_delay_seconds = failover_delay_seconds
         self._strikes = strikes
+        self._freshness = freshness
         self._metrics = metrics
         self._log = log
 
@@ -246,6 +251,23 @@
             return False
         return self._beliefs.may_use(current, job.homes)
 
+    async def _may_go_on(self, job, progress, target, conn) -> bool:
+        """Return whether a target that was chosen may get a job on a connection.
+
+        Otherwise the connection is released.
+        """
+        may_use = False
+        try:
+            if job.required_origin(progress) is not None:
+                # The target may have restarted with other software unheard. Its process
+                # registered before this connection was opened.
+                await self._freshness.confirm_targets()
+            may_use = self._may_still_use(job, progress, target)
+        finally:
+            if not may_use:
+                self._client.release(target, conn)
+        return may_use
+
     def _log_resumption(self, job, progress, target):
         """Log and count that a stream goes on, and how its origin is known."""
         origin = job.required_origin(progress)
@@ -282,8 +304,7 @@
         self._health.record_sent(target.id)
         try:
             conn = await self._client.connect(target, len(job.body), job.expires_at)
-            if not self._may_still_use(job, progress, target):
-                self._client.release(target, conn)
+            if not await self._may_go_on(job, progress, target, conn):
                 raise TargetFailure(NotRun("no longer takes new work"))
             self._log_resumption(job, progress, target)
             # From here on the target may have run the request.
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
@@ -142,6 +142,7 @@
             relay,
             lambda: None,
             strikes,
+            None,
             metrics,
             log,
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_streams_of_one_version.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/platform/tests/test_streams_of_one_version.py
@@ -39,6 +39,26 @@
     return sending, runner
 
 
+async def hold_list(site, number=0):
+    """Keep a gateway from hearing of runners until it asks by itself."""
+    watch = site.gateways[number]._feeds.targets
+    watch._pause_seconds = 60.0
+    runner = site.runners["begins"]
+    entry = runner.entry(sequence=2 + number)
+    site.store.rows.put("servers", runner.id, entry)
+    await until(lambda: watch._is_pausing)
+
+
+async def restart(site, runner, version):
+    """Start a runner under its id and address with other software."""
+    port = runner.server.port
+    await runner.server.stop()
+    runner.version = version
+    runner.script = runner.events(N_EVENTS, stamped=True)
+    site.store.rows.put("servers", runner.id, runner.entry(born=2))
+    await runner.server.start(port)
+
+
 async def break_stream(sending, runner):
     """Crash the runner of a stream; return what its caller got."""
     await runner.server.stop()
@@ -71,6 +91,21 @@
         assert (answer.whole, versions_in(answer.body)) == (False, ["v1", "v1"])
         assert not other.ran
 
+    def test_runner_has_restarted_at_another_version_unheard(self, play):
+        """Guards against going on at a runner by what a late list says of it."""
+
+        async def scenario(site):
+            stream = await begin_stream(site, "v1")
+            other = await add_runner(site, "other", "v1")
+            await hold_list(site)
+            await restart(site, other, "v2")
+            return await break_stream(*stream), other
+
+        answer, other = play(scenario, routes=ROUTES)
+        assert not answer.whole
+        assert set(versions_in(answer.body)) == {"v1"}
+        assert not other.ran
+
     def test_runner_restarts_at_another_version_while_a_connection_opens(self, play):
         """Guards against a stream whose origin is the version of an earlier process."""
 
@@ -102,6 +137,25 @@
         assert set(versions_in(first, rest.body)) == {"v1"}
         assert not near.ran
 
+    def test_runner_has_restarted_at_another_version_unheard(self, play):
+        """Guards against going on at a runner by what a late list says of it."""
+
+        async def scenario(site):
+            stream = await begin_stream(site, "v1")
+            other = await add_runner(site, "other", "v1")
+            await hold_list(site, 0)
+            await hold_list(site, 1)
+            await restart(site, other, "v2")
+            first = await break_stream(*stream)
+            rest = await site.send(
+                "/check/1", gateway=1, attempt_id="a2", resumes="a1", last_event_id=2
+            )
+            return first, rest, other
+
+        first, rest, other = play(scenario, routes=ROUTES, n_gateways=2)
+        assert set(versions_in(first.body)) == {"v1"}
+        assert (rest.status, other.ran) == (503, [])
+
     def test_version_without_a_name_is_a_version(self, play):
         """Guards against an empty version that is taken for any version."""
 
