FIX A host that stood still catches up before it admits requests

What callers and operators saw: requests that were read right after a standstill were sent to targets that had announced their end meanwhile, and served by routes and keys that a configuration had taken away, until the next polls were answered.

After a standstill its view is as old as that was long, and nothing in it says so.

Change: the event loop's last turn tells of a standstill, also one of which the detector's own timer has not run yet, and one of a suspended machine. The first request after it waits until the store has told what changed of targets and configuration, 0.5 s at most; a host whose store doesn't answer goes on with what it knows.

Without a standstill it costs two reads of clocks a request.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_freshness.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_freshness.py
@@ -19,8 +19,8 @@
 
     Parameters
     ----------
-    targets : callable
-        Returns the `TableWatch` of the list of targets.
+    targets, config : callable
+        Return the `TableWatch` of the list of targets, and that of the configuration.
     is_reachable : callable
         Returns whether the store can be reached, as far as is known.
     stalls : StallDetector
@@ -29,12 +29,31 @@
     def __init__(
         self,
         targets: Callable[[], TableWatch],
+        config: Callable[[], TableWatch],
         is_reachable: Callable[[], bool],
         stalls: StallDetector,
     ):
         self._targets = targets
+        self._config = config
         self._is_reachable = is_reachable
         self._stalls = stalls
+        self._n_stalls_confirmed = 0
+
+    async def catch_up(self) -> None:
+        """Bring targets and configuration up to date if this process stood still.
+
+        Otherwise requests that are read right afterwards would be served by the keys,
+        routes and targets of before, although operators were told of newer ones. Where
+        the store doesn't answer, the host goes on with what it knows.
+        """
+        self._stalls.update()
+        if self._stalls.n_stalls == self._n_stalls_confirmed:
+            return
+        n_stalls = self._stalls.n_stalls
+        await asyncio.gather(
+            self._confirm(self._targets()), self._confirm(self._config())
+        )
+        self._n_stalls_confirmed = max(self._n_stalls_confirmed, n_stalls)
 
     async def confirm_targets(self) -> bool:
         """Bring the list of targets up to date.
@@ -42,11 +61,14 @@
         Returns whether the store has answered: the list then has all that was written
         until this was called.
         """
+        return await self._confirm(self._targets())
+
+    async def _confirm(self, watch) -> bool:
         if not self._is_reachable():
             return False
         try:
             async with asyncio.timeout(CONFIRM_TIMEOUT_SECONDS):
-                return await self._targets().refresh()
+                return await watch.refresh()
         except TimeoutError:
             return False
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_gateway.py
@@ -104,6 +104,7 @@
         self._stalls = StallDetector(self._metrics, log)
         self._freshness = Freshness(
             lambda: self._feeds.targets,
+            lambda: self._feeds.config,
             lambda: self._store.is_reachable,
             self._stalls,
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_stall_detector.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_stall_detector.py
@@ -23,12 +23,18 @@
     ----------
     metrics : GatewayMetrics
     log : EventLog
+
+    Attributes
+    ----------
+    n_stalls : int
+        Number of stalls so far, as of the last `update`.
     """
 
     def __init__(self, metrics: GatewayMetrics, log: EventLog):
         self._metrics = metrics
         self._log = log
         self._ticked_at: float | None = None
+        self.n_stalls = 0
 
     @property
     def seconds_since_tick(self) -> float:
@@ -40,12 +46,17 @@
     async def run(self) -> None:
         """Detect stalls until cancelled."""
         while True:
-            self._tick()
+            self.update()
             await asyncio.sleep(TICK_SECONDS)
 
-    def _tick(self):
+    def update(self) -> None:
+        """Note that the event loop runs, and whether it has stood still until now.
+
+        A request that was read right after a stall may be handled before `run` notices.
+        """
         seconds = self.seconds_since_tick
         self._ticked_at = elapsed_seconds()
         if seconds >= MIN_STALL_SECONDS:
+            self.n_stalls += 1
             self._metrics.stalled(seconds)
             self._log.warning("process_stalled", seconds=round(seconds, 3))
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -73,7 +73,7 @@
     strikes : StrikeKeeper
         Fingerprints of requests that crashed targets.
     freshness : Freshness
-        Brings the list of targets up to date.
+        Brings what this host knows up to date.
     metrics : GatewayMetrics
     log : EventLog
     """
@@ -162,6 +162,7 @@
         await channel.answer(refusal.status, fields, refusal.reason.encode())
 
     async def _admit_and_run(self, req, channel, progress):
+        await self._freshness.catch_up()
         job = await self._admission.admit(req, channel, progress)
         progress.resume_turn(job.resumed_events)
         try:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
@@ -47,6 +47,9 @@
         self.is_confirmed = True
         self.on_confirm = lambda: None
 
+    async def catch_up(self):
+        """Do nothing: the host knows all there is."""
+
     async def confirm_targets(self):
         await asyncio.sleep(0.005)
         if self.is_confirmed:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload.py
@@ -38,6 +38,7 @@
 from swifttide_daemon.gateway.targets._scheduler_endpoint import SchedulerEndpoint
 from swifttide_daemon.gateway.targets._strike_keeper import StrikeKeeper
 from swifttide_daemon.gateway.targets._target_health import TargetHealth
+from swifttide_daemon.gateway.tests._hosts import FeedsInStep
 from swifttide_daemon.gateway.tests._overload_engines import (
     SERVICE,
     TURN_SECONDS,
@@ -142,7 +143,7 @@
             relay,
             lambda: None,
             strikes,
-            None,
+            FeedsInStep(),
             metrics,
             log,
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_stall_detector.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_stall_detector.py
@@ -24,6 +24,9 @@
             assert detector.seconds_since_tick < 0.11
             stalled = 6.0
             assert 6.0 < detector.seconds_since_tick < 6.11
+            assert detector.n_stalls == 0
+            detector.update()
+            assert detector.n_stalls == 1
             await asyncio.sleep(0.2)
             running.cancel()
             return metrics.render()[0].decode()
