FIX Hosts count as not heard after the machine was suspended

Cause: Fleet measured the age of beacons by the event loop's clock, which stands still while the machine is suspended. As it resumed, all hosts counted as heard up to 0.7 s longer, and an outage of the store that the host slept through as none. A turn that other hosts held in memory, as its row was not written yet, could be answered 404.

Change: Fleet uses elapsed_seconds, as leases and rates do.

The first beacon after it makes a host heard again, so service goes on. Not tried on a machine that was suspended.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
@@ -11,6 +11,7 @@
 
 from swifttide_core.forwarding import AllowedRegions, RegionMap
 from swifttide_daemon.gateway.peers._beacon_rounds import BEACON_INTERVAL_SECONDS
+from swifttide_daemon.gateway.peers._elapsed_clock import elapsed_seconds
 from swifttide_daemon.gateway.peers._host_row import decode_host, encode_host
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.store._shared_store import (
@@ -53,7 +54,7 @@
 
     This view may be wrong or outdated. An error costs availability but never
     correctness, because decisions that must be right use conditional writes to rows of
-    the store.
+    the store, or rest on all hosts being heard (`any_store_outage_within`).
 
     Parameters
     ----------
@@ -151,7 +152,7 @@
         if ip not in self._peers or self._peers[ip].boot != peer.boot:
             # The peer's row may be outdated, or the store may be unavailable.
             self._peers[ip] = peer
-        now = asyncio.get_running_loop().time()
+        now = elapsed_seconds()
         self._heard_at[ip] = self._zone_heard_at[peer.zone] = now
         self._heard_until[ip] = now + PEER_TIMEOUT_INTERVALS * pause_seconds
         self._store_up[ip] = store_up
@@ -187,7 +188,7 @@
         """Whether beacons of a host have arrived within the timeout."""
         if ip not in self._peers:
             return False
-        now = asyncio.get_running_loop().time()
+        now = elapsed_seconds()
         return now < self._heard_until.get(ip, float("-inf"))
 
     def was_heard_within(self, ip: str, seconds: float) -> bool:
@@ -201,13 +202,13 @@
         """
         if ip not in self._peers:
             return False
-        now = asyncio.get_running_loop().time()
+        now = elapsed_seconds()
         heard_at = self._heard_at.get(ip, float("-inf"))
         return self.is_heard(ip) or now - heard_at <= seconds
 
     def heard_fraction(self) -> float:
         """Return the fraction of all hosts that are heard, this host included."""
-        now = asyncio.get_running_loop().time()
+        now = elapsed_seconds()
         if now - self._heard_fraction_at >= HEARD_FRACTION_CACHE_SECONDS:
             self._heard_fraction_at = now
             n_heard = sum(self.is_heard(ip) for ip in self._peers)
@@ -230,7 +231,7 @@
         zone_timeout_seconds : float
             Time without a beacon after which a zone counts as unreachable.
         """
-        now = asyncio.get_running_loop().time()
+        now = elapsed_seconds()
         zones = {p.zone for p in self._peers.values()} - {self.own.zone}
         if not zones:
             return bool(self._peers) and not self.alive()
@@ -253,7 +254,7 @@
         seconds : float
             Length of the period that ends now.
         """
-        now = asyncio.get_running_loop().time()
+        now = elapsed_seconds()
         if len(self.alive()) < len(self._peers):
             return True
         return any(now - at < seconds for at in self._last_store_outage_at.values())
