FIX Beacons that waited while a host stood still don't count as just sent

Cause: beacons wait in the receive buffer while the process stands still, and the age of each was counted from when it was read. Right after a standstill of any length all hosts whose old beacons were read counted as heard, and as not having lost the store, also those that had ended meanwhile: "all hosts are heard and none was without the store" is what a 404 for a turn rests on, and the keeper of a customer's tokens.

Change: a gap of half a second between rounds and datagrams counts as a standstill. All datagrams that wait are then read at once, in order, and beacons among them are dropped. Streams, events of turns and tokens are still true, and are used as before. Hosts count as heard again with their next beacon, 0.2 s later. A process that regularly stands still for half a second hears fewer beacons than before.

Loopback sockets on a paused clock; not tried with processes.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
@@ -6,16 +6,19 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Callable
 
 import msgspec
 
 from swifttide_core.checks import JsonDecoder, check_host_address
+from swifttide_daemon.gateway._stall_detector import MIN_STALL_SECONDS
 from swifttide_daemon.gateway.peers._beacon import Beacon
 from swifttide_daemon.gateway.peers._beacon_rounds import (
     BEACON_INTERVAL_SECONDS,
     beacon_groups,
 )
+from swifttide_daemon.gateway.peers._elapsed_clock import elapsed_seconds
 from swifttide_daemon.gateway.peers._fleet import Fleet
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_daemon.gateway.rates._rate_messages import RateMessage
@@ -31,10 +34,21 @@
 
 _decoder = JsonDecoder(Datagram)
 
+MAX_DATAGRAM_BYTES = 65_536
+"""Upper limit of the size of a datagram."""
+
+MAX_WAITING_DATAGRAMS = 2_000
+"""Upper limit of the datagrams that are read at once after a standstill: more than a
+receive buffer of usual size holds."""
+
 
 class PeerDatagrams(asyncio.DatagramProtocol):
     """UDP endpoint that sends beacons and carries other short messages.
 
+    While this process stands still, datagrams wait in the receive buffer. Beacons among
+    them tell what was, e.g. that a host runs or that the store is available, and are
+    dropped. Other messages are still true.
+
     The owner sets the callbacks before it calls `run`.
 
     Parameters
@@ -63,6 +77,8 @@
         self._fleet = fleet
         self._log = log
         self._transport = None
+        self._sock: socket.socket | None = None
+        self._ran_at: float | None = None
         self._n_rounds = 0
         self._newest_beacons: dict[str, tuple[str, int]] = {}
         self.compose_beacon: Callable[[int, float], Beacon] | None = None
@@ -80,13 +96,19 @@
     async def listen(self, ip: str, port: int) -> None:
         """Open the UDP socket."""
         loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+        self._sock = socket.socket(family, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind((ip, port))
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(ip, port)
+            lambda: self, sock=self._sock
         )
 
     async def run(self) -> None:
         """Send beacons until cancelled."""
         while True:
+            if self._has_stood_still():
+                self._read_waiting()
             self._n_rounds += 1
             self._send_beacons(self._n_rounds)
             self._fleet.log_lost_peers()
@@ -118,13 +140,34 @@
 
     def datagram_received(self, data: bytes, addr) -> None:
         """Decode a datagram and pass it to the callback for its type."""
+        has_stood_still = self._has_stood_still()
+        self._handle(data, addr, has_stood_still)
+        if has_stood_still:
+            self._read_waiting()
+
+    def _has_stood_still(self) -> bool:
+        """Return whether this process hasn't run since the last round or datagram."""
+        before, self._ran_at = self._ran_at, elapsed_seconds()
+        return before is not None and self._ran_at - before >= MIN_STALL_SECONDS
+
+    def _read_waiting(self):
+        """Read all datagrams that have waited; beacons among them are dropped."""
+        for _ in range(MAX_WAITING_DATAGRAMS):
+            try:
+                data, addr = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                return
+            self._handle(data, addr, is_old=True)
+
+    def _handle(self, data, addr, is_old):
         try:
             message = _decoder.decode(data)
         except ValueError as exc:
             self._log.warning("datagram_unreadable", peer=addr[0], reason=str(exc))
             return
         if isinstance(message, Beacon):
-            self._handle_beacon(message)
+            if not is_old:
+                self._handle_beacon(message)
         elif isinstance(message, ORDER_MESSAGE_TYPES):
             self.on_order_message(message, addr[0])
         elif isinstance(message, StreamBegan):
