FIX No turn is unknown before a host has read the list of hosts

Cause: "no host may have been without the store" was concluded from the hosts that are known. A host that has just started knows none until it has read their list or heard their beacons, and so answered 404 for a turn that others hold in memory, as the store was back for a moment only and their writes were not done. It admits requests as soon as it has configuration and targets.

Change: until the list of hosts is read, any of them may have been without the store: the others that are heard are asked for the turn, and if none has it the answer is 503.

Evidence: test_list_of_hosts_that_is_not_read_yet failed before (False, expected True). By reading; not brought about with processes. test_turn_keeper builds fleets without a store, which now count the list as read; its 11 tests check the same as before.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
@@ -78,6 +78,7 @@
         self._lending: dict[str, frozenset[int]] = {}
         self._last_store_outage_at: dict[str, float] = {}
         self._lost: set[str] = set()
+        self._are_hosts_known = False
         self._heard_fraction = 1.0
         self._heard_fraction_at = float("-inf")
 
@@ -117,6 +118,7 @@
 
     def keep_only(self, ips: Iterable[str]) -> None:
         """Remove the hosts whose addresses aren't among those of a full read."""
+        self._are_hosts_known = True
         for ip in set(self._peers) - set(ips):
             del self._peers[ip]
 
@@ -247,7 +249,8 @@
     def any_store_outage_within(self, seconds: float) -> bool:
         """Whether any other host may have been disconnected from the store recently.
 
-        A host that is not heard may be disconnected now.
+        A host that is not heard may be disconnected now. So may one that this host
+        doesn't know, as it hasn't read the list of hosts yet.
 
         Parameters
         ----------
@@ -255,7 +258,7 @@
             Length of the period that ends now.
         """
         now = elapsed_seconds()
-        if len(self.alive()) < len(self._peers):
+        if not self._are_hosts_known or len(self.alive()) < len(self._peers):
             return True
         return any(now - at < seconds for at in self._last_store_outage_at.values())
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Hosts that are heard, as this host stands still or has just started."""
 
+import asyncio
 import time
 from types import SimpleNamespace
 
@@ -76,3 +77,17 @@
             return before, fleet.heard_fraction()
 
         assert play(scenario) == (1.0, 0.5)
+
+
+class TestStart:
+    def test_list_of_hosts_that_is_not_read_yet(self, log):
+        """Guards against hosts not heard of that count as hosts that don't exist."""
+
+        async def main():
+            fleet = Fleet(OWN, log)
+            before = fleet.any_store_outage_within(KEEP_SECONDS)
+            fleet.keep_only([])
+            await asyncio.sleep(0.1)
+            return before, fleet.any_store_outage_within(KEEP_SECONDS)
+
+        assert run_paused(main()) == (True, False)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_keeper.py
@@ -49,6 +49,7 @@
     def __init__(self, fleet, ip, store, log):
         self.peer = Peer(ip, 1, ZONES[ip], ip + "-boot")
         self.fleet = Fleet(self.peer, log)
+        self.fleet.keep_only(ZONES)
         self.no_prior_unstored_turns = True
         self.isolated = False
         self._store = store
