FIX Leases and configuration age while the machine is suspended

Cause: the project's own interface measured leases, promises and the age of its configuration by time.monotonic, which stops while a machine is suspended. As it resumed, a host still held its slots although others had claimed them, and counted tokens of customers beside the new holder until its next renewal met the conflict. A configuration was not stale, however long ago it was confirmed, so withdrawn keys were accepted.

Change: membership, limits, configuration and heartbeats use elapsed_seconds, which counts that time, as the gateway does.

--- a/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
@@ -8,7 +8,6 @@
 
 import logging
 import threading
-import time
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -21,6 +20,7 @@
     Profile,
     Target,
 )
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon.configuration._rows import (
     CONFIG_TABLE,
     DOCUMENTS_TABLE,
@@ -140,7 +140,7 @@
 
     def fresh_age(self) -> float:
         """Return the seconds since this host last knew that it had missed no edit."""
-        return time.monotonic() - self.fresh_at
+        return elapsed_seconds() - self.fresh_at
 
     def is_stale(self) -> bool:
         """Return whether edits may have been missed for more than the allowed time.
@@ -158,7 +158,7 @@
 
     def refresh(self) -> bool:
         """Poll the platform once; return whether this host has the newest version."""
-        asked_at = time.monotonic()
+        asked_at = elapsed_seconds()
         head = self.platform.read(CONFIG_TABLE, HEAD_KEY)
         if head.is_error():
             return False
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_rate_limiter.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_rate_limiter.py
@@ -25,6 +25,7 @@
 )
 from swifttide_core.slots import SlotKind
 from swifttide_core.verdicts import Reason, Refusal
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon.limits._messages import DrawAnswer, DrawRequest, ReturnRequest
 from swifttide_daemon.limits._share_service import ShareService
 from swifttide_daemon.membership import MembershipService
@@ -76,22 +77,22 @@
         refusal then could hit a request within the rate. A planned move takes less than
         `MAX_TAKEOVER_SECONDS`, so the request is retried for so long.
         """
-        ends_at = time.monotonic() + MAX_TAKEOVER_SECONDS
+        ends_at = elapsed_seconds() + MAX_TAKEOVER_SECONDS
         while True:
             refusal = self._admit_once(customer)
             uncounted = refusal is not None and refusal.reason is Reason.NOT_HOLDER
-            if not uncounted or time.monotonic() >= ends_at:
+            if not uncounted or elapsed_seconds() >= ends_at:
                 return refusal
             time.sleep(TAKEOVER_RETRY_SECONDS)
 
     def _admit_once(self, customer: Customer) -> Refusal | None:
         with self._lock:
             entry_limiter = self._current_limiter()
-            answer = entry_limiter.admit(time.monotonic(), customer)
+            answer = entry_limiter.admit(elapsed_seconds(), customer)
         while isinstance(answer, DrawOrder):
             drawn = self._draw(answer)
             with self._lock:
-                settled = entry_limiter.settle(time.monotonic(), answer.draw_id, drawn)
+                settled = entry_limiter.settle(elapsed_seconds(), answer.draw_id, drawn)
             answer = (
                 settled if settled is not None else RateRefused(RETURN_INTERVAL_SECONDS)
             )
@@ -148,7 +149,9 @@
             with self._lock:
                 entry_limiter = self._entry_limiter
                 orders = (
-                    entry_limiter.due_returns(time.monotonic()) if entry_limiter else ()
+                    entry_limiter.due_returns(elapsed_seconds())
+                    if entry_limiter
+                    else ()
                 )
             for order in orders:
                 self._return_batch(order)
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_mover.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_mover.py
@@ -7,10 +7,10 @@
 
 import logging
 import threading
-import time
 
 from swifttide_core.limits import ZoneShares
 from swifttide_core.slots import SlotKind
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon.configuration import ConfigService
 from swifttide_daemon.limits._managed_share import ManagedShare
 from swifttide_daemon.limits._share_loader import ShareLoader
@@ -89,7 +89,7 @@
         if managed_share.has_offer:
             managed_share.has_offer = False
             self._reload(name, managed_share)
-        now = time.monotonic()
+        now = elapsed_seconds()
         if now < managed_share.next_plan_at:
             return
         row = self.shares.next_write(managed_share)
--- a/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/limits/_share_service.py
@@ -8,7 +8,6 @@
 
 import logging
 import threading
-import time
 from dataclasses import replace
 
 import msgspec
@@ -27,6 +26,7 @@
 )
 from swifttide_core.slots import SlotKind
 from swifttide_core.verdicts import Reason, Refusal
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon.configuration import ConfigService
 from swifttide_daemon.limits._managed_share import ManagedShare
 from swifttide_daemon.limits._messages import (
@@ -93,13 +93,13 @@
     def next_write(self, managed_share: ManagedShare) -> ZoneShares | None:
         """Return the row to write for a share, or None if nothing changes."""
         with self._lock:
-            return managed_share.manager.next_write(time.monotonic())
+            return managed_share.manager.next_write(elapsed_seconds())
 
     def apply_row(self, managed_share: ManagedShare, stored: StoredShares) -> None:
         """Apply a row that was read from the platform."""
         with self._lock:
             managed_share.manager.apply_row(
-                time.monotonic(), stored.shares, stored.version
+                elapsed_seconds(), stored.shares, stored.version
             )
 
     def draw(self, customer: str, req: DrawRequest) -> Result[DrawAnswer, Refusal]:
@@ -112,7 +112,7 @@
         with self._lock:
             # Time and lease are read under the lock: a thread that was delayed between
             # the check of the lease and the lending must not lend after its end.
-            now = time.monotonic()
+            now = elapsed_seconds()
             answer = managed_share.share.draw(
                 now,
                 req.entry_host,
@@ -160,7 +160,7 @@
             managed_share = self._managed_shares.get(customer)
             if managed_share is not None:
                 managed_share.share.return_batch(
-                    time.monotonic(), req.entry_host, req.batch
+                    elapsed_seconds(), req.entry_host, req.batch
                 )
 
     def answer_pull(
@@ -171,7 +171,7 @@
         if found.is_error():
             return found
         with self._lock:
-            now = time.monotonic()
+            now = elapsed_seconds()
             lease_ends_at = now + self.membership.lease_remaining()
             answer = found.ok.share.answer_pull(
                 now, req.holder, req.pull, lease_ends_at, zone=req.zone
@@ -181,7 +181,7 @@
 
     def receive_handovers(self, handovers: list[HandoverRequest]) -> None:
         """Store states of a former holder until this host uses their slots."""
-        now = time.monotonic()
+        now = elapsed_seconds()
         with self._lock:
             if len(self._pending_handovers) > MAX_PENDING_HANDOVERS:
                 self._pending_handovers.clear()
@@ -275,7 +275,7 @@
         if is_new_customer:
             since = float("-inf")
         return CustomerShare.from_config(
-            customer, fraction, time.monotonic(), unserved_since=since
+            customer, fraction, elapsed_seconds(), unserved_since=since
         )
 
     def _send_pull(
@@ -294,11 +294,11 @@
         answer: Batch | RateRefused | None = found.batch or found.refused
         if answer is not None:
             with self._lock:
-                managed_share.share.settle_pull(time.monotonic(), pull.draw_id, answer)
+                managed_share.share.settle_pull(elapsed_seconds(), pull.draw_id, answer)
 
     def _hand_over(self, moved: MovedSlots) -> None:
         """Send the buckets of slots that were given up to their next holders."""
-        now = time.monotonic()
+        now = elapsed_seconds()
         by_url: dict[str, list[HandoverRequest]] = {}
         with self._lock:
             for customer, managed_share in list(self._managed_shares.items()):
@@ -323,4 +323,4 @@
             managed_share = self.managed_shares().get(change.name)
             if customer is not None and managed_share is not None:
                 with self._lock:
-                    managed_share.manager.set_customer(time.monotonic(), customer)
+                    managed_share.manager.set_customer(elapsed_seconds(), customer)
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
@@ -7,7 +7,6 @@
 
 import logging
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -19,6 +18,7 @@
     HostState,
     LeaseTimes,
 )
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon.membership._rows import (
     HOSTS,
     ZONE_HEADS,
@@ -83,7 +83,7 @@
 
     def holds(self) -> bool:
         """Return whether the lease is valid, so that this host may use its slots."""
-        return self.lease.is_valid(time.monotonic())
+        return self.lease.is_valid(elapsed_seconds())
 
     def keep(self, knows_head: int) -> bool:
         """Register this host or renew its lease; return whether the platform confirmed.
@@ -146,7 +146,7 @@
     def extend(self, answers: ExtensionRound, times: ExtensionTimes) -> None:
         """Extend the lease, if it is valid, as far as the hosts' promises allow."""
         with self._lock:
-            self.lease = answers.extend(self.lease, time.monotonic(), times)
+            self.lease = answers.extend(self.lease, elapsed_seconds(), times)
 
     def _register(self) -> bool:
         found = self.platform.read(HOSTS, self.row.key)
@@ -170,7 +170,7 @@
         return Transaction((Check(HOSTS, self.row.key, base),), tuple(writes))
 
     def _write(self, tx: Transaction) -> bool:
-        sent_at = time.monotonic()
+        sent_at = elapsed_seconds()
         # No retries: a renewal that waits for retries may outlast the lease.
         outcome = self.platform.commit(tx, tries=1)
         if outcome.is_error():
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_other_zones.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_other_zones.py
@@ -5,11 +5,11 @@
 """
 
 import random
-import time
 from collections.abc import Iterable
 from dataclasses import replace
 
 from swifttide_core.membership import HostRow, HostState
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon.membership._zone_reader import ZoneReader
 from swifttide_daemon.membership._zone_view import ZoneView
 
@@ -66,7 +66,7 @@
         hosts costs one small read per second.
         """
         known = self.view(zone)
-        now = time.monotonic()
+        now = elapsed_seconds()
         if now - self._reread_at.get(zone, 0.0) >= MIN_REREAD_INTERVAL_SECONDS:
             self._reread_at[zone] = now
             self._views[zone] = replace(known, read_at=0.0)
@@ -75,7 +75,7 @@
 
     def refresh(self, zones: Iterable[str]) -> None:
         """Read the zones whose view is due for a refresh and whose head row changed."""
-        now = time.monotonic()
+        now = elapsed_seconds()
         for zone in zones:
             known = self._views.get(zone) or ZoneView()
             pause = (
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_outage_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_outage_service.py
@@ -9,7 +9,6 @@
 import logging
 import random
 import threading
-import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
@@ -23,6 +22,7 @@
     Promise,
     PromiseState,
 )
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon.membership._lease_keeper import LeaseKeeper
 from swifttide_daemon.membership._rows import HOSTS
 from swifttide_daemon.peers import PeerClient
@@ -100,7 +100,7 @@
     def may_depose(self) -> bool:
         """Return whether no promise keeps this host from deposing and claiming now."""
         with self._lock:
-            return self._promise_state.may_depose(time.monotonic())
+            return self._promise_state.may_depose(elapsed_seconds())
 
     def answer(self, req: PromiseRequest) -> PromiseAnswer:
         """Promise to depose no host and claim no slot, or report a reachable platform.
@@ -111,7 +111,7 @@
         sees_platform = not (self.platform.failing or self.platform.stalled)
         with self._lock:
             self._promise_state, answer = self._promise_state.answer(
-                time.monotonic(), seconds, sees_platform
+                elapsed_seconds(), seconds, sees_platform
             )
         match answer:
             case Promise():
@@ -153,7 +153,7 @@
         bool
             Whether the lease was extended or renewed.
         """
-        now = time.monotonic()
+        now = elapsed_seconds()
         asked = ExtensionRound.from_hosts(now, (r.host for r in others), self.times)
         urls = {row.host: row.peer_url for row in others}
         for answer in self._request_promises(list(urls.values())):
@@ -191,7 +191,7 @@
         return msgspec.convert(answer.ok, PromiseAnswer)
 
     def _renew_via_peer(self, url: str) -> bool:
-        sent_at = time.monotonic()
+        sent_at = elapsed_seconds()
         tx = self.keeper.renewal()
         # A relay that doesn't answer must leave time for another round of promises.
         remaining = self.keeper.lease.remaining_seconds(sent_at)
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_service.py
@@ -11,7 +11,6 @@
 import logging
 import random
 import threading
-import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
@@ -28,6 +27,7 @@
     ring_successors,
 )
 from swifttide_core.slots import SlotKind, slot_of
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon.membership._lease_keeper import LeaseKeeper
 from swifttide_daemon.membership._moved_slots import MovedSlots
 from swifttide_daemon.membership._other_zones import OtherZones
@@ -189,7 +189,7 @@
 
     def lease_remaining(self) -> float:
         """Return the seconds for which this host's lease is still valid."""
-        return self.keeper.lease.remaining_seconds(time.monotonic())
+        return self.keeper.lease.remaining_seconds(elapsed_seconds())
 
     def holder(self, kind: SlotKind, key: str, zone: str = "") -> HostRow | None:
         """Return the host that holds a key's slot in a zone, or None if no host does.
@@ -268,7 +268,7 @@
         """
         adopted = []
         for zone, view in views.items():
-            fresh = replace(view, read_at=time.monotonic())
+            fresh = replace(view, read_at=elapsed_seconds())
             is_own = zone == self.me.zone
             if self._adopt(fresh) if is_own else self.others.adopt(zone, fresh):
                 adopted.append(zone)
@@ -299,13 +299,13 @@
     ) -> None:
         """Run a step at an interval, and at once when `wake` is set."""
         while not self._stop.is_set():
-            next_at = time.monotonic() + interval_seconds
+            next_at = elapsed_seconds() + interval_seconds
             try:
                 step()
             except Exception:
                 # A malformed row must not end the thread.
                 log.exception("membership update failed")
-            wake.wait(max(0.0, next_at - time.monotonic()))
+            wake.wait(max(0.0, next_at - elapsed_seconds()))
             if wake is not self._stop:
                 wake.clear()
 
@@ -356,14 +356,14 @@
         head = self.reader.head_version(self.me.zone)
         if head.is_error():
             return
-        age = time.monotonic() - self.view.read_at
+        age = elapsed_seconds() - self.view.read_at
         is_changed = self.view.outdated or head.ok != self.view.head_version
         if is_changed or age > FULL_READ_INTERVAL_SECONDS:
             self._read_zone()
-        if time.monotonic() >= self._next_monitor_read_at:
+        if elapsed_seconds() >= self._next_monitor_read_at:
             # Lease rows change once per renewal interval, and this loop runs twice as
             # often; more frequent reads give no information.
-            self._next_monitor_read_at = time.monotonic() + self.times.renew_seconds
+            self._next_monitor_read_at = elapsed_seconds() + self.times.renew_seconds
             self._monitor_neighbours()
         if self.keeper.holds():
             is_known = self.me.knows_head >= self.keeper.registered_head
@@ -396,7 +396,7 @@
             self._held = {
                 s: e for s, e in mine.items() if e > self._released_epochs.get(s, -1)
             }
-            now = time.monotonic()
+            now = elapsed_seconds()
             since = self._held_since
             self._held_since = {s: since.get(s, now) for s in self._held}
             n_held = len(self._held)
@@ -411,12 +411,14 @@
         for row in neighbours:
             found = self.platform.read(HOSTS, row.key)
             if found.is_ok() and found.ok is not None:
-                self.lease_monitor.observe(time.monotonic(), row.host, found.ok.version)
+                self.lease_monitor.observe(
+                    elapsed_seconds(), row.host, found.ok.version
+                )
         if not self.outages.may_depose():
             return
         waits = {row.host: self._depose_delay(row) for row in neighbours}
         for host, version in self.lease_monitor.expired_leases(
-            time.monotonic(), waits
+            elapsed_seconds(), waits
         ).items():
             self._depose(self.view.hosts[host], version)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_zone_reader.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_zone_reader.py
@@ -1,10 +1,9 @@
 """Reads the hosts and slots of a zone from the platform's store."""
 
-import time
-
 from expression import Ok, Result
 
 from swifttide_core.membership import SlotRow
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon.membership._rows import (
     HOSTS,
     SLOTS,
@@ -59,6 +58,6 @@
                 head_version=head.ok,
                 hosts={row.host: row for row in map(host_row_of, hosts.ok)},
                 slots=tuple(slot_rows.get(s, SlotRow(s)) for s in range(self.n_slots)),
-                read_at=time.monotonic(),
+                read_at=elapsed_seconds(),
             )
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/peering/_heartbeat.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peering/_heartbeat.py
@@ -9,12 +9,12 @@
 
 import logging
 import threading
-import time
 
 import msgspec
 
 from swifttide_core.configuration import Change
 from swifttide_core.membership import HostRow
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon.configuration import ConfigService
 from swifttide_daemon.membership import MembershipService
 from swifttide_daemon.peers import PeerClient
@@ -80,7 +80,7 @@
                     log.exception("the response to a heartbeat can't be decoded")
 
     def _exchange_heartbeat(self, row: HostRow) -> None:
-        sent_at = time.monotonic()
+        sent_at = elapsed_seconds()
         answer = self.peers.call(
             row.peer_url, "POST", "/peer/v1/heartbeat", self.message()
         )
--- a/packages/swifttide_daemon/src/swifttide_daemon/tests/test_health.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/tests/test_health.py
@@ -1,10 +1,10 @@
 """Tests of the answers to status checks."""
 
-import time
 from unittest.mock import Mock
 
 import pytest
 
+from swifttide_daemon._elapsed_clock import elapsed_seconds
 from swifttide_daemon._health import Health
 from swifttide_daemon.configuration import ConfigService
 from swifttide_daemon.entry import GateState
@@ -31,10 +31,10 @@
         the hosts of its zone but not yet the configuration.
         """
         assert health.ready(Mock()).status == 503
-        config.confirm_fresh(0, time.monotonic())
+        config.confirm_fresh(0, elapsed_seconds())
         assert health.ready(Mock()).status == 200
 
     def test_host_with_a_stale_configuration_is_not_ready(self, health, config):
         """Guards against callers that are sent to a host that refuses every key."""
-        config.confirm_fresh(0, time.monotonic() - 2 * MAX_STALE_SECONDS)
+        config.confirm_fresh(0, elapsed_seconds() - 2 * MAX_STALE_SECONDS)
         assert health.ready(Mock()).status == 503
