FIX A host doesn't use its share of rates after its entry has expired

Cause: a host that could not renew its entry used its share on, for as long as it was cut off. Others take the share once the entry has expired by the store's clock, after 60 s, so customers got more than their rate; that nobody had told it so counted as proof.

Change: from 3 s before its entry expires, a host that can't renew it uses no share. It goes on while the store is away for all: if all hosts are heard and none of them reaches the store, nobody can have taken the share. With its next write it has a share again.

Costs: a host that is cut off for longer than 57 s admits no requests of customers with a limit. So do all hosts in an outage of the store of that length while the row of a lost host is still there, as that host may reach the store.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
@@ -50,8 +50,12 @@
 
 LEASE_MS = 60_000
 """Time without renewal after which an entry expires. It is long compared to outages of
-the store, because a partitioned host continues to use its share. One unused share in
-ten or more is covered by the headroom in customers' rates."""
+the store, because a partitioned host continues to use its share until then. One unused
+share in ten or more is covered by the headroom in customers' rates."""
+
+EXPIRY_MARGIN_MS = 3_000
+"""Time before the expiry of its entry from which a host doesn't use its share: two
+checks, and the time that the answer to its last renewal took."""
 
 SLOT_RETENTION_MS = 7_200_000
 """Time after the expiry of an entry for which its slots remain reserved. Tokens that
@@ -126,6 +130,7 @@
         self._clock_ahead_ms = 0
         self._may_release_slots = may_release_slots
         self._released_slots: frozenset[int] = frozenset()
+        self._has_lapsed = False
         self._renew_age_ms = _draw_renew_age_ms()
 
     @property
@@ -152,7 +157,7 @@
         self._apply_entries(self._decode(row), row.version)
         self._clear_released_slots()
         own = self._entries.get(self._ip)
-        if own is not None and not self._rates.share:
+        if own is not None and not self._rates.share and not self._has_lapsed:
             self._set_share(own.share)
 
     def _decode(self, row) -> dict[str, _Entry]:
@@ -179,6 +184,7 @@
             await self._pause_randomly()
         while True:
             for _ in range(4):
+                self._drop_expired_share()
                 if await self._update_entry():
                     break
                 await self._pause_randomly()
@@ -224,6 +230,22 @@
         if entries.pop(self._ip, None) is not None:
             await self._write(entries)
 
+    def _drop_expired_share(self):
+        """Stop using the share once other hosts may have taken it.
+
+        In an outage of the store nobody can take it: all hosts are heard, and none of
+        them reaches the store.
+        """
+        own = self._entries.get(self._ip)
+        if own is None or self._now_ms - own.renewed_ms < LEASE_MS - EXPIRY_MARGIN_MS:
+            return
+        fleet = self._fleet
+        is_outage = len(fleet.alive()) == len(fleet.all())
+        if is_outage and not fleet.peers_reaching_store():
+            return
+        self._has_lapsed = True
+        self._set_share(0.0)
+
     async def _update_entry(self) -> bool:
         """Update the own entry if necessary; return whether it is up to date."""
         entries = self._retained_entries()
@@ -258,6 +280,7 @@
         entries[self._ip] = _Entry(wanted, self._now_ms, sorted(slots))
         if not await self._write(entries):
             return False
+        self._has_lapsed = False
         self._set_share(wanted)
         self._renew_age_ms = _draw_renew_age_ms()
         return True
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_share_allocator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_share_allocator.py
@@ -15,6 +15,7 @@
 )
 from swifttide_daemon.gateway.store._shared_store import RowKey, StoredRow, Unavailable
 from swifttide_standins.paused_clock import run_paused
+from swifttide_standins.print_office import MemoryRows
 
 
 class FakeRateLimiter:
@@ -30,18 +31,19 @@
     def __init__(self, store, log):
         self.store, self.log = store, log
         self.rates = {}
+        self.fleets = {}
         self.tasks = {}
         self.max_total_share = 0.0
 
     def start(self, ip):
         rates = self.rates[ip] = FakeRateLimiter()
-        fleet = Fleet(peer(ip), self.log)
+        fleet = self.fleets[ip] = Fleet(peer(ip), self.log)
         fleet.all = lambda: [peer(other) for other in self.rates if other != ip]
         fleet.alive = fleet.all
         allocator = ShareAllocator(self.store, fleet, rates, self.log)
         self.tasks[ip] = (
             asyncio.create_task(allocator.run()),
-            asyncio.create_task(self.follow(allocator)),
+            asyncio.create_task(self.follow(allocator, self.store)),
         )
 
     def kill(self, ip):
@@ -49,10 +51,10 @@
             task.cancel()
         del self.rates[ip]
 
-    async def follow(self, allocator):
+    async def follow(self, allocator, store):
         """Pass on the row of shares at intervals, as a watch of the store does."""
         while True:
-            for place, row in self.store.rows.range("fleet", "", KEY, KEY + "\0"):
+            for place, row in store.rows.range("fleet", "", KEY, KEY + "\0"):
                 allocator.apply_row(StoredRow(RowKey(*place), row.value, row.version))
             await asyncio.sleep(0.1)
 
@@ -302,3 +304,101 @@
         shares, most = run_paused(main())
         assert sum(shares) == pytest.approx(1.0)
         assert most <= 1.0 + 1e-6
+
+
+class CutStore:
+    """The store as seen by a host that may be cut off from it."""
+
+    def __init__(self, store):
+        self._store = store
+        self.is_cut = False
+
+    @property
+    def rows(self):
+        return MemoryRows() if self.is_cut else self._store.rows
+
+    async def commit(self, tx):
+        return Unavailable("cut") if self.is_cut else await self._store.commit(tx)
+
+    async def read(self, *args):
+        return Unavailable("cut") if self.is_cut else await self._store.read(*args)
+
+
+class TestHostOutOfTouch:
+    """A host can't renew its entry for longer than the entry lasts."""
+
+    @pytest.fixture
+    def play(self, store, log):
+        """Return the shares in use, 70 s after a host of four could last renew.
+
+        Parameters
+        ----------
+        others_reach : bool
+            Whether the other hosts reach the store.
+        are_heard : bool
+            Whether it hears the other hosts.
+        """
+
+        def run(others_reach, are_heard):
+            async def main():
+                hosts = Hosts(store, log)
+                cut = CutStore(store)
+                for i in range(4):
+                    hosts.store = cut if i == 0 else store
+                    hosts.start(f"h{i}")
+                await hosts.run(10.0)
+                fleet = hosts.fleets["h0"]
+                cut.is_cut = True
+                store.down = not others_reach
+                if not are_heard:
+                    fleet.alive = list
+                    for i in range(1, 4):
+                        other = hosts.fleets[f"h{i}"]
+                        heard = [peer(f"h{j}") for j in range(1, 4) if j != i]
+                        other.alive = heard.copy
+                fleet.peers_reaching_store = fleet.all if others_reach else list
+                await hosts.run(70.0)
+                return [round(r.share, 2) for r in hosts.rates.values()]
+
+            return run_paused(main())
+
+        return run
+
+    def test_share_that_others_have_taken(self, play):
+        """Guards against two users of one share while a host is cut off for long."""
+        own, *others = play(others_reach=True, are_heard=False)
+        assert sum(others) + own <= 1.0
+
+    def test_share_after_it(self, store, log):
+        """Guards against a host that gets no share any more."""
+
+        async def main():
+            hosts = Hosts(store, log)
+            cut = hosts.store = CutStore(store)
+            hosts.start("h0")
+            hosts.store = store
+            hosts.start("h1")
+            await hosts.run(10.0)
+            hosts.fleets["h0"].alive = hosts.fleets["h1"].alive = list
+            cut.is_cut = True
+            await hosts.run(70.0)
+            during = [r.share for r in hosts.rates.values()]
+            for fleet in hosts.fleets.values():
+                fleet.alive = fleet.all
+            cut.is_cut = False
+            await hosts.run(5.0)
+            return during, [r.share for r in hosts.rates.values()]
+
+        during, after = run_paused(main())
+        assert during[0] == 0.0
+        assert after == [0.5, 0.5]
+
+    def test_share_that_others_may_have_taken(self, play):
+        own, *_ = play(others_reach=False, are_heard=False)
+        assert own == 0.0
+
+    def test_store_that_is_away_for_all(self, play):
+        """Guards against refusals of all requests in an outage of the store: nobody
+        can have taken the share.
+        """
+        assert play(others_reach=False, are_heard=True) == [0.25] * 4
