FIX Shares and slots of a host count the time in which its machine was suspended

Cause: the age of the entry with a host's share and slots was measured by the event loop's clock, which stands still while the machine is suspended, so that both looked valid as it resumed, whoever had taken them.

Change: elapsed_seconds, as for the tokens themselves.

Evidence: test_machine_that_was_suspended (cut off, suspended for 70 s): before, the whole share and the slots are in use 2 s later, now neither is. Not tried on a machine that was suspended. The fixture for it moves to conftest.py as it was.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
@@ -24,6 +24,7 @@
 
 from swifttide_core.budgets import N_SLOTS, plan_slots
 from swifttide_core.checks import JsonDecoder
+from swifttide_daemon.gateway.peers._elapsed_clock import elapsed_seconds
 from swifttide_daemon.gateway.peers._fleet import FLEET_TABLE, Fleet
 from swifttide_daemon.gateway.rates._rate_limiter import RateLimiter
 from swifttide_daemon.gateway.store._shared_store import (
@@ -215,13 +216,13 @@
             await asyncio.sleep(READ_RETRY_SECONDS)
 
     def _set_clock(self, now_ms):
-        own_ms = int(asyncio.get_running_loop().time() * 1000)
+        own_ms = int(elapsed_seconds() * 1000)
         self._clock_ahead_ms = now_ms - own_ms
 
     @property
     def _now_ms(self):
         """Estimate of the store's clock, in milliseconds."""
-        return int(asyncio.get_running_loop().time() * 1000) + self._clock_ahead_ms
+        return int(elapsed_seconds() * 1000) + self._clock_ahead_ms
 
     async def give_up(self) -> None:
         """Stop using the share and remove the entry, before this host leaves."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/conftest.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/conftest.py
@@ -1,7 +1,9 @@
-"""Test fixtures: a log, and an in-memory shared store that simulates faults."""
+"""Test fixtures: a log, a clock, and an in-memory store that simulates faults."""
 
 import asyncio
 import logging
+import time
+from types import SimpleNamespace
 
 import pytest
 
@@ -14,6 +16,7 @@
     StoredRow,
     Unavailable,
 )
+from swifttide_daemon.gateway.peers import _elapsed_clock
 from swifttide_daemon.telemetry import EventLog
 from swifttide_standins.print_office import MemoryRows
 
@@ -139,3 +142,21 @@
 @pytest.fixture
 def log():
     return EventLog(logging.getLogger("swifttide.test"))
+
+
+@pytest.fixture
+def suspend(monkeypatch):
+    """Suspend the machine for some seconds, which the event loop doesn't count."""
+    suspended = 0.0
+
+    def run(seconds):
+        nonlocal suspended
+        suspended += seconds
+
+    clock = SimpleNamespace(
+        CLOCK_BOOTTIME=time.CLOCK_BOOTTIME,
+        clock_gettime=lambda clock: suspended,
+        monotonic=lambda: 0.0,
+    )
+    monkeypatch.setattr(_elapsed_clock, "time", clock)
+    return run
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_fleet.py
@@ -1,12 +1,9 @@
 """Hosts that are heard, as this host stands still or has just started."""
 
 import asyncio
-import time
-from types import SimpleNamespace
 
 import pytest
 
-from swifttide_daemon.gateway.peers import _elapsed_clock
 from swifttide_daemon.gateway.peers._fleet import Fleet
 from swifttide_daemon.gateway.peers._peer import Peer
 from swifttide_standins.paused_clock import run_paused
@@ -15,24 +12,6 @@
 KEEP_SECONDS = 60.0
 
 
-@pytest.fixture
-def suspend(monkeypatch):
-    """Suspend the machine for some seconds, which the event loop doesn't count."""
-    suspended = 0.0
-
-    def run(seconds):
-        nonlocal suspended
-        suspended += seconds
-
-    clock = SimpleNamespace(
-        CLOCK_BOOTTIME=time.CLOCK_BOOTTIME,
-        clock_gettime=lambda clock: suspended,
-        monotonic=lambda: 0.0,
-    )
-    monkeypatch.setattr(_elapsed_clock, "time", clock)
-    return run
-
-
 @pytest.fixture
 def play(log):
     """Run a scenario at a host that has read the list of hosts and hears the other."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_share_allocator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_share_allocator.py
@@ -32,6 +32,7 @@
         self.store, self.log = store, log
         self.rates = {}
         self.fleets = {}
+        self.allocators = {}
         self.tasks = {}
         self.max_total_share = 0.0
 
@@ -41,6 +42,7 @@
         fleet.all = lambda: [peer(other) for other in self.rates if other != ip]
         fleet.alive = fleet.all
         allocator = ShareAllocator(self.store, fleet, rates, self.log)
+        self.allocators[ip] = allocator
         self.tasks[ip] = (
             asyncio.create_task(allocator.run()),
             asyncio.create_task(self.follow(allocator, self.store)),
@@ -402,3 +404,22 @@
         can have taken the share.
         """
         assert play(others_reach=False, are_heard=True) == [0.25] * 4
+
+    def test_machine_that_was_suspended(self, store, log, suspend):
+        """Guards against a share and slots that look valid as the machine resumes."""
+
+        async def main():
+            hosts = Hosts(store, log)
+            cut = hosts.store = CutStore(store)
+            hosts.start("h0")
+            await hosts.run(10.0)
+            hosts.fleets["h0"].all = lambda: [peer("h1")]
+            hosts.fleets["h0"].alive = list
+            cut.is_cut = True
+            allocator = hosts.allocators["h0"]
+            before = hosts.rates["h0"].share, bool(allocator.slots)
+            suspend(70.0)
+            await hosts.run(2.0)
+            return before, (hosts.rates["h0"].share, bool(allocator.slots))
+
+        assert run_paused(main()) == ((1.0, True), (0.0, False))
