FIX Tokens that waited while their keeper stood still aren't counted as handed over now

Cause: the keeper of a customer's tokens may store as much of the burst as belongs to the hosts that handed it tokens in the last half second. After a standstill it read what had waited for it, as if it were handed over now, and so kept burst that its successor had handed out meanwhile.

Change: tokens and questions for them that waited during a standstill are dropped, like beacons. Those tokens are lost, 0.7 s of the rate at most; a question has been asked elsewhere by then.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_datagrams.py
@@ -21,7 +21,11 @@
 from swifttide_daemon.gateway.peers._elapsed_clock import elapsed_seconds
 from swifttide_daemon.gateway.peers._fleet import Fleet
 from swifttide_daemon.gateway.peers._peer import Peer
-from swifttide_daemon.gateway.rates._rate_messages import RateMessage
+from swifttide_daemon.gateway.rates._rate_messages import (
+    AskRate,
+    HandRate,
+    RateMessage,
+)
 from swifttide_daemon.gateway.streams._origin_messages import StreamBegan
 from swifttide_daemon.gateway.streams._turn_messages import TurnGenerated
 from swifttide_daemon.gateway.targets._order_messages import (
@@ -34,6 +38,12 @@
 
 _decoder = JsonDecoder(Datagram)
 
+PERISHABLE_MESSAGE_TYPES = (Beacon, AskRate, HandRate)
+"""Messages that are of no use after a standstill. Beacons tell what was, e.g. that a
+host runs or that the store is available. Tokens that were handed over lately say how
+much of a burst this host may keep for others, who have another keeper by now. Questions
+for a token have been asked elsewhere."""
+
 MAX_DATAGRAM_BYTES = 65_536
 """Upper limit of the size of a datagram."""
 
@@ -45,9 +55,8 @@
 class PeerDatagrams(asyncio.DatagramProtocol):
     """UDP endpoint that sends beacons and carries other short messages.
 
-    While this process stands still, datagrams wait in the receive buffer. Beacons among
-    them tell what was, e.g. that a host runs or that the store is available, and are
-    dropped. Other messages are still true.
+    While this process stands still, datagrams wait in the receive buffer. Those of
+    `PERISHABLE_MESSAGE_TYPES` are dropped; others are still true.
 
     The owner sets the callbacks before it calls `run`.
 
@@ -151,7 +160,7 @@
         return before is not None and self._ran_at - before >= MIN_STALL_SECONDS
 
     def _read_waiting(self):
-        """Read all datagrams that have waited; beacons among them are dropped."""
+        """Read all datagrams that have waited."""
         for _ in range(MAX_WAITING_DATAGRAMS):
             try:
                 data, addr = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
@@ -165,9 +174,10 @@
         except ValueError as exc:
             self._log.warning("datagram_unreadable", peer=addr[0], reason=str(exc))
             return
+        if is_old and isinstance(message, PERISHABLE_MESSAGE_TYPES):
+            return
         if isinstance(message, Beacon):
-            if not is_old:
-                self._handle_beacon(message)
+            self._handle_beacon(message)
         elif isinstance(message, ORDER_MESSAGE_TYPES):
             self.on_order_message(message, addr[0])
         elif isinstance(message, StreamBegan):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_datagrams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_datagrams.py
@@ -11,6 +11,11 @@
 from swifttide_daemon.gateway.peers._datagrams import PeerDatagrams
 from swifttide_daemon.gateway.peers._fleet import Fleet
 from swifttide_daemon.gateway.peers._peer import Peer
+from swifttide_daemon.gateway.rates._rate_messages import (
+    AskRate,
+    HandRate,
+    RateAnswer,
+)
 from swifttide_daemon.gateway.streams._origin_messages import StreamBegan
 from swifttide_daemon.gateway.streams._turn_messages import TurnGenerated
 from swifttide_standins.paused_clock import run_paused
@@ -113,6 +118,26 @@
 
         assert play(scenario) == [message]
 
+    def test_tokens_that_waited(self, play):
+        """Guards against a keeper that counts the whole burst as its own again, after
+        its successor has handed it out.
+        """
+        handed = [HandRate("b1", n, {"c": (1.0, 0.5, 0.0, 0.0)}) for n in (1, 2, 3)]
+        answer = RateAnswer("c", "b0", 7, is_granted=True)
+
+        async def scenario(host):
+            found = []
+            host.datagrams.on_rate_message = lambda message, ip: found.append(message)
+            for message in (handed[0], AskRate("c", "b1", 1, 0.0), answer, handed[1]):
+                host.send(message)
+            host.stand_still(6.0)
+            await run_ready()
+            host.send(handed[2])
+            await run_ready()
+            return found
+
+        assert play(scenario) == [answer, handed[2]]
+
     def test_order_of_a_turns_events(self, play):
         """Guards against events of a turn that are passed on out of order."""
 
