FIX Withdrawn keys of operators are refused in a zone that is cut off

Cause: with a stale configuration only unknown operator's keys were refused. A key that was withdrawn elsewhere stayed known, and worked for as long as the zone was cut off, while keys of customers are refused there after config.max_stale_seconds.

Change: granted operator's keys are refused too, with 503, not_run. The keys in the host's settings work on, so the operator gets in.

Evidence: test_stale_configuration_refuses_operator_keys failed before (the key of a stale configuration is accepted); 12 tests of the file and the others of entry pass.

--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/_authenticator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/_authenticator.py
@@ -76,15 +76,19 @@
         return Ok(Identity(key_hash, grant.customer))
 
     def operator(self, req: Request) -> Result[Identity, Refusal]:
-        """Return the identity of the operator whose key the request carries."""
+        """Return the identity of the operator whose key the request carries.
+
+        Granted keys may have been withdrawn elsewhere, as those of customers. Keys of
+        the host's settings are always known.
+        """
         key_hash = _key_hash(req)
         if not key_hash:
             return Error(_unknown_key_refusal())
         if any(hmac.compare_digest(key_hash, known) for known in self.operator_hashes):
             return Ok(Identity(key_hash, ""))
-        grant = self.config.key(key_hash)
-        if grant is None and self.config.is_stale():
+        if self.config.is_stale():
             return Error(_stale_configuration_refusal())
+        grant = self.config.key(key_hash)
         if grant is None:
             return Error(_unknown_key_refusal())
         if not grant.operator:
--- a/packages/swifttide_daemon/src/swifttide_daemon/entry/tests/test_authenticator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/entry/tests/test_authenticator.py
@@ -51,6 +51,15 @@
         assert refused.error.verdict == "not_run"
         assert refused.error.retry_after_seconds > 0
 
+    def test_stale_configuration_refuses_operator_keys(self):
+        """Guards against an operator's key that is withdrawn and works in a zone that
+        is cut off; keys of the host's settings work there.
+        """
+        stale = make_authenticator(stale=True)
+        refused = stale.operator(request("Bearer operator")).error
+        assert (refused.status, refused.verdict) == (503, "not_run")
+        assert stale.operator(request("Bearer bootstrap")).is_ok()
+
     def test_stale_configuration_denies_no_key(self):
         """Guards against granted keys that a host without the configuration denies."""
         stale = make_authenticator(stale=True)
