TST A stream whose host was cut off from its keepers, failing

TestStreams::test_stream_that_no_keeper_was_told_of[] fails: an earlier attempt of the same request was answered at v1 and its keepers know it; the next one began at v2 at a host that reached none of its keepers. The caller names no attempt and goes on with the second stream at another host: all keepers answer, know v1 only, and it goes on at v1 (ORDER). With the attempt named it passes. More than half of the keepers' answers doesn't prove that they were told.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_absence.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_absence.py
@@ -59,6 +59,27 @@
 
         assert play(streams.Host, scenario) is None
 
+    @pytest.mark.parametrize("attempt", ["s2", ""])
+    def test_stream_that_no_keeper_was_told_of(self, play, attempt):
+        """Guards against the record of an earlier attempt that decides, as the host
+        that began the stream was cut off from its keepers.
+        """
+
+        async def scenario(hosts):
+            hear(hosts)
+            first, other, *_ = hosts.values()
+            for host in hosts.values():
+                host.set_targets("v1", "v2")
+            first.record("s1", V1, request="asked")
+            all_hosts = dict(hosts)
+            hosts.clear()
+            other.record("s2", V2, request="asked")
+            hosts.update(all_hosts)
+            del hosts[other.ip]
+            return await first.find(attempt, request="asked")
+
+        assert play(streams.Host, scenario) is None
+
     def test_request_that_one_version_answered(self, play):
         async def scenario(hosts):
             hear(hosts)
