FIX Hosts that aren't heard are told of streams, and few keepers don't decide alone

A stream that began right after a standstill, or at a host that had heard nobody since its start, was told to no other host; another host then went on at the version of an earlier stream of the same request (ORDER). A turn whose caller names no attempt went on with the only answer that a host cut off from the others knew, and was stored with events that its caller never got (UNASKED).

Cause: that a host wasn't heard was taken for its absence, as streams were told, as turns were told, and as keepers were counted; and the one answer found to a turn counted however few hosts had answered.

Change: keepers that were heard while a stream may last, or that this host has known for less than that, are told as well and count in the majority; the same rule for turns whose caller names no attempt.

The fleet asks its clock once for all hosts, which now takes two calls more each.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_admission.py
@@ -272,7 +272,7 @@
         """
         if req.last_event_id is None or not route.keeps_turns:
             return ()
-        found = await self._turn_events.find(customer, req, homes)
+        found = await self._turn_events.find(customer, req, route, homes)
         if found is None:
             raise Refusal(503, "turn_begin_unknown", NEW_STREAM_RETRY_SECONDS)
         return found
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/peers/_fleet.py
@@ -70,6 +70,7 @@
         self._regions = regions or RegionMap()
         self._log = log
         self._peers: dict[str, Peer] = {}
+        self._known_since: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
         self._heard_until: dict[str, float] = {}
         self._zone_heard_at: dict[str, float] = {}
@@ -115,6 +116,7 @@
                 self._peers.pop(ip, None)
             else:
                 self._peers[ip] = peer
+                self._known_since.setdefault(ip, elapsed_seconds())
 
     def keep_only(self, ips: Iterable[str]) -> None:
         """Remove the hosts whose addresses aren't among those of a full read."""
@@ -181,7 +183,11 @@
 
     def alive(self) -> list[Peer]:
         """Return the heard hosts in random order, those of the own zone first."""
-        found = [p for p in self._peers.values() if self.is_heard(p.ip)]
+        now = elapsed_seconds()
+        never = float("-inf")
+        found = [
+            p for p in self._peers.values() if now < self._heard_until.get(p.ip, never)
+        ]
         random.shuffle(found)
         found.sort(key=lambda p: p.zone != self.own.zone)
         return found
@@ -194,7 +200,10 @@
         return now < self._heard_until.get(ip, float("-inf"))
 
     def was_heard_within(self, ip: str, seconds: float) -> bool:
-        """Whether a host is heard, or its last beacon arrived in a period.
+        """Whether a host is heard, or may have been in a period.
+
+        A host that this one has known for a shorter time, and never heard, may be lost
+        or out of reach.
 
         Parameters
         ----------
@@ -205,7 +214,8 @@
         if ip not in self._peers:
             return False
         now = elapsed_seconds()
-        heard_at = self._heard_at.get(ip, float("-inf"))
+        known_since = self._known_since.get(ip, float("-inf"))
+        heard_at = self._heard_at.get(ip, known_since)
         return self.is_heard(ip) or now - heard_at <= seconds
 
     def heard_fraction(self) -> float:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_origin_inquiry.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_origin_inquiry.py
@@ -48,8 +48,7 @@
     n_known, n_asked, n_answered : int
         Numbers of other hosts.
     is_majority : bool
-        Whether more than half of the stream's keepers have answered, this host
-        included. Otherwise a keeper that is cut off from this host may know more.
+        Whether more than half of the stream's keepers have answered.
     """
 
     origin: StreamOrigin | None
@@ -105,7 +104,7 @@
             self._fleet.n_hosts() - 1,
             len(asked),
             len(found),
-            2 * len(answers.keys() & set(recent)) > len(recent),
+            self._keepers.is_majority(answers.keys(), recent),
         )
 
     async def _answers(self, ips, question) -> dict[str, FoundStreamOrigin]:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_keepers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_keepers.py
@@ -1,6 +1,7 @@
 """Hosts that remember something of a stream on behalf of all hosts, its keepers."""
 
 import asyncio
+from collections.abc import Collection, Set
 
 from swifttide_core.forwarding import AllowedRegions
 from swifttide_core.resumption import keeper_candidates, rank_origin_keepers
@@ -58,6 +59,45 @@
             key, lambda host: self._fleet.was_running_in(host, seconds, homes)
         )
 
+    def told(
+        self, key: str, n_keepers: int, seconds: float, homes: AllowedRegions = None
+    ) -> list[str]:
+        """Return the addresses of the other hosts that are told of a stream.
+
+        Hosts that aren't heard any more are told too, as they may only look lost, and
+        beside them as many that are heard.
+
+        Parameters
+        ----------
+        key : str
+            Key of the stream.
+        n_keepers : int
+        seconds : float
+            Time for which the stream is remembered.
+        homes : frozenset of str or None
+            Regions whose hosts may be keepers; None for any.
+        """
+        own = self._fleet.own.ip
+        found = self.ranked_recent(key, seconds, homes)[:n_keepers]
+        if not all(ip == own or self._fleet.is_heard(ip) for ip in found):
+            found = self.ranked(key, homes)[:n_keepers] + found
+        return [ip for ip in dict.fromkeys(found) if ip != own]
+
+    @staticmethod
+    def is_majority(answered: Set[str], keepers: Collection[str]) -> bool:
+        """Return whether more than half of a stream's keepers have answered.
+
+        Otherwise those that are cut off from this host may know more.
+
+        Parameters
+        ----------
+        answered : set of str
+            Addresses of hosts whose knowledge is available, this host included.
+        keepers : collection of str
+            Addresses of the hosts that may have been told.
+        """
+        return 2 * len(answered & set(keepers)) > len(keepers)
+
     def _rank(self, key, is_keeper):
         hosts = [(h.ip, h.zone) for h in self._candidates() if is_keeper(h)]
         return rank_origin_keepers(key, hosts)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_origins.py
@@ -110,9 +110,8 @@
             key, origin.service, origin.software_version, seconds, request
         )
         self.handle_message(message)
-        for ip in self._keepers.ranked(request or key, homes)[:N_KEEPERS]:
-            if ip != self._fleet.own.ip:
-                self._send(ip, message)
+        for ip in self._keepers.told(request or key, N_KEEPERS, seconds, homes):
+            self._send(ip, message)
 
     def handle_message(self, message: StreamBegan) -> None:
         """Remember a stream that this host or another one began."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_turn_events.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_turn_events.py
@@ -97,7 +97,7 @@
         key = request_key(customer, req)
         attempt = req.resumed_attempt or req.id
         seconds = KEEP_TIMEOUTS * route.timeout_seconds
-        keepers = self._keepers.ranked(key, homes)[:N_KEEPERS]
+        keepers = self._keepers.told(key, N_KEEPERS, seconds, homes)
         for group in _groups(events):
             message = TurnGenerated(key, attempt, n_before, group, seconds)
             n_before += len(group)
@@ -105,8 +105,7 @@
             if sum(len(event.data or b"") for event in group) > MAX_DATAGRAM_DATA_BYTES:
                 continue
             for ip in keepers:
-                if ip != self._fleet.own.ip:
-                    self._send(ip, message)
+                self._send(ip, message)
 
     def handle_message(self, message: TurnGenerated) -> None:
         """Remember events that this host or another one relayed."""
@@ -121,31 +120,53 @@
         )
 
     async def find(
-        self, customer: str, req: CallerRequest, homes: AllowedRegions = None
+        self,
+        customer: str,
+        req: CallerRequest,
+        route: Route,
+        homes: AllowedRegions = None,
     ) -> tuple[TurnEvent, ...] | None:
         """Return the events that the caller of a resumed turn has; None if unknown.
 
+        If the caller doesn't name its attempt, other hosts may know of another answer.
+        The only one that is found then counts if most keepers have answered.
+
         Parameters
         ----------
         customer : str
         req : CallerRequest
             Names the last event that the caller has.
+        route : Route
         homes : frozenset of str or None
             Regions whose hosts may have been told; None for any.
         """
         key = request_key(customer, req)
         question = ReadTurnEvents(key, req.resumed_attempt, req.last_event_id)
-        calls = [
+        seconds = KEEP_TIMEOUTS * route.timeout_seconds
+        keepers = self._keepers.ranked_recent(key, seconds, homes)[:N_KEEPERS]
+        running = self._keepers.ranked(key, homes)[:N_ASKED]
+        own = self._fleet.own.ip
+        peers = {
+            ip: peer
+            for ip in (*running, *keepers)
+            if ip != own and (peer := self._fleet.by_ip(ip)) is not None
+        }
+        calls = (
             self._peers.call(peer, question, ASK_TIMEOUT_SECONDS)
-            for ip in self._keepers.ranked(key, homes)[:N_ASKED]
-            if ip != self._fleet.own.ip and (peer := self._fleet.by_ip(ip)) is not None
-        ]
+            for peer in peers.values()
+        )
         found = set(self._find_own(question))
-        for answer in await asyncio.gather(*calls):
+        answered = {own}
+        for ip, answer in zip(peers, await asyncio.gather(*calls), strict=True):
             match answer:
                 case FoundTurnEvents(answers):
+                    answered.add(ip)
                     found |= {tuple(events) for events in answers}
-        return found.pop() if len(found) == 1 else None
+        if len(found) != 1:
+            return None
+        if not req.resumed_attempt and not StreamKeepers.is_majority(answered, keepers):
+            return None
+        return found.pop()
 
     def answer(self, question: ReadTurnEvents) -> FoundTurnEvents:
         """Return how the answers to a turn begin, as far as this host knows."""
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_events.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_turn_events.py
@@ -63,7 +63,7 @@
             self.turns.record(customer, req, n, [event], ROUTE)
 
     async def find(self, req, customer="c"):
-        return await self.turns.find(customer, req)
+        return await self.turns.find(customer, req, ROUTE)
 
 
 @pytest.fixture
