TST The store has forgotten changes, and a host keeps its old list, failing

TestListOfTargets::test_changes_that_the_store_has_forgotten[True] fails: the store answers a refresh that changes since the host's version aren't kept any more, as after a long standstill. TableWatch.refresh returns False and reads nothing. With the changes kept it passes.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_absence.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_absence.py
@@ -12,6 +12,7 @@
 from swifttide_daemon.gateway.tests import test_stream_origins as streams
 from swifttide_daemon.gateway.tests import test_turn_events as turns
 from swifttide_daemon.gateway.tests.test_stream_origins import IPS, V1, V2, zone_of
+from swifttide_daemon.gateway.tests.test_table_watch import RecordingWatch
 from swifttide_standins.paused_clock import run_paused
 
 
@@ -92,6 +93,28 @@
         assert play(streams.Host, scenario).source is OriginSource.REQUEST_RECORD
 
 
+class TestListOfTargets:
+    @pytest.mark.parametrize("is_forgotten", [False, True])
+    def test_changes_that_the_store_has_forgotten(self, store, log, is_forgotten):
+        """Guards against an old list at a host that stood still for longer than the
+        store keeps changes, although the store answers.
+        """
+
+        async def main():
+            store.rows.put("t", "a", b"1")
+            seen = RecordingWatch(store, log, pause_seconds=50.0)
+            task = asyncio.create_task(seen.watch.run())
+            await asyncio.sleep(2.5)
+            store.rows.put("t", "b", b"2")
+            if is_forgotten:
+                store.rows.first_known = store.rows.version
+            is_refreshed = await seen.watch.refresh()
+            task.cancel()
+            return is_refreshed, seen.rows
+
+        assert run_paused(main()) == (True, {"a": b"1", "b": b"2"})
+
+
 class TestTurns:
     """A caller sent a turn twice, names no attempt, and has what the second one got."""
 
