FIX A refresh keeps what the feed promises, and unusable rows don't forget versions

- A refresh took lost history for no answer, and the old list was used although the store answers.
It reads all rows instead.
- One call without an answer held up all later refreshes for 2.8 s.
A refresh ends after 0.5 s.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_beliefs.py
@@ -185,8 +185,6 @@
         """
         now = asyncio.get_running_loop().time()
         if target_id not in self.targets:
-            # It may have come and gone unseen, with a version that nobody can tell.
-            self._versions.restart(now)
             return False
         until = self._store_back_at + ENTRY_RETURN_TIMEOUT_SECONDS
         if now < until:
@@ -194,6 +192,10 @@
             return True
         return self._drop(target_id, "left")
 
+    def forget_unseen_target(self) -> None:
+        """Record that a target came and went unseen, with a version that is unknown."""
+        self._versions.restart(asyncio.get_running_loop().time())
+
     def drop_lapsed(self) -> None:
         """Remove targets whose expired entries were not renewed in time."""
         if self._is_store_unavailable:
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_membership_feed.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_membership_feed.py
@@ -87,6 +87,8 @@
             if entry is not None:
                 self._strikes.record_entry(entry)
         if entry is None:
+            if row.deleted and row.key.key not in self._beliefs.targets:
+                self._beliefs.forget_unseen_target()
             return self._beliefs.remove_target(row.key.key)
         return self._beliefs.put_target(entry)
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_table_watch.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_table_watch.py
@@ -30,6 +30,10 @@
 """Time without an answer after which the connection counts as dead if another host
 knows a newer change. A beacon and the store's own answer take less time."""
 
+REFRESH_TIMEOUT_SECONDS = 0.5
+"""Time-out of a refresh. A store that is slow takes 0.3 s; one that takes longer must
+not hold up later refreshes."""
+
 MAX_FORWARDED_AGE_SECONDS = 3.5
 """Upper limit of the age of rows that are forwarded to other hosts: the full wait of a
 poll, a pause between polls and the store's own time."""
@@ -141,11 +145,23 @@
     async def _refresh(self) -> bool:
         if self._rows is None:
             return False
-        match await self._store.changes(self._table, self._version, 0.0):
-            case Rows() as found:
-                self._apply_changes(found)
-                return True
-        return False
+        try:
+            async with asyncio.timeout(REFRESH_TIMEOUT_SECONDS):
+                found = await self._store.changes(self._table, self._version, 0.0)
+                is_whole = isinstance(found, HistoryLost)
+                if is_whole:
+                    found = await self._store.read(self._table, "")
+        except TimeoutError:
+            return False
+        if not isinstance(found, Rows):
+            return False
+        # Entries that expired in an outage are kept for a while once it is over.
+        self._report_state(True, "")
+        if not is_whole:
+            self._apply_changes(found)
+        elif found.version >= self._version:
+            self._replace_rows(found)
+        return True
 
     def on_peer_change(self, change: int) -> None:
         """Record the newest change that another host knows, and poll again if needed.
@@ -281,10 +297,12 @@
     def _apply_changes(self, found):
         self._record_age(found)
         # A refresh may have applied changes that a poll under way returns again.
-        changed = tuple(row for row in found.rows if row.version > self._version)
+        changed = tuple(
+            row
+            for row in found.rows
+            if row.version > self._version and not row.key.part
+        )
         for row in changed:
-            if row.key.part:
-                continue
             if row.value is None and row.deleted:
                 self._rows.pop(row.key.key, None)
                 self._remember_removal(row)
