--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_keepers.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_stream_keepers.py
@@ -83,11 +83,11 @@
             found = self.ranked(key, homes)[:n_keepers] + found
         return [ip for ip in dict.fromkeys(found) if ip != own]
 
-    @staticmethod
-    def is_majority(answered: Set[str], keepers: Collection[str]) -> bool:
+    def is_majority(self, answered: Set[str], keepers: Collection[str]) -> bool:
         """Return whether more than half of a stream's keepers have answered.
 
-        Otherwise those that are cut off from this host may know more.
+        Otherwise those that are cut off from this host may know more. A host that
+        hears none of the others is no majority, however long ago it last heard one.
 
         Parameters
         ----------
@@ -96,7 +96,8 @@
         keepers : collection of str
             Addresses of the hosts that may have been told.
         """
-        return 2 * len(answered & set(keepers)) > len(keepers)
+        is_alone = self._fleet.n_hosts() > 1 and not self._fleet.alive()
+        return not is_alone and 2 * len(answered & set(keepers)) > len(keepers)
 
     def _rank(self, key, is_keeper):
         hosts = [(h.ip, h.zone) for h in self._candidates() if is_keeper(h)]
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_turn_events.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/streams/_turn_events.py
@@ -164,7 +164,7 @@
                     found |= {tuple(events) for events in answers}
         if len(found) != 1:
             return None
-        if not req.resumed_attempt and not StreamKeepers.is_majority(answered, keepers):
+        if not req.resumed_attempt and not self._keepers.is_majority(answered, keepers):
             return None
         return found.pop()
 
