FIX Answers that are cut in their head count as cut at the own interface

Callers saw a 200 with an empty body, framed as whole, where a service stopped in the middle of its answer's head and closed. The same reader serves calls to the platform and to other hosts, where a cut 404 meant a row that doesn't exist.

Cause: the standard library takes the end of a connection for the end of a head. A head without its length has a body that ends with the connection, here an empty one. The size line of a chunk may be cut too: what remains of 000a is the size of the final chunk.

Change: the reader of heads raises an error where a connection ends within a head, and lines of heads and of chunks must be complete.

Resets were errors before.

--- a/packages/swifttide_daemon/src/swifttide_daemon/transport/_bounded_head.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/transport/_bounded_head.py
@@ -1,8 +1,13 @@
-"""Reads the head of an answer within bounds on its size and its time.
+"""Reads the head of an answer to its end, within bounds on its size and its time.
 
 The time-out of a connection counts from one received byte to the next, and the standard
 library skips informational heads for as long as they come. Without these bounds, a
 server that sends such bytes without end holds the thread of a call for ever.
+
+The standard library takes the end of a connection for the end of a head. A head that is
+cut before the length of its body would have an empty body, which looks whole. Nor does
+it notice a line that is cut: the size of a chunk, cut after a leading zero, would be
+that of the final chunk.
 """
 
 import http.client
@@ -42,7 +47,13 @@
         return True
 
     def readinto(self, buffer) -> int | None:
-        """Read bytes; raises `TimeoutError` or `HTTPException` beyond a bound."""
+        """Read bytes of the head or, after it, of the body.
+
+        Raises
+        ------
+        TimeoutError, http.client.HTTPException
+            The head exceeds a bound, or its connection ended within it.
+        """
         if not self._is_bounded:
             return self._raw.readinto(buffer)
         if self._timeout is not None:
@@ -51,6 +62,8 @@
                 raise TimeoutError("a head that wasn't complete in time")
             self._socket.settimeout(left)
         n_bytes = self._raw.readinto(buffer)
+        if n_bytes == 0 and self._n_bytes:
+            raise http.client.HTTPException("a head that was cut")
         self._n_bytes += n_bytes or 0
         if self._n_bytes > MAX_HEAD_BYTES + io.DEFAULT_BUFFER_SIZE:
             raise http.client.HTTPException(f"a head of over {MAX_HEAD_BYTES} bytes")
@@ -62,6 +75,17 @@
         super().close()
 
 
+class _LineReader(io.BufferedReader):
+    """Buffered reader for which the end of a connection is no end of a line."""
+
+    def readline(self, size: int | None = -1) -> bytes:
+        line = super().readline(size)
+        is_full = size is not None and 0 <= size <= len(line)
+        if line and not line.endswith(b"\n") and not is_full:
+            raise http.client.HTTPException("a line that was cut")
+        return line
+
+
 class BoundedHeadResponse(http.client.HTTPResponse):
     """Answer whose head is read within bounds."""
 
@@ -69,7 +93,7 @@
         super().__init__(sock, *args, **kwargs)
         self.fp.close()
         self._reader = _HeadReader(sock)
-        self.fp = io.BufferedReader(self._reader)
+        self.fp = _LineReader(self._reader)
 
     def begin(self) -> None:
         """Read the head."""
