FIX One odd row no longer keeps hosts from following the configuration

Another writer's row among the documents or in the log of edits, a head whose version isn't a number, or a document with a port out of range, left hosts of the own interface without all later edits: keys withdrawn afterwards stayed valid until the configuration was stale, and a host that started had no configuration.

Cause: all rows of a page were decoded at once, so that one raised for all; only two kinds of errors were caught by the thread that polls, which ended for the others; ranges were checked by the editor, not by the reader. A document that can't be decoded was recorded as applied before it was decoded.

Change: documents are decoded and checked one by one, before anything is recorded; what can't be used leaves the document before in effect and is logged once. An odd entry of the log has the documents themselves read. The threads that poll and that ask neighbours go on, whatever a row or an answer holds.

--- a/packages/swifttide_core/src/swifttide_core/configuration/_config_state.py
+++ b/packages/swifttide_core/src/swifttide_core/configuration/_config_state.py
@@ -8,24 +8,9 @@
 
 from collections.abc import Iterable
 
-import msgspec
-
 from swifttide_core.configuration._change import Change
-from swifttide_core.documents import (
-    Customer,
-    Document,
-    DocumentKind,
-    KeyGrant,
-    Profile,
-    Target,
-)
-
-DOCUMENT_TYPES: dict[DocumentKind, type] = {
-    DocumentKind.PROFILE: Profile,
-    DocumentKind.CUSTOMER: Customer,
-    DocumentKind.KEY: KeyGrant,
-    DocumentKind.TARGET: Target,
-}
+from swifttide_core.configuration._change_document import decode_document
+from swifttide_core.documents import Document, DocumentKind
 
 
 class ConfigState:
@@ -63,7 +48,7 @@
                 applied.append(change)
         return applied
 
-    def load(self, version: int, changes: Iterable[Change]) -> None:
+    def load(self, version: int, changes: Iterable[Change]) -> list[Change]:
         """Apply the latest change of every document, read after the head of the log.
 
         Parameters
@@ -74,16 +59,21 @@
             Latest change of every document. A lower `version` than that of this
             state means that they come from an older state, so they are ignored.
 
+        Returns
+        -------
+        list of Change
+            Changes that replaced or removed a document.
+
         Notes
         -----
         A document may already be newer than `version`. The log entries after
         `version` that are applied later then don't change it.
         """
         if version < self.version:
-            return
-        for change in changes:
-            self._apply_if_newer(change)
+            return []
+        applied = [change for change in changes if self._apply_if_newer(change)]
         self.version = version
+        return applied
 
     def get(self, kind: DocumentKind, name: str) -> Document | None:
         """Return a document, or None if it does not exist."""
@@ -123,14 +113,13 @@
         known = self._changes.get(key)
         if known is not None and known.version >= change.version:
             return False
+        document = decode_document(change)
         self._changes[key] = change
         documents = dict(self._documents[change.kind])
-        if change.document is None:
+        if document is None:
             documents.pop(change.name, None)
         else:
-            documents[change.name] = msgspec.convert(
-                change.document, DOCUMENT_TYPES[change.kind]
-            )
+            documents[change.name] = document
         # Readers run on other threads. Replacing the dictionary lets them see either
         # the old or the new one, never a partial change.
         self._documents[change.kind] = documents
--- a/packages/swifttide_core/src/swifttide_core/documents/__init__.py
+++ b/packages/swifttide_core/src/swifttide_core/documents/__init__.py
@@ -3,6 +3,7 @@
 from swifttide_core.documents._check_document import (
     Document,
     check_document,
+    check_ranges,
     document_name,
 )
 from swifttide_core.documents._customer import Customer
@@ -22,5 +23,6 @@
     "Target",
     "TargetKind",
     "check_document",
+    "check_ranges",
     "document_name",
 ]
--- a/packages/swifttide_core/src/swifttide_core/documents/_check_document.py
+++ b/packages/swifttide_core/src/swifttide_core/documents/_check_document.py
@@ -72,7 +72,7 @@
         expected = "one of " + ", ".join(DocumentKind)
         return Error((FieldError("kind", format_value(str(kind)), expected),))
     decoded = decode_fields(_CLASS_BY_KIND[DocumentKind(kind)], raw)
-    return decoded.bind(_check_ranges)
+    return decoded.bind(check_ranges)
 
 
 def document_name(kind: DocumentKind | str, document: Document) -> str:
@@ -85,7 +85,8 @@
     raise TypeError(f"got {type(document).__name__}, expected a {kind} document")
 
 
-def _check_ranges(document: Document) -> Result[Document, tuple[FieldError, ...]]:
+def check_ranges(document: Document) -> Result[Document, tuple[FieldError, ...]]:
+    """Check the ranges of a decoded document's fields."""
     match document:
         case Profile():
             errors = _check_profile(document)
--- a/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/configuration/_service.py
@@ -11,9 +11,12 @@
 import time
 from collections.abc import Callable, Iterable
 
-import msgspec
-
-from swifttide_core.configuration import Change, ConfigState
+from swifttide_core.configuration import (
+    Change,
+    ConfigState,
+    check_version,
+    decode_document,
+)
 from swifttide_core.documents import (
     Customer,
     DocumentKind,
@@ -27,10 +30,11 @@
     HEAD_KEY,
     LOG_TABLE,
     change_of,
+    doc_key,
     log_key,
 )
 from swifttide_daemon.settings import Settings
-from swifttide_daemon.store import PlatformClient
+from swifttide_daemon.store import PlatformClient, Row, UnusableRows
 
 log = logging.getLogger(__name__)
 
@@ -67,6 +71,7 @@
         self.poll_seconds = poll_seconds
         self.state = ConfigState()
         self.fresh_at = float("-inf")
+        self._unusable = UnusableRows()
         self._lock = threading.Lock()
         self._listeners: list[Callable[[list[Change]], None]] = []
         self._stop = threading.Event()
@@ -124,7 +129,12 @@
             return self.state.latest_changes_after(version)
 
     def apply_peer_changes(self, version: int, changes: list[Change]) -> None:
-        """Apply the changes received from a peer that has a newer version."""
+        """Apply the changes received from a peer that has a newer version.
+
+        A change that can't be used is left out, as it is in the platform's rows.
+        """
+        check_version(version)
+        changes = [c for c in changes if self._is_usable(c)]
         with self._lock:
             new_changes = [c for c in changes if c.version > self.state.version]
             self.state.load(version, changes)
@@ -162,7 +172,9 @@
         head = self.platform.read(CONFIG_TABLE, HEAD_KEY)
         if head.is_error():
             return False
-        version = head.ok.value["version"] if head.ok else 0
+        version = self._head_version(head.ok)
+        if version is None:
+            return False
         if version > self.state.version and not self._catch_up(version):
             return False
         if version < self.state.version:
@@ -182,7 +194,11 @@
             )
             if rows.is_error():
                 return False
-            self.apply_changes([change_of(row) for row in rows.ok])
+            changes = self._unusable.decode(LOG_TABLE, rows.ok, _usable_change)
+            if len(changes) < len(rows.ok):
+                # The documents themselves show what the log's odd entry doesn't.
+                return self._load(version)
+            self.apply_changes(changes)
             if self.state.version == before:
                 return False
         return True
@@ -191,10 +207,28 @@
         rows = self.platform.scan(DOCUMENTS_TABLE)
         if rows.is_error():
             return False
-        changes = [change_of(row) for row in rows.ok]
+        changes = self._unusable.decode(DOCUMENTS_TABLE, rows.ok, _usable_change)
         with self._lock:
-            self.state.load(version, changes)
-        self._notify_listeners(changes)
+            new_changes = self.state.load(version, changes)
+        self._notify_listeners(new_changes)
+        return True
+
+    def _head_version(self, head: Row | None) -> int | None:
+        """Return the version of the head row, None if the row can't be used."""
+        if head is None:
+            return 0
+        found = self._unusable.decode(
+            CONFIG_TABLE, [head], lambda row: check_version(row.value["version"])
+        )
+        return found[0] if found else None
+
+    def _is_usable(self, change: Change) -> bool:
+        try:
+            decode_document(change)
+        except ValueError as exc:
+            place = doc_key(change.kind, change.name)
+            self._unusable.report(DOCUMENTS_TABLE, place, exc)
+            return False
         return True
 
     def _notify_listeners(self, new_changes: list[Change]) -> None:
@@ -207,8 +241,14 @@
         while not self._stop.is_set():
             try:
                 self.refresh()
-            except (msgspec.MsgspecError, KeyError):
-                # A row that can't be decoded must not stop the polling, because the
-                # next edit may correct it.
-                log.exception("a configuration row can't be decoded")
+            except Exception:
+                # Whatever a row holds, the next edit must be heard of.
+                log.exception("the configuration can't be read")
             self._stop.wait(self.poll_seconds)
+
+
+def _usable_change(row: Row) -> Change:
+    """Decode a change whose document can be used; raises an exception otherwise."""
+    change = change_of(row)
+    decode_document(change)
+    return change
--- a/packages/swifttide_daemon/src/swifttide_daemon/peering/_heartbeat.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peering/_heartbeat.py
@@ -76,7 +76,8 @@
             for row in rows:
                 try:
                     self._exchange_heartbeat(row)
-                except (msgspec.MsgspecError, KeyError):
+                except Exception:
+                    # A malformed answer must not end the thread.
                     log.exception("the response to a heartbeat can't be decoded")
 
     def _exchange_heartbeat(self, row: HostRow) -> None:
--- a/packages/swifttide_daemon/src/swifttide_daemon/store/__init__.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/store/__init__.py
@@ -14,6 +14,7 @@
     Write,
     new_id,
 )
+from swifttide_daemon.store._unusable_rows import UnusableRows
 
 __all__ = [
     "Check",
@@ -23,6 +24,7 @@
     "PlatformError",
     "Row",
     "Transaction",
+    "UnusableRows",
     "Write",
     "new_id",
 ]
