FIX One unreadable row no longer hides the other rows of its table

A row whose value isn't an object, is nested very deeply, or holds a number out of range or half a surrogate pair made the whole page of a table unreadable at the own interface: the call raised an exception in whatever thread had asked, for all hosts, until somebody removed the row. Configuration, hosts, slots and listings for operators are read so.

Cause: a page was decoded at once, into rows with an object as their value, and the decoder's errors weren't expected.

Change: a page that can't be decoded is split into its rows without decoding them; the unreadable ones are left out and logged once. The next page is still asked for after the last row, readable or not. A single row or a page that can't be read is an error of the platform, as if it hadn't answered, never a row that is missing.

--- a/packages/swifttide_daemon/src/swifttide_daemon/store/_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/store/_client.py
@@ -13,9 +13,11 @@
 import urllib3
 from expression import Error, Ok, Result
 
+from swifttide_core.checks import JsonDecoder, UnreadableJson
 from swifttide_core.verdicts import Verdict
 from swifttide_daemon.settings import Settings
 from swifttide_daemon.store._group_commit import GroupCommit
+from swifttide_daemon.store._row_pages import decode_page
 from swifttide_daemon.store._types import (
     Committed,
     Conflict,
@@ -23,6 +25,7 @@
     Row,
     Transaction,
 )
+from swifttide_daemon.store._unusable_rows import UnusableRows
 from swifttide_daemon.telemetry import Telemetry
 from swifttide_daemon.transport import (
     MAX_ANSWER_BYTES,
@@ -47,6 +50,7 @@
 OUTAGE_DETECTION_SECONDS = 2.0
 """Time without a response after which a failing platform counts as unavailable."""
 
+_ROW = JsonDecoder(Row)
 _request_numbers = itertools.count()
 
 
@@ -80,6 +84,7 @@
         self.base_url = base_url.rstrip("/")
         self.headers = headers
         self.timeout = timeout
+        self._unusable = UnusableRows()
         self._answered_at = time.monotonic()
         self._failing = False
         self._pending_since: dict[int, float] = {}
@@ -133,32 +138,43 @@
         status, body = answer.ok
         match status:
             case 200:
-                return Ok(msgspec.json.decode(body, type=Row))
+                return self._decode_row(table, key, body)
             case 404:
                 return Ok(None)
             case _:
                 return Error(PlatformError(f"read {table}: status {status}"))
 
+    def _decode_row(
+        self, table: str, key: str, body: bytes
+    ) -> Result[Row, PlatformError]:
+        try:
+            return Ok(_ROW.decode(body))
+        except UnreadableJson as exc:
+            self._unusable.report(table, key, exc)
+            return Error(PlatformError(f"read {table}: {exc}"))
+
     def scan(
         self, table: str, prefix: str = "", after: str = "", limit: int = 1000
     ) -> Result[list[Row], PlatformError]:
         """Read all rows with a key prefix, in key order.
 
         The rows are fetched in pages of `limit` rows, from the first key after `after`.
+        Rows that can't be read are left out.
         """
         rows: list[Row] = []
         while True:
             page = self._page(table, prefix, after, limit)
             if page.is_error():
                 return page
-            rows.extend(page.ok)
-            if len(page.ok) < limit:
+            found, n_rows, last_key = page.ok
+            rows.extend(found)
+            if n_rows < limit:
                 return Ok(rows)
-            after = page.ok[-1].key
+            after = last_key
 
     def _page(
         self, table: str, prefix: str, after: str, limit: int
-    ) -> Result[list[Row], PlatformError]:
+    ) -> Result[tuple[list[Row], int, str], PlatformError]:
         query = urlencode({"prefix": prefix, "after": after, "limit": limit})
         answer = self._exchange("GET", f"/v1/rows/{table}?{query}")
         if answer.is_error():
@@ -166,8 +182,10 @@
         status, body = answer.ok
         if status != 200:
             return Error(PlatformError(f"scan {table}: status {status}"))
-        found = msgspec.json.decode(body, type=dict[str, list[Row]])
-        return Ok(found["rows"])
+        try:
+            return Ok(decode_page(body, table, self._unusable))
+        except UnreadableJson as exc:
+            return Error(PlatformError(f"scan {table}: {exc}"))
 
     def commit(
         self, tx: Transaction, tries: int = MAX_COMMIT_ATTEMPTS
