FIX One odd row of a host or a slot no longer keeps a zone from being read

Another writer's row among the hosts or the slots of a zone raised in the thread that reads the zone, at each read: no host of the zone saw joins, depositions or handovers any more. A key that names no slot was enough. A host whose own row was replaced didn't register again where no other host deposed it.

Cause: all rows of a zone were decoded at once, and slots without checks of their types.

Change: rows are decoded one by one, and logged once where that fails. The row before counts then: without it, the slots of a host would be free before its lease has ended. A zone in which a slot names a host that was never readable can't be read, as before. A host takes an odd row in place of its own for the loss of its lease.

--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_lease_keeper.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+import msgspec
+
 from swifttide_core.membership import (
     ExtensionRound,
     ExtensionTimes,
@@ -30,6 +32,7 @@
     Committed,
     Conflict,
     PlatformClient,
+    Row,
     Transaction,
     Write,
     new_id,
@@ -196,7 +199,7 @@
         found = self.platform.read(HOSTS, self.row.key)
         if found.is_error():
             return
-        row = host_row_of(found.ok) if found.ok else None
+        row = _usable_row(found.ok)
         if row is not None and _is_same_incarnation(row, self.row):
             with self._lock:
                 self.lease = replace(self.lease, row_version=found.ok.version)
@@ -207,5 +210,14 @@
             self.lease = self.lease.without_registration()
 
 
+def _usable_row(found: Row | None) -> HostRow | None:
+    """Decode a lease row; None if there is none, or another writer replaced it."""
+    try:
+        return host_row_of(found) if found else None
+    except (msgspec.MsgspecError, RecursionError):
+        log.warning("the lease row of this host can't be used")
+        return None
+
+
 def _is_same_incarnation(row: HostRow, own: HostRow) -> bool:
     return row.incarnation == own.incarnation and row.state is not HostState.DEAD
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_rows.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_rows.py
@@ -30,7 +30,7 @@
 def slot_row_of(row: Row) -> SlotRow:
     """Decode a row of the ``slots`` table."""
     slot = int(row.key.rpartition("/")[2])
-    return SlotRow(slot=slot, version=row.version, **row.value)
+    return msgspec.convert({**row.value, "slot": slot, "version": row.version}, SlotRow)
 
 
 def slot_value(row: SlotRow) -> dict[str, Any]:
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/_zone_reader.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/_zone_reader.py
@@ -2,9 +2,9 @@
 
 import time
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
-from swifttide_core.membership import SlotRow
+from swifttide_core.membership import HostRow, SlotRow
 from swifttide_daemon.membership._rows import (
     HOSTS,
     SLOTS,
@@ -13,7 +13,7 @@
     slot_row_of,
 )
 from swifttide_daemon.membership._zone_view import ZoneView
-from swifttide_daemon.store import PlatformClient, PlatformError
+from swifttide_daemon.store import PlatformClient, PlatformError, UnusableRows
 
 
 class ZoneReader:
@@ -27,11 +27,20 @@
     platform : PlatformClient
     n_slots : int
         Number of slots of each zone.
+
+    Notes
+    -----
+    Hosts and slots are never removed. Where another writer replaced a row by one that
+    can't be used, the row before counts: without it, the slots of a host would be free
+    before its lease has ended. Its neighbours depose it once the lease has.
     """
 
     def __init__(self, platform: PlatformClient, n_slots: int) -> None:
         self.platform = platform
         self.n_slots = n_slots
+        self._unusable = UnusableRows()
+        self._hosts: dict[str, dict[str, HostRow]] = {}
+        self._slots: dict[str, dict[int, SlotRow]] = {}
 
     def head_version(self, zone: str) -> Result[int, PlatformError]:
         """Return the version of a zone's head row, 0 when there is none."""
@@ -53,11 +62,19 @@
         slots = self.platform.scan(SLOTS, f"{zone}/")
         if slots.is_error():
             return slots
-        slot_rows = {row.slot: row for row in map(slot_row_of, slots.ok)}
+        host_rows = self._hosts.get(zone, {}) | {
+            row.host: row for row in self._unusable.decode(HOSTS, hosts.ok, host_row_of)
+        }
+        slot_rows = self._slots.get(zone, {}) | {
+            row.slot: row for row in self._unusable.decode(SLOTS, slots.ok, slot_row_of)
+        }
+        if any(row.host and row.host not in host_rows for row in slot_rows.values()):
+            return Error(PlatformError("a slot whose holder can't be read"))
+        self._hosts[zone], self._slots[zone] = host_rows, slot_rows
         return Ok(
             ZoneView(
                 head_version=head.ok,
-                hosts={row.host: row for row in map(host_row_of, hosts.ok)},
+                hosts=host_rows,
                 slots=tuple(slot_rows.get(s, SlotRow(s)) for s in range(self.n_slots)),
                 read_at=time.monotonic(),
             )
--- a/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_lease_keeper.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/membership/tests/test_lease_keeper.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 from expression import Error, Ok
 
 from swifttide_core.membership import HostRow, HostState, LeaseTimes
@@ -76,3 +77,17 @@
         registered, before, joined, after = host.platform.written_tables
         assert registered == joined == ["hosts", "zone_heads"]
         assert before == after == ["hosts"]
+
+    @pytest.mark.parametrize("value", [{}, {"host": 7}, {"renewal": 10**400}])
+    def test_host_registers_again_over_an_odd_row(self, value):
+        """Guards against a host that never holds a lease again, as another writer
+        replaced its row and no other host of its zone deposes it.
+        """
+        host = keeper()
+        assert host.keep(0)
+        incarnation = host.row.incarnation
+        host.platform.row = Row("z/h1", host.platform.row.version + 1, value)
+        for _ in range(3):
+            host.keep(0)
+        assert host.holds()
+        assert host.row.incarnation != incarnation
