--- a/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
+++ b/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
@@ -1,6 +1,8 @@
 """A small HTTP/1.1 server whose answers a test spells out."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -55,6 +57,10 @@
         the other end closes.
     endless_gap_seconds : float
         Pause between them; with 0 they are sent at full speed.
+    cut : bytes or None
+        If any, sent in place of the answer, after which the connection ends.
+    reset : bool
+        Whether it ends with a reset.
     """
 
     status: int = 200
@@ -67,6 +73,8 @@
     raw_after: bytes = b""
     endless: bytes = b""
     endless_gap_seconds: float = 0.0
+    cut: bytes | None = None
+    reset: bool = False
 
 
 class HttpServer:
@@ -151,6 +159,9 @@
 
     async def _write(self, http, writer, reply, closed):
         writer.write(reply.raw_before)
+        if reply.cut is not None:
+            await _write_cut(writer, reply)
+            return False
         if reply.endless:
             await _write_without_end(writer, reply, closed)
             return False
@@ -182,6 +193,15 @@
         closed.set()
 
 
+async def _write_cut(writer, reply):
+    writer.write(reply.cut)
+    await writer.drain()
+    if reply.reset:
+        linger = struct.pack("ii", 1, 0)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 async def _write_without_end(writer, reply, closed):
     block = reply.endless
     if not reply.endless_gap_seconds:
