FIX Odd events and listings of engines fail their call, not its thread

An engine that sent deeply nested JSON, a text or a fraction where a count is due, or a listing of its cache without programs raised an error that nobody expected, or let the number into the sums of budgets.

Cause: the client caught the parser's errors for malformed JSON only, and didn't check the types and the ranges of what it took.

Change: one decoder with one error; counts are whole numbers from 0 to 2^53.

27 of the 80 cases of test_odd_events.py fail before; all pass with it.

--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
@@ -6,13 +6,14 @@
 
 import time
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Annotated, Any
 from urllib.parse import quote
 
 import msgspec
 import urllib3
 
 from swifttide_core.buffering import PieceBudget
+from swifttide_core.checks import JsonDecoder, UnreadableJson
 from swifttide_core.documents import Target
 from swifttide_core.verdicts import Reason, Verdict
 from swifttide_daemon.settings import TimeoutSettings
@@ -42,6 +43,12 @@
 NOT_LOADED_STATUS = 404
 """Status of an engine for a request to a model that it has not loaded."""
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""Number of tokens, bytes or events, exact in sums and in messages."""
+
+_events = JsonDecoder()
+_objects = JsonDecoder(dict[str, Any])
+
 
 class EngineClient:
     """Sends requests to engines.
@@ -149,7 +156,10 @@
     def cache_bytes(self, target: Target) -> dict[str, int] | None:
         """Return the bytes of cache by program, or None if they cannot be read."""
         listing = self._get_json(target, "/v1/cache")
-        return None if listing is None else listing["programs"]
+        try:
+            return msgspec.convert((listing or {}).get("programs"), dict[str, Count])
+        except msgspec.ValidationError:
+            return None
 
     def release_cache(self, target: Target, program: str, fencing: int) -> bool:
         """Order the engine to drop a program's cache; return whether it is gone."""
@@ -261,8 +271,8 @@
             status, body = self._control("GET", target.url + path)
             if status != 200:
                 return None
-            return msgspec.json.decode(body, type=dict[str, Any])
-        except (*TRANSPORT_ERRORS, msgspec.MsgspecError):
+            return _objects.decode(body)
+        except (*TRANSPORT_ERRORS, UnreadableJson):
             return None
 
     def _send_order(
@@ -319,20 +329,29 @@
 
 def _decode_event(data: bytes, request_id: str) -> EngineText | EngineDone:
     try:
-        event = msgspec.json.decode(data)
+        event = _events.decode(data)
         if event["request_id"] != request_id:
             # Two answers were swapped in transit. Passing this one on would disclose
             # the text of another customer.
             raise _invalid_answer("event belongs to another request")
         if event.get("done"):
             usage = event["usage"]
-            return EngineDone(
-                usage["prompt_tokens"],
-                usage["completion_tokens"],
-                usage.get("cached_tokens", 0),
-            )
-        return EngineText(event["index"], event["choices"][0]["delta"]["content"])
-    except (msgspec.MsgspecError, KeyError, IndexError, TypeError) as exc:
+            counts = {
+                "prompt_tokens": usage["prompt_tokens"],
+                "completion_tokens": usage["completion_tokens"],
+                "cached_tokens": usage.get("cached_tokens", 0),
+            }
+            return EngineDone(**msgspec.convert(counts, dict[str, Count]))
+        text = event["choices"][0]["delta"]["content"]
+        index = msgspec.convert(event["index"], Count)
+        return EngineText(index, msgspec.convert(text, str))
+    except (
+        UnreadableJson,
+        msgspec.MsgspecError,
+        AttributeError,
+        LookupError,
+        TypeError,
+    ) as exc:
         raise _invalid_answer(
             f"invalid event in the stream ({type(exc).__name__})"
         ) from exc
