FIX A broken chat stream goes on over a new connection

A stream that ended early with a whole answer, from an engine that then closed, failed its call instead of going on: the resume was sent over the connection that had just been kept. Seen as one failure in some runs of test_cut_streams.py (whole_within_event, reset).

Cause: the resume took any kept connection to the engine, though the client promises new ones.

Change: each resume opens a connection of its own.

test_stream_goes_on_over_a_new_connection fails before; the file passes three times of three with it.

--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/_engine_client.py
@@ -226,8 +226,10 @@
         body: bytes | None,
         headers: dict[str, str],
     ) -> urllib3.BaseHTTPResponse:
+        # A kept connection may be the one whose stream has just broken.
+        pool = self.pool if method == "POST" else make_connection_pool(1, 1)
         try:
-            answer = self.pool.request(
+            answer = pool.request(
                 method,
                 target.url + path,
                 body=body,
--- a/packages/swifttide_daemon/src/swifttide_daemon/targets/tests/test_cut_streams.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/targets/tests/test_cut_streams.py
@@ -76,3 +76,14 @@
             posts = [r for r in server.requests if r.startswith(b"POST")]
         assert failure.value.verdict == "may_have_run"
         assert len(posts) == 1
+
+
+def test_stream_goes_on_over_a_new_connection():
+    """Guards against a resume over a connection that its engine is about to close."""
+    first = CUT_STREAMS["end_without_done"]
+    rest = HEAD + b"\r\n" + text(1) + text(2) + DONE
+    with serve_cut(first, rest) as server:
+        *texts, _ = chat(server)
+        n_connections = server.n_connections
+    assert "".join(t.text for t in texts) == "abc"
+    assert n_connections == 2
--- a/packages/swifttide_daemon/src/swifttide_daemon/transport/tests/_cutting_server.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/transport/tests/_cutting_server.py
@@ -25,6 +25,7 @@
     ----------
     requests : list of bytes
         What was received, by request.
+    n_connections : int
     """
 
     def __init__(self, answers, reset=False, last=None):
@@ -32,9 +33,10 @@
         self.last = last
         self.reset = reset
         self.requests = []
+        self.n_connections = 0
         self._socket = socket.create_server(("127.0.0.1", 0))
-        self._threads = [threading.Thread(target=self._accept, daemon=True)]
-        self._threads[0].start()
+        self._thread = threading.Thread(target=self._accept, daemon=True)
+        self._thread.start()
 
     @property
     def target(self):
@@ -45,10 +47,15 @@
         with contextlib.suppress(OSError):
             while True:
                 conn, _ = self._socket.accept()
-                with conn, contextlib.suppress(OSError):
-                    self._serve(conn)
+                self.n_connections += 1
+                thread = threading.Thread(target=self._serve, args=(conn,), daemon=True)
+                thread.start()
 
     def _serve(self, conn):
+        with conn, contextlib.suppress(OSError):
+            self._answer(conn)
+
+    def _answer(self, conn):
         conn.settimeout(5.0)
         while received := _read_request(conn):
             self.requests.append(received)
@@ -68,8 +75,8 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
-        self._threads[0].join(6.0)
-        assert not self._threads[0].is_alive()
+        self._thread.join(6.0)
+        assert not self._thread.is_alive()
 
 
 def _read_request(conn):
