FIX An unreadable answer of another host is a refusal that may have run

An answer that can't be read raised in the thread that had asked, and an unreadable refusal counted as not run, so that a call could have been sent again.

Cause: a successful answer was decoded without its errors; of a refusal, deep nesting wasn't expected, and its verdict was the default one.

Change: both are refusals whose request may have run.

--- a/packages/swifttide_daemon/src/swifttide_daemon/peers/_client.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/peers/_client.py
@@ -8,7 +8,8 @@
 import urllib3
 from expression import Error, Ok, Result
 
-from swifttide_core.verdicts import Reason, Refusal
+from swifttide_core.checks import JsonDecoder, UnreadableJson
+from swifttide_core.verdicts import Reason, Refusal, Verdict
 from swifttide_daemon.peers._proof import PeerProof
 from swifttide_daemon.settings import Settings
 from swifttide_daemon.transport import (
@@ -22,6 +23,8 @@
 RETRY_AFTER_SECONDS = 1.0
 """Retry delay given in the refusal if a peer doesn't answer."""
 
+_json = JsonDecoder()
+
 
 class PeerClient:
     """Sends signed JSON requests to the peer ports of other hosts.
@@ -76,7 +79,7 @@
         if body.is_error():
             return body
         if answer.ok.status == 200:
-            return Ok(msgspec.json.decode(body.ok))
+            return _decode_answer(body.ok)
         return Error(_decode_refusal(body.ok))
 
     def stream(
@@ -157,9 +160,21 @@
         answer.close()
 
 
+def _decode_answer(body: bytes) -> Result[Any, Refusal]:
+    try:
+        return Ok(_json.decode(body))
+    except UnreadableJson:
+        return Error(_unreadable())
+
+
+def _unreadable() -> Refusal:
+    detail = "the peer's response can't be decoded"
+    return Refusal(Reason.INTERNAL, detail, verdict=Verdict.MAY_HAVE_RUN)
+
+
 def _decode_refusal(body: bytes) -> Refusal:
     try:
-        problem = msgspec.json.decode(body)
+        problem = _json.decode(body)
         return msgspec.convert(
             {
                 "reason": problem["reason"],
@@ -169,5 +184,5 @@
             },
             Refusal,
         )
-    except (msgspec.MsgspecError, KeyError, TypeError):
-        return Refusal(Reason.INTERNAL, "the peer's response can't be decoded")
+    except (UnreadableJson, msgspec.MsgspecError, LookupError, TypeError):
+        return _unreadable()
