FIX Half a surrogate pair in a document is an error of the document

A settings file or a document with half a surrogate pair where a name of a kind or a number is due, or as the name of a member, raised in place of an error with its path; an operator's edit of such a document failed in its handler.

Cause: comparing or writing such a text raises, which the checks of fields didn't expect.

Change: it is an error as any other wrong value, and the name is escaped in it.

--- a/packages/swifttide_core/src/swifttide_core/checks/_decoding.py
+++ b/packages/swifttide_core/src/swifttide_core/checks/_decoding.py
@@ -88,7 +88,7 @@
 def _find_unknown_members(raw: dict, fields: dict, path: str) -> list[FieldError]:
     return [
         FieldError(
-            join_path(path, str(name)),
+            join_path(path, _printable(name)),
             "an unknown member",
             _suggest_member(name, fields),
         )
@@ -97,6 +97,11 @@
     ]
 
 
+def _printable(name: str) -> str:
+    """Return a name that can be written to a terminal and to a log."""
+    return str(name).encode(errors="backslashreplace").decode()
+
+
 def _suggest_member(name: str, fields: dict) -> str:
     close = difflib.get_close_matches(str(name), fields, n=1)
     return f'a known member, perhaps "{close[0]}"' if close else "a known member"
@@ -117,7 +122,8 @@
         return decode_fields(hint, raw, place)
     try:
         return Ok(msgspec.convert(raw, hint, strict=True))
-    except msgspec.ValidationError:
+    except (msgspec.ValidationError, UnicodeError, RecursionError):
+        # A text with half a surrogate pair can't be compared with names of an enum.
         hidden = place.rsplit(".", 1)[-1].startswith(("key", "operator_key"))
         got = describe_secret(raw) if hidden else format_value(raw)
         return Error((FieldError(place, got, _describe_type(hint)),))
