--- a/tests/e2e/_gateway_fleet.py
+++ b/tests/e2e/_gateway_fleet.py
@@ -10,6 +10,9 @@
 from swifttide_standins.print_office import RowServer, free_ports
 
 READY_SECONDS = 20.0
+MAX_STARTING = 12
+"""Hosts that start at the same time; more would hold up all else on the machine."""
+
 SETTINGS = """
 node_name = "{name}"
 zone = "{zone}"
@@ -41,6 +44,11 @@
         Time from SIGTERM until a process would be killed.
     memory_mb : int
         Memory of a host; 0 for no limit.
+
+    Attributes
+    ----------
+    store_ports : dict of str to int
+        Ports at which hosts reach the store; by default its own port.
     """
 
     def __init__(
@@ -56,6 +64,7 @@
         self.zones = {
             f"{subnet}.{n + 1}": zones[n % len(zones)] for n in range(n_hosts)
         }
+        self.store_ports = {}
         self._processes = {}
 
     @property
@@ -66,10 +75,14 @@
     async def start(self):
         await self.store.server.start()
         self.store.rows.put("op", "config", json.dumps(self.document).encode())
-        for ip in self.hosts:
+        for first in range(0, len(self.hosts), MAX_STARTING):
+            await self._start_hosts(self.hosts[first : first + MAX_STARTING])
+
+    async def _start_hosts(self, ips):
+        for ip in ips:
             self.start_host(ip)
         async with asyncio.timeout(READY_SECONDS):
-            for ip in self.hosts:
+            for ip in ips:
                 while not await self.is_ready(ip):
                     await asyncio.sleep(0.1)
 
@@ -81,7 +94,7 @@
                 zone=self.zones[ip],
                 ip=ip,
                 ports=self._ports,
-                store_port=self.store.server.port,
+                store_port=self.store_ports.get(ip, self.store.server.port),
                 **self._limits,
             )
         )
@@ -116,6 +129,17 @@
         except (OSError, TimeoutError):
             return False
 
+    async def call_store(self):
+        """Make a call to the store as a host does; return when it has answered."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.store.server.port
+        )
+        try:
+            writer.write(b"GET /-/rows-get?table=op HTTP/1.1\r\nHost: x\r\n\r\n")
+            await reader.readline()
+        finally:
+            writer.close()
+
     def caller_address(self, ip):
         """Where a host takes requests of callers."""
         return ip, self._ports[0]
