--- a/tests/e2e/test_streams_soak.py
+++ b/tests/e2e/test_streams_soak.py
@@ -5,99 +5,41 @@
 """
 
 import asyncio
-import os
 import random
 import signal
 import time
-from dataclasses import dataclass, field
 
 import h11
 import pytest
 
 from swifttide_standins.print_office import Runner
 from tests.e2e._gateway_fleet import GatewayFleet
+from tests.e2e._streams import (
+    CONTACT_SECONDS,
+    N_EVENTS,
+    ZONES,
+    CallerConnection,
+    Stream,
+    Tally,
+    Targets,
+    chosen_n_hosts,
+    chosen_seeds,
+    request_fields,
+    service_entry,
+    streaming_route,
+)
 
 STORM_SECONDS = 14.0
-ZONES = ("za", "zb", "zc")
 N_CALLERS = 24
-N_EVENTS = 10
-EVENT_GAP_SECONDS = 0.04
 CALLER_SECONDS = 4.0
 MAX_TAKE_UPS = 3
-DRAIN_SECONDS = 2.0
-CONTACT_SECONDS = 3.0
-"""Time without a disturbance after which a host is expected to serve."""
+TIMEOUT_SECONDS = 4.0
 
-MIN_JUDGED_STREAMS = 12
-"""Streams taken up from which on the users judge the share that goes on."""
-
-ROUTE = {
-    "name": "check",
-    "host": "shop.example",
-    "prefix": "/check/",
-    "type": "streaming",
-    "resumable": True,
-    "timeout_ms": 4000,
-    "latency_target_ms": 200,
-    "gap_target_ms": 200,
-    "priority": 0,
-    "service": "engines",
-    "max_attempts": 1,
+DOCUMENT = {
+    "version": 1,
+    "routes": [streaming_route("engines", TIMEOUT_SECONDS)],
+    "services": [service_entry("engines")],
 }
-SERVICE = {"name": "engines", "runtime": {"chunk_tokens": 10, "capacity": 12}}
-DOCUMENT = {"version": 1, "routes": [ROUTE], "services": [SERVICE]}
-
-
-def chosen_seeds():
-    first, _, last = os.environ.get("SWIFTTIDE_SOAK_SEEDS", "1-2").partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
-class Targets:
-    """Targets that register, crash, drain and come back at another version."""
-
-    def __init__(self, store, rng):
-        self._store = store
-        self._rng = rng
-        self._number = 0
-        self.serving = {}
-
-    async def start(self, version, id=None, port=0):
-        """Start a target and register it; return its id."""
-        self._number += 1
-        id = id or f"t{self._number}"
-        runner = Runner(id, "engines", self._rng.choice(ZONES), version)
-        runner.script = runner.events(
-            N_EVENTS, stamped=True, gap_seconds=EVENT_GAP_SECONDS
-        )
-        await runner.server.start(port)
-        self.serving[id] = runner
-        self.write(id, born=self._number)
-        return id
-
-    def write(self, id, **changes):
-        self._store.rows.put("servers", id, self.serving[id].entry(**changes))
-
-    def n_serving(self, version):
-        return sum(runner.version == version for runner in self.serving.values())
-
-    async def crash(self, id):
-        """End a target without a word; its entry stays for a while."""
-        runner = self.serving.pop(id)
-        await runner.server.stop()
-        return runner
-
-    async def drain(self, id):
-        """Announce a target's end and end it once its streams have."""
-        self.write(id, state="draining")
-        runner = self.serving.pop(id)
-        await asyncio.sleep(DRAIN_SECONDS)
-        self._store.rows.remove("servers", id)
-        await runner.server.stop()
-
-    async def stop(self):
-        for id in list(self.serving):
-            await self.crash(id)
 
 
 class Storm:
@@ -137,7 +79,7 @@
         elif how == "id":
             # It registers before it serves, as a target does that starts anew.
             entry = Runner(runner.id, "engines", runner.zone, self.any_version())
-            self.fleet.store.rows.remove("servers", runner.id)
+            self.targets.remove_entry(runner.id)
             await asyncio.sleep(self.rng.uniform(1.0, 2.0))
             await self.targets.start(entry.version, runner.id)
         else:
@@ -146,7 +88,7 @@
             except OSError:
                 await self.targets.start(runner.version)
         if runner.id not in self.targets.serving:
-            self.fleet.store.rows.remove("servers", runner.id)
+            self.targets.remove_entry(runner.id)
 
     async def replace_target(self):
         """Start a target of another version, then drain one."""
@@ -199,40 +141,6 @@
         return self.rng.choice(self.versions)
 
 
-@dataclass
-class Stream:
-    """What a caller got of one stream.
-
-    Parameters
-    ----------
-    name : str
-    first_attempt : str
-        Attempt that got the first event.
-    parts : list of (str, str, list of (int, str))
-        For each attempt that got any event its id, its host, and id and version of
-        each event.
-    """
-
-    name: str
-    first_attempt: str = ""
-    parts: list = field(default_factory=list)
-    is_whole: bool = False
-
-    @property
-    def events(self):
-        return [event for _, _, events in self.parts for event in events]
-
-
-@dataclass
-class Tally:
-    """Streams that were asked of hosts in touch, and those that got an event."""
-
-    new: int = 0
-    begun: int = 0
-    taken_up: int = 0
-    gone_on: int = 0
-
-
 class Callers:
     """Callers who take broken streams up, also ones that they broke off themselves."""
 
@@ -271,26 +179,15 @@
             return
         is_judged, is_new = self.storm.is_in_touch(host), not stream.parts
         if not is_new:
-            is_judged &= self.targets.n_serving(stream.events[0][1]) >= 2
+            is_judged &= self.targets.n_serving(stream.version) >= 2
         leave_after = self.rng.choice((None, None, self.rng.randrange(1, N_EVENTS)))
         events, is_whole = await self.read(host, stream, attempt, leave_after)
         is_judged &= self.storm.is_in_touch(host)
         if not is_new:
-            is_judged &= self.targets.n_serving(stream.events[0][1]) >= 2
+            is_judged &= self.targets.n_serving(stream.version) >= 2
         if is_judged:
-            self.count(is_new, bool(events) or is_whole)
-        if events:
-            stream.first_attempt = stream.first_attempt or attempt
-            stream.parts.append((attempt, host, events))
-        stream.is_whole = is_whole
-
-    def count(self, is_new, has_event):
-        if is_new:
-            self.tally.new += 1
-            self.tally.begun += has_event
-        else:
-            self.tally.taken_up += 1
-            self.tally.gone_on += has_event
+            self.tally.count(is_new, bool(events) or is_whole)
+        stream.add(attempt, host, events, is_whole)
 
     async def ready_host(self):
         hosts = self.rng.sample(self.fleet.hosts, len(self.fleet.hosts))
@@ -301,57 +198,20 @@
 
     async def read(self, host, stream, attempt, leave_after):
         """Return the events of one attempt, and whether the stream came to its end."""
+        fields = request_fields(stream, attempt, CALLER_SECONDS)
         # Equal requests would share a fingerprint, and all be held to crash targets.
         prompt = stream.name.encode()
-        head = [
-            ("Host", "shop.example"),
-            ("Swifttide-Attempt-Id", attempt),
-            ("Swifttide-Deadline-Ms", str(int(CALLER_SECONDS * 1000))),
-            ("Swifttide-Affinity-Key", stream.name),
-            ("Content-Length", str(len(prompt))),
-        ]
-        if stream.parts:
-            head.append(("Resumes", stream.first_attempt))
-            head.append(("Last-Event-Id", str(stream.events[-1][0])))
-        body = bytearray()
-        status, is_whole = None, False
+        conn, is_whole = None, False
         try:
             async with asyncio.timeout(CALLER_SECONDS):
-                reader, writer = await self.fleet.connect(host)
-                http = h11.Connection(h11.CLIENT)
-                request = h11.Request(method="POST", target="/check/1", headers=head)
-                writer.write(http.send(request) + http.send(h11.Data(data=prompt)))
-                writer.write(http.send(h11.EndOfMessage()))
-                try:
-                    while not is_whole:
-                        match http.next_event():
-                            case h11.Response(status_code=status):
-                                continue
-                            case h11.Data(data=data):
-                                body += data
-                                if status != 200 or body.count(b"\n\n") == leave_after:
-                                    break
-                            case h11.EndOfMessage():
-                                is_whole = status == 200
-                                break
-                            case h11.ConnectionClosed():
-                                break
-                            case _:
-                                http.receive_data(await reader.read(65_536))
-                finally:
-                    writer.close()
+                conn = CallerConnection(*await self.fleet.connect(host))
+                is_whole = await conn.stream("/check/1", fields, prompt, leave_after)
         except (OSError, TimeoutError, h11.RemoteProtocolError):
             pass
-        return parse_events(bytes(body)) if status == 200 else [], is_whole
-
-
-def parse_events(body):
-    """Return id and version of each complete event."""
-    found = []
-    for event in body.split(b"\n\n")[:-1]:
-        fields = dict(line.split(": ", 1) for line in event.decode().split("\n"))
-        found.append((int(fields["id"]), fields["data"].split()[1]))
-    return found
+        finally:
+            if conn is not None:
+                conn.close()
+        return conn.events() if conn is not None else [], is_whole
 
 
 class TestStreamsSoak:
@@ -363,20 +223,13 @@
         streams, tally = asyncio.run(self.play(tmp_path, seed))
         assert len(streams) > 100
         for stream in streams:
-            assert len({version for _, version in stream.events}) == 1, stream
-            numbers = [number for number, _ in stream.events]
-            assert numbers == list(range(1, len(numbers) + 1)), stream
-            if stream.is_whole:
-                assert len(numbers) == N_EVENTS, stream
+            stream.check()
         print(f"seed {seed}: {len(streams)} streams, {tally}")
-        if tally.taken_up >= MIN_JUDGED_STREAMS:
-            share_begun = tally.begun / tally.new
-            assert tally.gone_on / tally.taken_up >= 0.5 * share_begun, tally
+        tally.check()
 
     async def play(self, directory, seed):
         rng = random.Random(seed)
-        n_hosts = int(os.environ.get("SWIFTTIDE_SOAK_HOSTS", "6"))
-        fleet = GatewayFleet(directory, n_hosts, ZONES, DOCUMENT)
+        fleet = GatewayFleet(directory, chosen_n_hosts(), ZONES, DOCUMENT)
         targets = Targets(fleet.store, rng)
         try:
             for version in ("v1", "v1", "v1", "v2", "v2"):
