--- a/tests/e2e/_gateway_fleet.py
+++ b/tests/e2e/_gateway_fleet.py
@@ -41,6 +41,11 @@
         Time from SIGTERM until a process would be killed.
     memory_mb : int
         Memory of a host; 0 for no limit.
+
+    Attributes
+    ----------
+    store_ports : dict of str to int
+        Ports at which hosts reach the store; by default its own port.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         self.zones = {
             f"{subnet}.{n + 1}": zones[n % len(zones)] for n in range(n_hosts)
         }
+        self.store_ports = {}
         self._processes = {}
 
     @property
@@ -81,7 +87,7 @@
                 zone=self.zones[ip],
                 ip=ip,
                 ports=self._ports,
-                store_port=self.store.server.port,
+                store_port=self.store_ports.get(ip, self.store.server.port),
                 **self._limits,
             )
         )
