FIX A standstill while a connection opens doesn't make a target unreachable

What callers saw: a stream that broke was cut, although a target of its version served.

Cause: a host that stood still for longer than the time-out of a connection (0.25 s) took a target that had accepted at once for unreachable: the time-out cancels the call in the same turn of the event loop in which the connection is reported open. The class is the same: that nothing was heard was taken for what is.

Change: a time-out that fires late tells of a standstill, and the connection is tried once more.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_client_connection.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_client_connection.py
@@ -28,6 +28,15 @@
 link of 15 Mbit/s, and chunks of other answers share the link."""
 
 
+LATE_TIMEOUT_SECONDS = 0.05
+"""Delay of a time-out that tells of a standstill of this process."""
+
+
+async def _open_streams(ip, port, seconds):
+    async with asyncio.timeout(seconds):
+        return await asyncio.open_connection(ip, port)
+
+
 class ClientConnection:
     """A connection to a target, the store or another host.
 
@@ -51,9 +60,15 @@
         cls, ip: str, port: int, seconds: float = CONNECT_TIMEOUT_SECONDS
     ) -> "ClientConnection":
         """Open a connection; raises `OSError`, including `TimeoutError`."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         try:
-            async with asyncio.timeout(seconds):
-                reader, writer = await asyncio.open_connection(ip, port)
+            reader, writer = await _open_streams(ip, port, seconds)
+        except TimeoutError:
+            if loop.time() - started_at < seconds + LATE_TIMEOUT_SECONDS:
+                raise
+            # This process has stood still, and the other end may have accepted.
+            reader, writer = await _open_streams(ip, port, seconds)
         except (ValueError, OverflowError) as exc:
             # A name that can't be encoded, or a port out of range.
             raise OSError(f"an address that can't be used ({exc})") from exc
