FIX A host lost long before an outage doesn't take shares of rates from all others

Since shares aren't used after their entry has expired, all hosts gave theirs up 57 s into an outage of the store if the row of any lost host was still there, and rows of lost hosts stay. Callers of customers with a limit would have been refused everywhere. A host that wasn't heard for two minutes doesn't count now: it had no entry when the outage began. The new test failed before. Not played with processes.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/rates/_share_allocator.py
@@ -234,15 +234,20 @@
     def _drop_expired_share(self):
         """Stop using the share once other hosts may have taken it.
 
-        In an outage of the store nobody can take it: all hosts are heard, and none of
-        them reaches the store.
+        In an outage of the store nobody can take it: all hosts are heard, but for those
+        that were lost long before, and none of them reaches the store.
         """
         own = self._entries.get(self._ip)
         if own is None or self._now_ms - own.renewed_ms < LEASE_MS - EXPIRY_MARGIN_MS:
             return
         fleet = self._fleet
-        is_outage = len(fleet.alive()) == len(fleet.all())
-        if is_outage and not fleet.peers_reaching_store():
+        alive = {peer.ip for peer in fleet.alive()}
+        recent = {
+            peer.ip
+            for peer in fleet.all()
+            if fleet.was_heard_within(peer.ip, 2 * LEASE_MS / 1000.0)
+        }
+        if recent <= alive and not fleet.peers_reaching_store():
             return
         self._has_lapsed = True
         self._set_share(0.0)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_share_allocator.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_share_allocator.py
@@ -1,6 +1,7 @@
 """Tests of the allocation of shares as hosts start, stop and are partitioned."""
 
 import asyncio
+import functools
 import json
 import random
 
@@ -41,6 +42,7 @@
         fleet = self.fleets[ip] = Fleet(peer(ip), self.log)
         fleet.all = lambda: [peer(other) for other in self.rates if other != ip]
         fleet.alive = fleet.all
+        fleet.was_heard_within = lambda ip, seconds: True
         allocator = ShareAllocator(self.store, fleet, rates, self.log)
         self.allocators[ip] = allocator
         self.tasks[ip] = (
@@ -399,6 +401,24 @@
         own, *_ = play(others_reach=False, are_heard=False)
         assert own == 0.0
 
+    def test_store_is_away_and_a_host_was_lost_long_before(self, store, log):
+        """Guards against refusals of all requests for a host that is long gone."""
+
+        async def main():
+            hosts = Hosts(store, log)
+            for i in range(3):
+                hosts.start(f"h{i}")
+            await hosts.run(10.0)
+            store.down = True
+            for fleet in hosts.fleets.values():
+                fleet.peers_reaching_store = list
+                fleet.all = functools.partial(list, [*fleet.all(), peer("h9")])
+                fleet.was_heard_within = lambda ip, seconds: ip != "h9"
+            await hosts.run(70.0)
+            return [round(r.share, 2) for r in hosts.rates.values()]
+
+        assert run_paused(main()) == [0.33, 0.33, 0.33]
+
     def test_store_that_is_away_for_all(self, play):
         """Guards against refusals of all requests in an outage of the store: nobody
         can have taken the share.
