FIX Streams begin and go on only where the list covers their connection

Cause: the list of targets was confirmed for streams that go on only, and its answer wasn't used.

Change: a connection remembers when it was opened, and the list up to when no change was missed, which is when the last answered question was sent. If the connection is younger, the list is confirmed first, also for new streams on resumable routes. Unconfirmed, a stream doesn't go on there; a new one is served. Kept connections need no call at all.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/_freshness.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/_freshness.py
@@ -55,6 +55,11 @@
         )
         self._n_stalls_confirmed = max(self._n_stalls_confirmed, n_stalls)
 
+    @property
+    def targets_complete_until(self) -> float:
+        """Time of the event loop up to which no change of targets was missed."""
+        return self._targets().complete_until
+
     async def confirm_targets(self) -> bool:
         """Bring the list of targets up to date.
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -255,15 +255,18 @@
     async def _may_go_on(self, job, progress, target, conn) -> bool:
         """Return whether a target that was chosen may get a job on a connection.
 
-        Otherwise the connection is released.
+        Otherwise the connection is released. The target may have restarted with other
+        software unheard. Its process registered before the connection was opened, so
+        the list of targets has its version if it is complete up to then.
         """
         may_use = False
+        origin = job.required_origin(progress)
         try:
-            if job.required_origin(progress) is not None:
-                # The target may have restarted with other software unheard. Its process
-                # registered before this connection was opened.
-                await self._freshness.confirm_targets()
-            may_use = self._may_still_use(job, progress, target)
+            is_known = conn.opened_at <= self._freshness.targets_complete_until
+            if not is_known and (origin is not None or job.route.resumable):
+                is_known = await self._freshness.confirm_targets()
+            may_use = origin is None or is_known
+            may_use = may_use and self._may_still_use(job, progress, target)
         finally:
             if not may_use:
                 self._client.release(target, conn)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_client_connection.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_client_connection.py
@@ -44,11 +44,17 @@
     ----------
     reader : asyncio.StreamReader
     writer : asyncio.StreamWriter
+
+    Attributes
+    ----------
+    opened_at : float
+        Time of the event loop at which it was opened, at the latest.
     """
 
     def __init__(self, reader, writer):
         self.reader = reader
         self.writer = writer
+        self.opened_at = asyncio.get_running_loop().time()
         self.idle_until = 0.0
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_table_watch.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/store/_table_watch.py
@@ -70,6 +70,9 @@
     ----------
     newest_change : int
         Version of the newest row that changed this host's view.
+    complete_until : float
+        Time of the event loop up to which no change was missed: that at which the last
+        question was sent that the store has answered.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         self._change_event = asyncio.Event()
         self._refreshing = SharedCall(self._refresh)
         self.newest_change = 0
+        self.complete_until = float("-inf")
 
     @property
     def age_seconds(self) -> float:
@@ -117,6 +121,7 @@
             # After a failure, poll without waiting: an immediate answer shows that the
             # store is back, whereas a long poll would only show it at its end.
             wait = LONG_POLL_SECONDS if self._up and not was_behind else 0.0
+            asked_at = asyncio.get_running_loop().time()
             outcome = await self._poll_changes(wait)
             was_behind = outcome is None
             match outcome:
@@ -125,6 +130,7 @@
                 case Rows() as found:
                     self._report_state(True, "")
                     self._apply_changes(found)
+                    self._record_question(found, asked_at)
                     await self._pause()
                 case HistoryLost():
                     # Changes were missed, possibly removals: read all rows again.
@@ -145,6 +151,7 @@
     async def _refresh(self) -> bool:
         if self._rows is None:
             return False
+        asked_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(REFRESH_TIMEOUT_SECONDS):
                 found = await self._store.changes(self._table, self._version, 0.0)
@@ -161,6 +168,7 @@
             self._apply_changes(found)
         elif found.version >= self._version:
             self._replace_rows(found)
+        self._record_question(found, asked_at)
         return True
 
     def on_peer_change(self, change: int) -> None:
@@ -290,6 +298,11 @@
         self._on_all(found.rows)
         self._wake_followers()
 
+    def _record_question(self, found, asked_at):
+        # What another host forwards is as old as its own view, which may be late.
+        if not found.age_seconds:
+            self.complete_until = max(self.complete_until, asked_at)
+
     def _record_age(self, found):
         now = asyncio.get_running_loop().time()
         self._current_as_of = max(self._current_as_of, now - found.age_seconds)
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_hosts.py
@@ -47,6 +47,10 @@
         self.is_confirmed = True
         self.on_confirm = lambda: None
 
+    @property
+    def targets_complete_until(self):
+        return asyncio.get_running_loop().time()
+
     async def catch_up(self):
         """Do nothing: the host knows all there is."""
 
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload_engines.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/_overload_engines.py
@@ -30,6 +30,7 @@
             ENGINE_CONCURRENCY,
         )
         self.slots = asyncio.Semaphore(ENGINE_CONCURRENCY)
+        self.opened_at = 0.0
         self.n_waiting = 0
         self.started_attempts: list[str] = []
         """Ids of the attempts that the engine began to run."""
