FIX A request that was given up isn't delivered by the kernel later

Cause: close() aborts the transport, which drops the buffer of the process only. What the kernel had taken it went on sending after the close, as long as it took.

Change: the connection is reset as it is closed, which drops these bytes.

Result: the new test got 3.9 MB after the close before, and a reset now.

--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_client_connection.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_client_connection.py
@@ -18,6 +18,7 @@
 )
 from swifttide_daemon.gateway.http._sockets import (
     CONNECT_TIMEOUT_SECONDS,
+    discard_unsent_on_close,
     set_socket_options,
 )
 
@@ -214,6 +215,9 @@
 
     def close(self) -> None:
         """Abort the connection, which cancels the request at the other end."""
+        sock = self.writer.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            discard_unsent_on_close(sock)
         self.writer.transport.abort()
 
     async def _next(self):
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_sockets.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/http/_sockets.py
@@ -53,3 +53,8 @@
     """Limit the unsent bytes that the kernel takes on a connection."""
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NOTSENT_LOWAT, MAX_KERNEL_UNSENT_BYTES)
+
+
+def discard_unsent_on_close(sock: socket.socket) -> None:
+    """Reset the connection when it is closed, and discard what the kernel holds."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_client_connection.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/tests/test_client_connection.py
@@ -22,3 +22,34 @@
             server.close()
 
         asyncio.run(scenario())
+
+
+class TestClose:
+    def test_bytes_that_wait_in_the_kernel_are_dropped(self):
+        """Guards against a request that reaches a target long after it was given up."""
+
+        async def scenario():
+            accepted = asyncio.get_running_loop().create_future()
+
+            async def accept(reader, writer):
+                writer.transport.pause_reading()
+                accepted.set_result((reader, writer))
+                await asyncio.sleep(10.0)
+
+            server = await asyncio.start_server(accept, "127.0.0.1", 0, limit=1024)
+            port = server.sockets[0].getsockname()[1]
+            conn = await ClientConnection.open("127.0.0.1", port)
+            reader, writer = await accepted
+            conn.writer.write(bytes(50_000_000))
+            await asyncio.sleep(0.1)
+            conn.close()
+            await asyncio.sleep(0.1)
+            writer.transport.resume_reading()
+            try:
+                n_bytes = len(await reader.read(-1))
+            except ConnectionResetError:
+                n_bytes = None
+            server.close()
+            return n_bytes
+
+        assert asyncio.run(scenario()) is None
