--- a/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
+++ b/packages/swifttide_daemon/src/swifttide_daemon/gateway/callers/_forwarder.py
@@ -252,8 +252,8 @@
             return False
         return self._beliefs.may_use(current, job.homes)
 
-    async def _may_go_on(self, job, progress, target, conn) -> bool:
-        """Return whether a target that was chosen may get a job on a connection.
+    async def _may_send(self, job, progress, target, conn) -> bool:
+        """Return whether a job may be sent to a target on a new or kept connection.
 
         Otherwise the connection is released. The target may have restarted with other
         software unheard. Its process registered before the connection was opened, so
@@ -308,7 +308,7 @@
         self._health.record_sent(target.id)
         try:
             conn = await self._client.connect(target, len(job.body), job.expires_at)
-            if not await self._may_go_on(job, progress, target, conn):
+            if not await self._may_send(job, progress, target, conn):
                 raise TargetFailure(NotRun("no longer takes new work"))
             self._log_resumption(job, progress, target)
             # From here on the target may have run the request.
