FIX The stand-in of a runner notices that its caller was reset

The stand-in noticed a connection that was closed, and since hosts reset it; a reader that gets a reset raises. A server on a real socket sees either. The two tests are unchanged and pass.

--- a/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
+++ b/packages/swifttide_standins/src/swifttide_standins/print_office/_http_server.py
@@ -188,8 +188,12 @@
 
 
 async def _watch(reader, closed):
-    """Note that the other end has closed; it sends nothing while it waits."""
-    if not await reader.read(1):
+    """Note that the other end has closed or reset; it sends nothing while it waits."""
+    try:
+        has_ended = not await reader.read(1)
+    except ConnectionError:
+        has_ended = True
+    if has_ended:
         closed.set()
 
 
